--- /dev/null
+++ b/core/domain/task.go
@@ -0,0 +1,183 @@
+package domain
+
+import (
+	"fmt"
+	"time"
+)
+
+// MaxPayloadBytes bounds a request payload and an answer.
+const MaxPayloadBytes = 1 << 20
+
+// Kind is the kind of a task.
+type Kind string
+
+// The three kinds of task.
+const (
+	// KindUrgent is a request with a deadline whose caller waits.
+	KindUrgent Kind = "urgent"
+	// KindBatch is work that can wait, checkpoint and resume.
+	KindBatch Kind = "batch"
+	// KindWatch is a standing task that must never lapse.
+	KindWatch Kind = "watch"
+)
+
+// Valid reports whether k is one of the three kinds.
+func (k Kind) Valid() bool {
+	return k == KindUrgent || k == KindBatch || k == KindWatch
+}
+
+// Resources is a capacity or demand vector.
+type Resources struct {
+	// CPUMilli is processor time in thousandths of a core.
+	CPUMilli int64 `json:"cpu_milli"`
+	// MemoryMiB is memory in MiB.
+	MemoryMiB int64 `json:"memory_mib"`
+	// Accelerators is a number of whole accelerators.
+	Accelerators int64 `json:"accelerators,omitempty"`
+	// Slots is the number of execution slots.
+	Slots int64 `json:"slots,omitempty"`
+	// Connections is the number of connections.
+	Connections int64 `json:"connections,omitempty"`
+}
+
+// Add returns r + o.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{
+		CPUMilli:     r.CPUMilli + o.CPUMilli,
+		MemoryMiB:    r.MemoryMiB + o.MemoryMiB,
+		Accelerators: r.Accelerators + o.Accelerators,
+		Slots:        r.Slots + o.Slots,
+		Connections:  r.Connections + o.Connections,
+	}
+}
+
+// Sub returns r - o.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{
+		CPUMilli:     r.CPUMilli - o.CPUMilli,
+		MemoryMiB:    r.MemoryMiB - o.MemoryMiB,
+		Accelerators: r.Accelerators - o.Accelerators,
+		Slots:        r.Slots - o.Slots,
+		Connections:  r.Connections - o.Connections,
+	}
+}
+
+// Fits reports whether r is within capacity in every dimension.
+func (r Resources) Fits(capacity Resources) bool {
+	return r.CPUMilli <= capacity.CPUMilli &&
+		r.MemoryMiB <= capacity.MemoryMiB &&
+		r.Accelerators <= capacity.Accelerators &&
+		r.Slots <= capacity.Slots &&
+		r.Connections <= capacity.Connections
+}
+
+// Negative reports whether any dimension is below zero.
+func (r Resources) Negative() bool {
+	return r.CPUMilli < 0 || r.MemoryMiB < 0 || r.Accelerators < 0 || r.Slots < 0 || r.Connections < 0
+}
+
+// Task is the description of one piece of work. It never changes after the
+// request was accepted.
+type Task struct {
+	ID    RequestID `json:"id"`
+	Kind  Kind      `json:"kind"`
+	Class Class     `json:"class"`
+	Team  Team      `json:"team"`
+	// Resources is the declared demand. It may be far from what the task uses.
+	Resources Resources `json:"resources"`
+	// Idempotent tells that a repeat does no harm. The default is false.
+	Idempotent bool `json:"idempotent,omitempty"`
+	// Deadline bounds the answer of an urgent task, counted from its arrival
+	// at the first entry node. Zero for batch tasks and watches.
+	Deadline time.Duration `json:"deadline_ns,omitempty"`
+	// Payload is handed to the task unread, at most MaxPayloadBytes.
+	Payload []byte `json:"payload,omitempty"`
+}
+
+// Validate returns an *Error of kind KindBadRequest or KindTooLarge that names
+// the first wrong field, or nil.
+func (t Task) Validate() error {
+	if !t.Kind.Valid() {
+		return t.bad(fmt.Sprintf("kind %q is unknown", t.Kind), "use urgent, batch or watch")
+	}
+	if t.Class == "" {
+		return t.bad("class is empty", "name the class of work, for example credit-check")
+	}
+	if t.Team == "" {
+		return t.bad("team is empty", "name the team that submits the work")
+	}
+	if t.Kind == KindUrgent && t.Deadline <= 0 {
+		return t.bad("an urgent request has no deadline", "set deadline_ms to a positive number")
+	}
+	if t.Resources.Negative() {
+		return t.bad("resources are negative", "set each resource to zero or more")
+	}
+	if t.Resources.CPUMilli == 0 || t.Resources.MemoryMiB == 0 {
+		return t.bad("cpu_milli or memory_mib is zero", "declare the processor and memory that the task needs")
+	}
+	if len(t.Payload) > MaxPayloadBytes {
+		return &Error{
+			Kind:      KindTooLarge,
+			Message:   fmt.Sprintf("payload has %d bytes, the limit is %d", len(t.Payload), MaxPayloadBytes),
+			Remedy:    "send a reference to the data in place of the data",
+			RequestID: t.idText(),
+		}
+	}
+	return nil
+}
+
+func (t Task) bad(message, remedy string) *Error {
+	return &Error{Kind: KindBadRequest, Message: message, Remedy: remedy, RequestID: t.idText()}
+}
+
+func (t Task) idText() string {
+	if t.ID.IsZero() {
+		return ""
+	}
+	return t.ID.String()
+}
+
+// OutcomeState tells what is known of a request.
+type OutcomeState string
+
+// Outcome states. OutcomeRan, OutcomeFailed, OutcomeNotRun and
+// OutcomeCancelled are final.
+const (
+	// OutcomeAccepted: the request is kept and waits or runs.
+	OutcomeAccepted OutcomeState = "accepted"
+	// OutcomeRunning: the task runs on a worker.
+	OutcomeRunning OutcomeState = "running"
+	// OutcomeRan: the task ran to its end; Answer is whole.
+	OutcomeRan OutcomeState = "ran"
+	// OutcomeFailed: the task ran and failed.
+	OutcomeFailed OutcomeState = "failed"
+	// OutcomeNotRun: the task did not run and will not run under this id.
+	OutcomeNotRun OutcomeState = "not_run"
+	// OutcomeCancelled: the task was stopped at its caller's wish.
+	OutcomeCancelled OutcomeState = "cancelled"
+	// OutcomeUnknown: whether the task ran cannot be shown.
+	OutcomeUnknown OutcomeState = "outcome_unknown"
+)
+
+// Final reports whether the state never changes again.
+func (s OutcomeState) Final() bool {
+	switch s {
+	case OutcomeRan, OutcomeFailed, OutcomeNotRun, OutcomeCancelled:
+		return true
+	}
+	return false
+}
+
+// Outcome is the answer to a caller about one request.
+type Outcome struct {
+	ID    RequestID    `json:"id"`
+	State OutcomeState `json:"state"`
+	// Answer is the task's answer; only with OutcomeRan.
+	Answer []byte `json:"answer,omitempty"`
+	// Worker is where the task ran or runs; empty if nowhere.
+	Worker WorkerID `json:"worker,omitempty"`
+	// Attempt counts placements, from 1; 0 if never placed.
+	Attempt int `json:"attempt,omitempty"`
+	// Err explains OutcomeFailed, OutcomeNotRun and OutcomeUnknown.
+	Err *Error `json:"error,omitempty"`
+}
--- /dev/null
+++ b/core/journal/entry.go
@@ -0,0 +1,108 @@
+package journal
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/platform"
+)
+
+// StreamOf returns the stream of a failure domain.
+func StreamOf(d domain.FailureDomain) platform.Stream {
+	return platform.Stream("domain-" + string(d))
+}
+
+// RecordType is the Type of a record that carries a Batch.
+const RecordType = "journal"
+
+// Claim makes a node the owner of a shard. The offset of its record is the
+// epoch. It takes effect only if Previous is the epoch in force.
+type Claim struct {
+	Shard    domain.ShardID `json:"shard"`
+	Node     domain.NodeID  `json:"node"`
+	Previous domain.Epoch   `json:"previous"`
+}
+
+// Release ends an ownership on a planned stop.
+type Release struct {
+	Shard domain.ShardID `json:"shard"`
+	Epoch domain.Epoch   `json:"epoch"`
+}
+
+// Intent says that a non-idempotent request may be started from now on.
+type Intent struct {
+	ID domain.RequestID `json:"id"`
+	// Body is the xxhash64 of the task description, to tell a reused key.
+	Body uint64 `json:"body"`
+}
+
+// Job says that a batch task or watch was accepted and must not be lost.
+type Job struct {
+	Task       domain.Task `json:"task"`
+	Attempt    int         `json:"attempt,omitempty"`
+	Checkpoint string      `json:"checkpoint,omitempty"`
+}
+
+// Ended gives the final outcome of a job, or of a request that was answered
+// "not run" or was cancelled.
+type Ended struct {
+	Outcome domain.Outcome `json:"outcome"`
+}
+
+// Moved says that a task belongs to a shard of another domain from now on.
+type Moved struct {
+	ID     domain.RequestID `json:"id"`
+	Target domain.ShardID   `json:"target"`
+	// Job is set for batch tasks and watches, so that the hand-over can be
+	// repeated until the target has confirmed it.
+	Job *Job `json:"job,omitempty"`
+}
+
+// Arrived says that the target of a move has confirmed it.
+type Arrived struct {
+	ID domain.RequestID `json:"id"`
+}
+
+// Entry is one entry of a domain's stream. Exactly one field other than Shard
+// and Epoch is set. An entry other than a claim takes effect only if Epoch is
+// the epoch in force for Shard at that place of the stream: an owner that has
+// been replaced cannot write any more.
+type Entry struct {
+	Shard   domain.ShardID `json:"shard"`
+	Epoch   domain.Epoch   `json:"epoch,omitempty"`
+	Claim   *Claim         `json:"claim,omitempty"`
+	Release *Release       `json:"release,omitempty"`
+	Intent  *Intent        `json:"intent,omitempty"`
+	Job     *Job           `json:"job,omitempty"`
+	Ended   *Ended         `json:"ended,omitempty"`
+	Moved   *Moved         `json:"moved,omitempty"`
+	Arrived *Arrived       `json:"arrived,omitempty"`
+}
+
+// Batch is the data of one log record: entries committed together.
+type Batch struct {
+	Entries []Entry `json:"entries"`
+}
+
+// Encode makes a log record of entries. id is the record id.
+func Encode(id string, entries []Entry) (platform.Record, error) {
+	data, err := json.Marshal(Batch{Entries: entries})
+	if err != nil {
+		return platform.Record{}, fmt.Errorf("encode journal batch: %w", err)
+	}
+	return platform.Record{ID: id, Type: RecordType, Data: data}, nil
+}
+
+// Decode returns the entries of a log record. It returns an error for a record
+// of another type or with malformed data.
+func Decode(rec platform.Record) ([]Entry, error) {
+	if rec.Type != RecordType {
+		return nil, fmt.Errorf("record %d has type %q, want %q", rec.Offset, rec.Type, RecordType)
+	}
+	var b Batch
+	if err := json.Unmarshal(rec.Data, &b); err != nil {
+		return nil, fmt.Errorf("decode journal record %d: %w", rec.Offset, err)
+	}
+	return b.Entries, nil
+}
--- /dev/null
+++ b/core/shard/event.go
@@ -0,0 +1,152 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/platform"
+)
+
+// Instant is a reading of the node's monotonic clock, counted from an
+// arbitrary start.
+type Instant = time.Duration
+
+// CallID names one waiting caller. The driver chooses it and gets it back in
+// Reply.
+type CallID uint64
+
+// Event is an input of Machine.Step. The concrete types are in this file.
+type Event interface{ event() }
+
+// Submitted asks for a task to be run. Reply comes once: for an urgent task
+// with its final outcome, for batch tasks and watches once they are kept or
+// refused.
+type Submitted struct {
+	Call CallID
+	Task domain.Task
+	// Budget is how much of the task's deadline is left; zero for batch tasks
+	// and watches.
+	Budget time.Duration
+	// Delegated tells that the task comes from another shard that has moved it
+	// here. Attempt and Checkpoint are then those reached there.
+	Delegated  bool
+	Attempt    int
+	Checkpoint string
+}
+
+// Queried asks what is known of a request.
+type Queried struct {
+	Call CallID
+	ID   domain.RequestID
+}
+
+// Cancelled asks to stop a request. Reply has the outcome after the stop.
+type Cancelled struct {
+	Call CallID
+	ID   domain.RequestID
+}
+
+// WorkersListed gives the VM list's workers of this shard.
+type WorkersListed struct {
+	VMs []platform.VM
+}
+
+// AttachDone answers SendAttach.
+type AttachDone struct {
+	Worker domain.WorkerID
+	Reply  platform.AttachReply
+	Err    *domain.Error
+	SentAt Instant
+}
+
+// RenewDone answers SendRenew.
+type RenewDone struct {
+	Worker domain.WorkerID
+	Reply  platform.RenewReply
+	Err    *domain.Error
+	SentAt Instant
+}
+
+// StartDone answers SendStart.
+type StartDone struct {
+	Worker  domain.WorkerID
+	ID      domain.RequestID
+	Attempt int
+	Status  platform.TaskStatus
+	Err     *domain.Error
+}
+
+// StopDone answers SendStop.
+type StopDone struct {
+	Worker domain.WorkerID
+	ID     domain.RequestID
+	Status platform.TaskStatus
+	Err    *domain.Error
+}
+
+// LookupDone answers SendLookup.
+type LookupDone struct {
+	Worker domain.WorkerID
+	ID     domain.RequestID
+	Status platform.TaskStatus
+	Err    *domain.Error
+}
+
+// AppendDone answers Append.
+type AppendDone struct {
+	Token AppendToken
+	Err   *domain.Error
+}
+
+// DelegateDone answers Delegate.
+type DelegateDone struct {
+	ID      domain.RequestID
+	Outcome domain.Outcome
+	Err     *domain.Error
+}
+
+// OwnershipRead tells that a read of the domain's stream, issued at SentAt,
+// reached the end of the stream and showed Epoch as the shard's highest claim.
+type OwnershipRead struct {
+	SentAt Instant
+	Epoch  domain.Epoch
+}
+
+// LogState tells whether the log service answers appends.
+type LogState struct {
+	Up bool
+}
+
+// Configured gives the configuration in force and whether the domain is cut
+// off from the log service and all other domains.
+type Configured struct {
+	Configuration domain.Configuration
+	Isolated      bool
+	// Targets are shards of other domains that are not taken out and whose
+	// owners answer, in the order of preference for delegated tasks.
+	Targets []domain.ShardID
+}
+
+// Draining tells that the node is stopping: no new request is accepted, what
+// was accepted is finished.
+type Draining struct{}
+
+// Tick lets time-outs be noticed. The driver sends it every TickInterval.
+type Tick struct{}
+
+func (Submitted) event()     {}
+func (Queried) event()       {}
+func (Cancelled) event()     {}
+func (WorkersListed) event() {}
+func (AttachDone) event()    {}
+func (RenewDone) event()     {}
+func (StartDone) event()     {}
+func (StopDone) event()      {}
+func (LookupDone) event()    {}
+func (AppendDone) event()    {}
+func (DelegateDone) event()  {}
+func (OwnershipRead) event() {}
+func (LogState) event()      {}
+func (Configured) event()    {}
+func (Draining) event()      {}
+func (Tick) event()          {}
--- /dev/null
+++ b/node/cmd/basilferryd/main.go
@@ -0,0 +1,4 @@
+// Command basilferryd is the entry node daemon.
+package main
+
+func main() {}
