--- /dev/null
+++ b/core/chart/chart_test.go
@@ -0,0 +1,42 @@
+package chart
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against chart files that name unreachable states or ambiguous events.
+func TestEmbeddedChartsAreValid(t *testing.T) {
+	for _, name := range []string{"task", "worker"} {
+		c, err := Load(name)
+		assert.NilError(t, err, name)
+		assert.Assert(t, c.Initial() != "", name)
+	}
+}
+
+// Guards against an interpreter that accepts an event the chart lacks.
+func TestNext(t *testing.T) {
+	c := MustLoad("task")
+	s, err := c.Next("queued", "place")
+	assert.NilError(t, err)
+	assert.Equal(t, s, State("starting"))
+
+	s, err = c.Next("ended", "place")
+	assert.ErrorContains(t, err, "event place in state ended")
+	assert.Equal(t, s, State("ended"))
+	assert.Assert(t, !c.Can("ended", "queue"))
+}
+
+func TestLoadRejectsWrongCharts(t *testing.T) {
+	cases := map[string]string{
+		"two transitions": `{"name":"x","initial":"a","transitions":[
+			{"event":"e","from":["a"],"to":"b"},{"event":"e","from":["a"],"to":"c"}]}`,
+		"cannot be reached": `{"name":"x","initial":"a","transitions":[{"event":"e","from":["b"],"to":"a"}]}`,
+		"final state":       `{"name":"x","initial":"a","final":["a"],"transitions":[{"event":"e","from":["a"],"to":"b"}]}`,
+	}
+	for want, data := range cases {
+		_, err := parse([]byte(data))
+		assert.ErrorContains(t, err, want)
+	}
+}
--- a/core/journal/entry.go
+++ b/core/journal/entry.go
@@ -22,6 +22,9 @@
 	Shard    domain.ShardID `json:"shard"`
 	Node     domain.NodeID  `json:"node"`
 	Previous domain.Epoch   `json:"previous"`
+	// Kept is set when an owner appends its ownership again before the record
+	// of its claim expires; it is the epoch that stays in force.
+	Kept domain.Epoch `json:"kept,omitempty"`
 }
 
 // Release ends an ownership on a planned stop.
--- a/core/platform/worker.go
+++ b/core/platform/worker.go
@@ -35,6 +35,9 @@
 	// TaskStopped: stopped by a command or because the session lapsed. A batch
 	// task then carries a checkpoint if it had made any progress.
 	TaskStopped TaskState = "stopped"
+	// TaskNeverStarted: a stop came before any start. A start with the same or
+	// a lower attempt that arrives later is answered with this state.
+	TaskNeverStarted TaskState = "never_started"
 )
 
 // TaskStatus describes one task on a worker, running or ended.
@@ -81,7 +84,8 @@
 	Epoch   domain.Epoch `json:"epoch"`
 	Session SessionID    `json:"session"`
 	// Echo is the Now of the last answer that the owner got from this worker.
-	// The session's expiry becomes Echo + LeaseDuration, and never moves back.
+	// The session's expiry becomes Echo + LeaseDuration, and never moves back;
+	// an Echo of zero extends nothing.
 	Echo WorkerTime `json:"echo"`
 	// EventsAfter is the number of the last task event that the owner has seen.
 	EventsAfter uint64 `json:"events_after"`
@@ -133,6 +137,8 @@
 	Epoch   domain.Epoch     `json:"epoch"`
 	Session SessionID        `json:"session"`
 	ID      domain.RequestID `json:"id"`
+	// Attempt is the highest attempt that the stop is meant for.
+	Attempt int `json:"attempt"`
 	// Checkpoint asks for a checkpoint before the stop.
 	Checkpoint bool `json:"checkpoint"`
 }
@@ -160,7 +166,9 @@
 // hold only as long as no owner is replaced.
 type Worker interface {
 	// Attach opens a session for the epoch and ends the one before it. Tasks
-	// go on running under the new session.
+	// go on running under the new session. A session that replaces an open one
+	// inherits its expiry, so that an attach whose answer is lost does not
+	// extend the lease of tasks; otherwise it expires LeaseDuration after Now.
 	Attach(ctx context.Context, req AttachRequest) (AttachReply, error)
 	// Renew extends the session and returns task events and usage.
 	Renew(ctx context.Context, req RenewRequest) (RenewReply, error)
@@ -168,8 +176,9 @@
 	Start(ctx context.Context, req StartRequest) (TaskStatus, error)
 	// Run starts an urgent task and returns its final status with the answer.
 	Run(ctx context.Context, req StartRequest) (TaskStatus, error)
-	// Stop stops a task and returns its final status once it has ended. It
-	// returns KindNotFound if the worker has no record of the id.
+	// Stop stops a task and returns its final status once it has ended. If the
+	// worker has no record of the id, it keeps one with TaskNeverStarted, so
+	// that a start that is still under way starts nothing.
 	Stop(ctx context.Context, req StopRequest) (TaskStatus, error)
 	// Throttle changes the share that a batch task may use.
 	Throttle(ctx context.Context, req ThrottleRequest) error
--- a/core/shard/effect.go
+++ b/core/shard/effect.go
@@ -67,7 +67,19 @@
 	Request Submitted
 }
 
-// Reply answers a waiting caller. Each CallID is answered once.
+// Redirect answers a waiting caller with the outcome that the owner of another
+// shard has for a request that was moved there.
+type Redirect struct {
+	Call   CallID
+	Target domain.ShardID
+	ID     domain.RequestID
+	// Cancel asks to stop the request there.
+	Cancel bool
+}
+
+// Reply answers a waiting caller. Each CallID is answered once. An outcome
+// without a state carries only Err: the call was not taken and nothing was
+// started or changed.
 type Reply struct {
 	Call    CallID
 	Outcome domain.Outcome
@@ -97,6 +109,7 @@
 func (SendLookup) effect()   {}
 func (Append) effect()       {}
 func (Delegate) effect()     {}
+func (Redirect) effect()     {}
 func (Reply) effect()        {}
 func (Explain) effect()      {}
 func (StepDown) effect()     {}
--- a/core/shard/event.go
+++ b/core/shard/event.go
@@ -74,6 +74,8 @@
 	Attempt int
 	Status  platform.TaskStatus
 	Err     *domain.Error
+	// NotSent tells that the command surely did not reach the worker.
+	NotSent bool
 }
 
 // StopDone answers SendStop.
--- /dev/null
+++ b/core/shard/move.go
@@ -0,0 +1,187 @@
+package shard
+
+import (
+	"fmt"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/journal"
+)
+
+// evacuate moves the work of a failure domain that is taken out: what runs and
+// can resume is stopped with a checkpoint, what waits moves on.
+func (m *Machine) evacuate() {
+	for _, kind := range []domain.Kind{domain.KindWatch, domain.KindBatch, domain.KindUrgent} {
+		for _, r := range m.sortedLive() {
+			if r.task.Kind == kind {
+				m.evacuateOne(r)
+			}
+		}
+	}
+}
+
+func (m *Machine) evacuateOne(r *request) {
+	switch r.state {
+	case stateRunning:
+		if !r.urgent() {
+			m.sendStop(r, m.workers[r.worker], stopMove)
+		}
+	case stateQueued:
+		m.moveOn(r)
+	}
+}
+
+// moveOn offers a queued request to another failure domain.
+func (m *Machine) moveOn(r *request) {
+	if r.urgent() {
+		m.moveUrgent(r)
+		return
+	}
+	if !m.logUsable() || len(m.targets) == 0 || !r.kept {
+		return
+	}
+	m.unqueue(r)
+	m.move(r)
+}
+
+// moveUrgent delegates an urgent request. Its move must be in the log first,
+// so that a later owner of this shard knows who is the authority.
+func (m *Machine) moveUrgent(r *request) {
+	if !m.logUsable() || len(m.targets) == 0 {
+		why := fmt.Sprintf("failure domain %s is taken out and no other one can be reached", m.shard.Domain)
+		m.refuseUrgent(r, why)
+		return
+	}
+	m.move(r)
+}
+
+func (m *Machine) move(r *request) {
+	if !m.fire(r, eventMove) {
+		return
+	}
+	r.target = m.targets[m.nextTarget%len(m.targets)]
+	m.nextTarget++
+	m.explain(r.task.ID, fmt.Sprintf("failure domain %s is taken out: moving to %s", m.shard.Domain, r.target))
+	m.append([]domain.RequestID{r.task.ID}, journal.Entry{Moved: r.moved()})
+}
+
+func (r *request) moved() *journal.Moved {
+	moved := &journal.Moved{ID: r.task.ID, Target: r.target}
+	if !r.urgent() {
+		moved.Job = r.job()
+	}
+	return moved
+}
+
+func (m *Machine) afterMoveLogged(r *request, ok bool) {
+	if !ok && r.urgent() {
+		// The record may be in the log all the same. It names a target that
+		// was never asked, so closing the id here keeps the answer true.
+		m.finish(r, domain.Outcome{
+			State: domain.OutcomeNotRun,
+			Err:   errNotRun(r.task.ID, "the log service does not answer, so the work could not be moved"),
+		})
+		return
+	}
+	if !ok {
+		m.retryMoveLater(r)
+		return
+	}
+	m.offer(r)
+}
+
+// retryMoveLater repeats the record of a move. A move that may be in the log
+// is not taken back, because a later owner would follow it.
+func (m *Machine) retryMoveLater(r *request) {
+	r.logged = false
+	m.moving[r.task.ID] = m.now + moveRetry
+}
+
+// offer hands the request to its target, which deduplicates by id.
+func (m *Machine) offer(r *request) {
+	r.logged = true
+	m.moving[r.task.ID] = m.now + moveRetry
+	sub := Submitted{Task: r.task, Delegated: true, Attempt: r.attempt, Checkpoint: r.checkpoint}
+	if r.urgent() {
+		sub.Budget = max(r.expiresAt-m.now, 0)
+	}
+	m.emit(Delegate{Target: r.target, Request: sub})
+}
+
+func (m *Machine) onDelegateDone(e DelegateDone) {
+	r, known := m.requests[e.ID]
+	if !known || r.arrived || (r.state != stateMoving && r.state != stateMoved) {
+		return
+	}
+	if r.urgent() {
+		m.urgentMoved(r, e)
+		return
+	}
+	if e.Err != nil || e.Outcome.State == domain.OutcomeUnknown || e.Outcome.State == domain.OutcomeNotRun {
+		m.moving[e.ID] = m.now + moveRetry
+		return
+	}
+	m.arrived(r)
+	m.reply(r, e.Outcome)
+}
+
+func (m *Machine) urgentMoved(r *request, e DelegateDone) {
+	if e.Err != nil && e.Err.Kind == domain.KindStaleEpoch {
+		m.finish(r, domain.Outcome{
+			State: domain.OutcomeNotRun,
+			Err:   errNotRun(r.task.ID, "the shard that it was moved to did not take it"),
+		})
+		return
+	}
+	m.arrived(r)
+	if e.Err != nil {
+		m.reply(r, unknownOutcome(r.task.ID, "the shard that it was moved to does not answer"))
+		return
+	}
+	m.reply(r, e.Outcome)
+}
+
+func (m *Machine) arrived(r *request) {
+	m.fire(r, eventDepart)
+	r.arrived = true
+	delete(m.moving, r.task.ID)
+	delete(m.timed, r.task.ID)
+	delete(m.live, r.task.ID)
+	m.record(journal.Entry{Arrived: &journal.Arrived{ID: r.task.ID}})
+}
+
+// retryMoves repeats offers that were not confirmed.
+func (m *Machine) retryMoves() {
+	for _, id := range sortedIDs(m.moving) {
+		r, known := m.requests[id]
+		if !known || m.now < m.moving[id] || r.urgent() {
+			continue
+		}
+		m.moving[id] = m.now + moveRetry
+		if r.logged {
+			m.offer(r)
+			continue
+		}
+		if m.logUsable() {
+			m.append([]domain.RequestID{id}, journal.Entry{Moved: r.moved()})
+		}
+	}
+}
+
+// takeBack accepts a request that was moved away and comes back.
+func (m *Machine) takeBack(r *request, e Submitted) {
+	if !m.fire(r, eventReturn) {
+		return
+	}
+	m.live[e.Task.ID] = r
+	r.calls = append(r.calls, e.Call)
+	r.task, r.body, r.described = e.Task, BodyHash(e.Task), true
+	r.attempt, r.checkpoint = e.Attempt, e.Checkpoint
+	r.arrived, r.kept = false, false
+	if r.urgent() {
+		r.expiresAt = m.now + e.Budget
+		m.timed[e.Task.ID] = true
+		m.acceptUrgent(r)
+		return
+	}
+	m.acceptKept(r)
+}
--- /dev/null
+++ b/core/shard/request.go
@@ -0,0 +1,206 @@
+package shard
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/basilferry/basilferry/core/chart"
+	"github.com/basilferry/basilferry/core/domain"
+)
+
+// States of a request; the names are those of chart file task.json.
+const (
+	stateNew        chart.State = "new"
+	stateRecovering chart.State = "recovering"
+	stateLogging    chart.State = "logging"
+	stateQueued     chart.State = "queued"
+	stateStarting   chart.State = "starting"
+	stateRunning    chart.State = "running"
+	stateStopping   chart.State = "stopping"
+	stateUncertain  chart.State = "uncertain"
+	stateMoving     chart.State = "moving"
+	stateMoved      chart.State = "moved"
+	stateEnded      chart.State = "ended"
+)
+
+// Events of the task chart.
+const (
+	eventRecover chart.Event = "recover"
+	eventLog     chart.Event = "log"
+	eventQueue   chart.Event = "queue"
+	eventPlace   chart.Event = "place"
+	eventRun     chart.Event = "run"
+	eventStop    chart.Event = "stop"
+	eventLose    chart.Event = "lose"
+	eventMove    chart.Event = "move"
+	eventDepart  chart.Event = "depart"
+	eventReturn  chart.Event = "return"
+	eventEnd     chart.Event = "end"
+)
+
+// stopReason tells why a task is being stopped.
+type stopReason int
+
+const (
+	stopNone stopReason = iota
+	stopCancel
+	stopEvict
+	stopMove
+	// stopSettle finds out what became of a start whose answer was lost.
+	stopSettle
+)
+
+// request is what the machine knows of one request.
+type request struct {
+	task  domain.Task
+	body  uint64
+	state chart.State
+	// described is false for a request of which only the intent is known.
+	described bool
+	// logged tells that the log holds the job or the intent.
+	logged bool
+	// kept tells that the caller of a batch task or watch was told "accepted".
+	kept  bool
+	calls []CallID
+
+	attempt    int
+	checkpoint string
+	// loggedCheckpoint is the checkpoint that the log holds.
+	loggedCheckpoint string
+	worker           domain.WorkerID
+	reserved         domain.Resources
+	startedAt        Instant
+	// expiresAt ends the caller's wait; 0 for none.
+	expiresAt Instant
+	// notBefore delays a task that failed repeatedly.
+	notBefore Instant
+	avoid     []domain.WorkerID
+	refused   bool
+	failures  int
+
+	stopping stopReason
+	target   domain.ShardID
+	arrived  bool
+
+	outcome domain.Outcome
+	endedAt Instant
+}
+
+func (r *request) urgent() bool { return r.task.Kind == domain.KindUrgent }
+
+// restartable reports whether another attempt does no harm: batch tasks and
+// watches resume from checkpoints by contract.
+func (r *request) restartable() bool {
+	return !r.urgent() || r.task.Idempotent
+}
+
+// onWorker reports whether the request holds capacity on its worker.
+func (r *request) onWorker() bool {
+	switch r.state {
+	case stateStarting, stateRunning, stateStopping, stateUncertain:
+		return r.worker != ""
+	}
+	return false
+}
+
+// placed reports whether an attempt of the request may be on a worker, known
+// to this owner or not.
+func (r *request) placed() bool {
+	return r.onWorker() || r.state == stateRecovering || r.state == stateUncertain
+}
+
+func (r *request) demand(now Instant) Demand {
+	d := Demand{
+		ID:       r.task.ID,
+		Kind:     r.task.Kind,
+		Class:    r.task.Class,
+		Team:     r.task.Team,
+		Declared: r.task.Resources,
+		Retry:    r.refused,
+		Avoid:    r.avoid,
+	}
+	if r.expiresAt > 0 {
+		d.Budget = max(r.expiresAt-now, 0)
+	}
+	return d
+}
+
+// current returns the outcome as it is now, for callers that ask.
+func (r *request) current() domain.Outcome {
+	if r.state == stateEnded {
+		return r.outcome
+	}
+	o := domain.Outcome{ID: r.task.ID, Worker: r.worker, Attempt: r.attempt}
+	switch r.state {
+	case stateRunning, stateStopping:
+		o.State = domain.OutcomeRunning
+	case stateUncertain, stateRecovering:
+		o.State = domain.OutcomeUnknown
+		o.Err = errUnknown(r.task.ID, "the worker that may run the request does not answer")
+	default:
+		o.State = domain.OutcomeAccepted
+	}
+	if !r.urgent() && r.kept && o.State == domain.OutcomeUnknown {
+		o.State, o.Err = domain.OutcomeAccepted, nil
+	}
+	return o
+}
+
+// BodyHash returns the xxhash64 of what a caller asked for, without the id and
+// the deadline. It tells a repeated request from a reused key.
+func BodyHash(t domain.Task) uint64 {
+	t.ID = domain.RequestID{}
+	t.Deadline = 0
+	data, err := json.Marshal(t)
+	if err != nil {
+		// A domain.Task holds no value that JSON cannot express.
+		panic(err)
+	}
+	return xxhash.Sum64(data)
+}
+
+// errUnknown explains OutcomeUnknown.
+func errUnknown(id domain.RequestID, why string) *domain.Error {
+	return &domain.Error{
+		Kind:      domain.KindOutcomeUnknown,
+		Message:   "whether the work ran is not known: " + why,
+		Remedy:    "ask again with GET /v1/requests/{id}; send the work again only if a repeat does no harm",
+		RequestID: id.String(),
+	}
+}
+
+// errNotRun explains OutcomeNotRun.
+func errNotRun(id domain.RequestID, why string) *domain.Error {
+	return &domain.Error{
+		Kind:      domain.KindNotRun,
+		Message:   "the work did not run: " + why,
+		Remedy:    "send it again under a new id or key",
+		RequestID: id.String(),
+	}
+}
+
+// errNotTaken answers a call that this owner does not take.
+func errNotTaken(id domain.RequestID, why string) *domain.Error {
+	return &domain.Error{
+		Kind:      domain.KindStaleEpoch,
+		Message:   why,
+		Remedy:    "ask the owner of the shard again in a moment",
+		RequestID: id.String(),
+	}
+}
+
+// late reports whether the caller's wait has ended.
+func (r *request) late(now Instant) bool {
+	return r.expiresAt > 0 && now >= r.expiresAt
+}
+
+// backoff returns the delay before the next attempt after n failures.
+func backoff(n int) time.Duration {
+	if n <= immediateRestarts {
+		return 0
+	}
+	d := restartDelay << min(n-immediateRestarts-1, 8)
+	return min(d, maxRestartDelay)
+}
--- /dev/null
+++ b/core/shard/start.go
@@ -0,0 +1,363 @@
+package shard
+
+import (
+	"fmt"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/journal"
+	"github.com/basilferry/basilferry/core/platform"
+)
+
+// schedule starts what can start now: urgent requests first, then watches and
+// batch tasks in the policy's order.
+func (m *Machine) schedule() {
+	m.scheduleUrgent()
+	if !m.mayStart(domain.KindWatch) {
+		return
+	}
+	for {
+		d, c, ok := m.policy.Next(m.now)
+		if !ok {
+			return
+		}
+		if !m.startNext(d, c) {
+			return
+		}
+	}
+}
+
+// scheduleUrgent starts waiting urgent requests in order of arrival. It stops
+// at the first one that has to wait, so that one Step stays short.
+func (m *Machine) scheduleUrgent() {
+	if !m.mayStart(domain.KindUrgent) {
+		return
+	}
+	for len(m.waiting) > 0 {
+		r, ok := m.requests[m.waiting[0]]
+		if !ok || r.state != stateQueued {
+			m.waiting = m.waiting[1:]
+			continue
+		}
+		c, refusal := m.policy.Choose(m.now, r.demand(m.now))
+		if refusal != nil {
+			if refusal.Never {
+				m.waiting = m.waiting[1:]
+				m.refuseUrgent(r, refusal.Reason)
+				continue
+			}
+			return
+		}
+		m.waiting = m.waiting[1:]
+		m.start(r, c)
+	}
+}
+
+func (m *Machine) refuseUrgent(r *request, reason string) {
+	m.explain(r.task.ID, "refused: "+reason)
+	err := errNotRun(r.task.ID, reason)
+	m.finish(r, domain.Outcome{State: domain.OutcomeNotRun, Err: err})
+}
+
+// startNext starts a task that the policy has taken from its queue. It returns
+// false if nothing of this kind may start now.
+func (m *Machine) startNext(d Demand, c Choice) bool {
+	r, ok := m.requests[d.ID]
+	if !ok || r.state != stateQueued {
+		return true
+	}
+	if !m.mayStart(d.Kind) {
+		m.policy.Enqueue(m.now, d)
+		return false
+	}
+	m.start(r, c)
+	return true
+}
+
+func (m *Machine) start(r *request, c Choice) {
+	w, ok := m.workers[c.Worker]
+	if !ok || !w.usable() {
+		m.explain(r.task.ID, fmt.Sprintf("internal: the policy chose worker %s, which takes no tasks", c.Worker))
+		m.requeueQueued(r)
+		return
+	}
+	if !m.fire(r, eventPlace) {
+		return
+	}
+	r.attempt++
+	r.reserved = c.Reserved
+	r.startedAt = m.now
+	m.occupy(r, w)
+	m.intendLater(r)
+	m.explain(r.task.ID, fmt.Sprintf("attempt %d on worker %s: %s", r.attempt, w.id, c.Reason))
+	m.emit(SendStart{Worker: w.id, Request: platform.StartRequest{
+		Epoch:      m.epoch,
+		Session:    w.session,
+		Task:       r.task,
+		Attempt:    r.attempt,
+		Reserved:   r.reserved,
+		Checkpoint: r.checkpoint,
+	}})
+}
+
+// intendLater logs the intent of a request that starts while the log does not
+// answer, so that a later owner knows of it once the log answers again.
+func (m *Machine) intendLater(r *request) {
+	if r.logged || !r.urgent() || r.task.Idempotent {
+		return
+	}
+	r.logged = true
+	m.backlog = append(m.backlog, journal.Entry{
+		Shard: m.shard, Epoch: m.epoch, Intent: &journal.Intent{ID: r.task.ID, Body: r.body},
+	})
+}
+
+// requeueQueued puts a request that is already in state queued back in line.
+func (m *Machine) requeueQueued(r *request) {
+	r.notBefore = m.now + TickInterval
+	if r.urgent() {
+		m.waiting = append(m.waiting, r.task.ID)
+		return
+	}
+	m.delayed[r.task.ID] = true
+}
+
+func (m *Machine) onStartDone(e StartDone) {
+	r, known := m.requests[e.ID]
+	if !known || r.worker != e.Worker || r.attempt != e.Attempt {
+		return
+	}
+	w, known := m.workers[e.Worker]
+	if !known || !w.tasks[e.ID] {
+		return
+	}
+	if e.Err == nil {
+		m.reported(w, e.Status)
+		return
+	}
+	if m.startRefused(e) {
+		m.refusedBy(r, w, e.Err)
+		return
+	}
+	m.settle(r, w, e.Err)
+}
+
+// startRefused reports whether the start surely had no effect.
+func (m *Machine) startRefused(e StartDone) bool {
+	if e.NotSent {
+		return true
+	}
+	switch e.Err.Kind {
+	case domain.KindStaleEpoch, domain.KindNoCapacity, domain.KindBadRequest:
+		return true
+	}
+	return false
+}
+
+func (m *Machine) refusedBy(r *request, w *worker, err *domain.Error) {
+	if r.state != stateStarting && r.state != stateStopping {
+		return
+	}
+	m.explain(r.task.ID, fmt.Sprintf("worker %s refused the start: %s", w.id, err.Message))
+	if r.stopping == stopCancel {
+		m.finish(r, domain.Outcome{State: domain.OutcomeCancelled})
+		return
+	}
+	if err.Kind == domain.KindBadRequest {
+		m.finish(r, domain.Outcome{State: domain.OutcomeNotRun, Err: errNotRun(r.task.ID, err.Message)})
+		return
+	}
+	if err.Kind == domain.KindNoCapacity {
+		r.avoid = avoidAlso(r.avoid, w.id)
+	}
+	r.refused = true
+	r.notBefore = m.now + TickInterval
+	m.requeue(r)
+	if err.Kind == domain.KindStaleEpoch && w.state == workerAttached && !w.inFlight {
+		// The session may have ended; the renewal tells.
+		m.sendRenew(w)
+	}
+}
+
+// maxAvoided bounds the workers that a task avoids; the oldest is forgotten.
+const maxAvoided = 4
+
+func avoidAlso(list []domain.WorkerID, id domain.WorkerID) []domain.WorkerID {
+	list = append(list, id)
+	if len(list) > maxAvoided {
+		list = list[1:]
+	}
+	return list
+}
+
+// settle finds out what became of a start whose answer was lost. For an urgent
+// request it asks first, since the answer may still come with the events. The
+// stop that follows makes sure that a start still under way starts nothing.
+func (m *Machine) settle(r *request, w *worker, err *domain.Error) {
+	if r.state != stateStarting && r.state != stateRunning {
+		return
+	}
+	m.explain(r.task.ID, fmt.Sprintf("no answer from worker %s: %s", w.id, err.Message))
+	m.emit(SendLookup{Worker: w.id, ID: r.task.ID})
+}
+
+func (m *Machine) onLookupDone(e LookupDone) {
+	r, known := m.requests[e.ID]
+	if !known || r.worker != e.Worker || (r.state != stateStarting && r.state != stateRunning) {
+		return
+	}
+	w, known := m.workers[e.Worker]
+	if !known || !w.tasks[e.ID] {
+		return
+	}
+	switch {
+	case e.Err == nil:
+		m.reported(w, e.Status)
+	case e.Err.Kind == domain.KindNotFound:
+		m.sendStop(r, w, stopSettle)
+	default:
+		// An event or the end of the lease may settle the request before the
+		// next lookup.
+		m.tryLater(r)
+	}
+}
+
+// tryLater repeats the command that the state of the request asks for.
+func (m *Machine) tryLater(r *request) {
+	r.notBefore = m.now + retryInterval
+	m.delayed[r.task.ID] = true
+}
+
+// reported takes what a worker says of a task that this owner knows.
+func (m *Machine) reported(w *worker, s platform.TaskStatus) {
+	r, known := m.requests[s.Task.ID]
+	if !known {
+		return
+	}
+	if r.state == stateEnded || r.state == stateMoved || r.state == stateMoving {
+		m.stopStray(w, s)
+		return
+	}
+	if r.onWorker() && (r.worker != w.id || s.Attempt != r.attempt) {
+		m.stopStray(w, s)
+		return
+	}
+	if s.Checkpoint != "" && s.Attempt >= r.attempt {
+		r.checkpoint = s.Checkpoint
+	}
+	switch s.State {
+	case platform.TaskRunning:
+		m.running(r, w, s)
+	case platform.TaskSucceeded:
+		r.worker, r.attempt = w.id, s.Attempt
+		m.finish(r, domain.Outcome{State: domain.OutcomeRan, Answer: s.Answer})
+	case platform.TaskFailed:
+		m.failed(r, w, s)
+	case platform.TaskStopped:
+		m.stopped(r, w, s)
+	case platform.TaskNeverStarted:
+		m.neverStarted(r, w)
+	}
+}
+
+// stopStray stops a task that runs where this owner does not want it.
+func (m *Machine) stopStray(w *worker, s platform.TaskStatus) {
+	if s.State != platform.TaskRunning {
+		return
+	}
+	m.explain(s.Task.ID, fmt.Sprintf("stopping a stray attempt %d on worker %s", s.Attempt, w.id))
+	m.emit(SendStop{Worker: w.id, Request: platform.StopRequest{
+		Epoch: m.epoch, Session: w.session, ID: s.Task.ID, Attempt: s.Attempt,
+	}})
+}
+
+func (m *Machine) running(r *request, w *worker, s platform.TaskStatus) {
+	if r.state == stateRunning || r.state == stateStopping {
+		return
+	}
+	if r.state == stateQueued {
+		m.unqueue(r)
+	}
+	if !m.fire(r, eventRun) {
+		return
+	}
+	if !w.tasks[r.task.ID] {
+		r.attempt = s.Attempt
+		r.reserved = s.Reserved
+		r.startedAt = m.now
+		m.occupy(r, w)
+	}
+	if !r.urgent() {
+		m.keep(r)
+	}
+}
+
+// failed handles a task that ran and failed. A batch task is tried on other
+// workers, since some workers fail everything; a watch is always restarted.
+func (m *Machine) failed(r *request, w *worker, s platform.TaskStatus) {
+	if !r.placed() {
+		return
+	}
+	r.failures++
+	m.explain(r.task.ID, fmt.Sprintf("attempt %d failed on worker %s", s.Attempt, w.id))
+	again := r.task.Kind == domain.KindWatch ||
+		r.task.Kind == domain.KindBatch && r.failures < maxTaskFailures
+	if !again || r.stopping == stopCancel {
+		r.worker, r.attempt = w.id, s.Attempt
+		m.finish(r, domain.Outcome{State: domain.OutcomeFailed, Err: errTaskFailed(r.task.ID, w.id)})
+		return
+	}
+	r.attempt = max(r.attempt, s.Attempt)
+	r.avoid = avoidAlso(r.avoid, w.id)
+	r.notBefore = m.now + backoff(r.failures)
+	m.release(r, ResultFailed)
+	m.requeue(r)
+}
+
+func errTaskFailed(id domain.RequestID, w domain.WorkerID) *domain.Error {
+	return &domain.Error{
+		Kind:      domain.KindTaskFailed,
+		Message:   fmt.Sprintf("the work ran on worker %s and failed", w),
+		Remedy:    "see basilferry explain for its attempts, and the task's own messages",
+		RequestID: id.String(),
+	}
+}
+
+// stopped handles a task that a worker stopped before its end.
+func (m *Machine) stopped(r *request, w *worker, s platform.TaskStatus) {
+	if !r.placed() {
+		return
+	}
+	r.attempt = max(r.attempt, s.Attempt)
+	why := r.stopping
+	m.explain(r.task.ID, fmt.Sprintf("attempt %d stopped on worker %s, checkpoint %q", s.Attempt, w.id, s.Checkpoint))
+	switch {
+	case why == stopCancel:
+		m.finish(r, domain.Outcome{State: domain.OutcomeCancelled})
+	case r.restartable() && !(r.urgent() && r.late(m.now)):
+		m.requeue(r)
+	default:
+		m.finish(r, domain.Outcome{
+			State: domain.OutcomeFailed,
+			Err: &domain.Error{
+				Kind:      domain.KindOutcomeUnknown,
+				Message:   fmt.Sprintf("worker %s stopped the work before its end; part of it may have taken effect", w.id),
+				Remedy:    "check the effect before sending the work again under a new key",
+				RequestID: r.task.ID.String(),
+			},
+		})
+	}
+}
+
+// neverStarted handles a start that surely had no effect and will have none.
+func (m *Machine) neverStarted(r *request, w *worker) {
+	if !r.onWorker() {
+		return
+	}
+	if r.stopping == stopCancel {
+		m.finish(r, domain.Outcome{State: domain.OutcomeCancelled})
+		return
+	}
+	m.explain(r.task.ID, fmt.Sprintf("worker %s never started attempt %d", w.id, r.attempt))
+	r.refused = true
+	m.requeue(r)
+}
--- /dev/null
+++ b/core/shard/stop.go
@@ -0,0 +1,132 @@
+package shard
+
+import (
+	"fmt"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/platform"
+)
+
+// sendStop stops a task on its worker; a batch task writes a checkpoint unless
+// it is cancelled.
+func (m *Machine) sendStop(r *request, w *worker, why stopReason) {
+	if r.state == stateStopping {
+		// A cancellation is not taken back by a later reason to stop.
+		if r.stopping != stopCancel {
+			r.stopping = why
+		}
+		return
+	}
+	if !m.fire(r, eventStop) {
+		return
+	}
+	r.stopping = why
+	m.emitStop(r, w)
+}
+
+func (m *Machine) emitStop(r *request, w *worker) {
+	m.emit(SendStop{Worker: w.id, Request: platform.StopRequest{
+		Epoch:      m.epoch,
+		Session:    w.session,
+		ID:         r.task.ID,
+		Attempt:    r.attempt,
+		Checkpoint: r.task.Kind == domain.KindBatch && r.stopping != stopCancel,
+	}})
+}
+
+func (m *Machine) onStopDone(e StopDone) {
+	r, known := m.requests[e.ID]
+	if !known || r.worker != e.Worker || r.state != stateStopping {
+		return
+	}
+	w, known := m.workers[e.Worker]
+	if !known {
+		return
+	}
+	if e.Err == nil {
+		m.reported(w, e.Status)
+		return
+	}
+	// The session ended or the answer was lost: the next attach, or the end of
+	// the lease, tells what became of the task.
+	m.explain(e.ID, fmt.Sprintf("stop on worker %s failed: %s", w.id, e.Err.Message))
+	m.tryLater(r)
+}
+
+func (m *Machine) onCancelled(e Cancelled) {
+	r, known := m.requests[e.ID]
+	if !known {
+		m.cancelUnseen(e)
+		return
+	}
+	switch r.state {
+	case stateMoved:
+		m.emit(Redirect{Call: e.Call, Target: r.target, ID: e.ID, Cancel: true})
+		return
+	case stateEnded:
+		m.emit(Reply{Call: e.Call, Outcome: r.outcome})
+		return
+	}
+	r.calls = append(r.calls, e.Call)
+	m.explain(e.ID, "cancelled by its caller")
+	m.cancel(r)
+}
+
+func (m *Machine) cancel(r *request) {
+	switch r.state {
+	case stateQueued, stateNew:
+		m.finish(r, domain.Outcome{State: domain.OutcomeCancelled})
+	case stateStarting, stateRunning:
+		m.sendStop(r, m.workers[r.worker], stopCancel)
+	default:
+		// The answer under way, or the end of the lease, ends the request.
+		r.stopping = stopCancel
+	}
+}
+
+// cancelUnseen closes an id that surely did not run, so that a copy of the
+// request that is still under way does not start.
+func (m *Machine) cancelUnseen(e Cancelled) {
+	switch m.evidence(e.ID) {
+	case evidenceFresh:
+		r := &request{state: stateNew, calls: []CallID{e.Call}}
+		r.task.ID = e.ID
+		r.task.Kind = domain.KindUrgent
+		m.add(r)
+		m.finish(r, domain.Outcome{
+			State: domain.OutcomeNotRun,
+			Err:   errNotRun(e.ID, "it was cancelled before it arrived"),
+		})
+	case evidencePending:
+		m.hold(e, recoveryLimit)
+	case evidenceUnknown:
+		m.emit(Reply{Call: e.Call, Outcome: unknownOutcome(e.ID, "a worker that may have run it does not answer")})
+	}
+}
+
+// react carries out the policy's reactions to interference.
+func (m *Machine) react() {
+	if m.now-m.lastReaction < reactionInterval || !m.confirmed() {
+		return
+	}
+	m.lastReaction = m.now
+	for _, a := range m.policy.Reactions(m.now) {
+		m.reactTo(a)
+	}
+}
+
+func (m *Machine) reactTo(a Reaction) {
+	r, known := m.requests[a.ID]
+	if !known || r.state != stateRunning || r.worker != a.Worker {
+		return
+	}
+	w := m.workers[a.Worker]
+	m.explain(a.ID, a.Reason)
+	if a.Kind == ReactEvict {
+		m.sendStop(r, w, stopEvict)
+		return
+	}
+	m.emit(SendThrottle{Worker: w.id, Request: platform.ThrottleRequest{
+		Epoch: m.epoch, Session: w.session, ID: a.ID, Share: a.Share,
+	}})
+}
--- /dev/null
+++ b/core/shard/submit.go
@@ -0,0 +1,325 @@
+package shard
+
+import (
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/journal"
+)
+
+// evidence is what an owner can say of an id that it has no record of.
+type evidence int
+
+const (
+	// evidenceFresh: the work did not run, and it may be started.
+	evidenceFresh evidence = iota
+	// evidencePending: the workers have not all been asked yet.
+	evidencePending
+	// evidenceUnknown: a worker that may have run it did not answer.
+	evidenceUnknown
+)
+
+func (m *Machine) evidence(id domain.RequestID) evidence {
+	if id.Shard != m.shard || id.Epoch == m.epoch {
+		return evidenceFresh
+	}
+	if !m.ready {
+		return evidencePending
+	}
+	if m.handover || m.recordsComplete() {
+		return evidenceFresh
+	}
+	return evidenceUnknown
+}
+
+func (m *Machine) onSubmitted(e Submitted) {
+	id := e.Task.ID
+	if id.Shard == m.shard && id.Epoch > m.epoch {
+		m.refuseCall(e.Call, errNotTaken(id, "the id was drawn by a newer owner of the shard"))
+		return
+	}
+	if r, known := m.requests[id]; known {
+		m.resubmitted(r, e)
+		return
+	}
+	if m.draining {
+		m.refuseCall(e.Call, errNotTaken(id, "the node is stopping"))
+		return
+	}
+	if !m.ready && e.Task.Kind != domain.KindUrgent && !e.Delegated {
+		m.hold(e, e.Budget)
+		return
+	}
+	if e.Delegated {
+		m.accept(e)
+		return
+	}
+	switch m.evidence(id) {
+	case evidenceFresh:
+		m.accept(e)
+	case evidencePending:
+		m.hold(e, e.Budget)
+	case evidenceUnknown:
+		why := "an earlier owner may have started it on a worker that does not answer"
+		m.emit(Reply{Call: e.Call, Outcome: unknownOutcome(id, why)})
+	}
+}
+
+// resubmitted answers a repeat of a request that is known.
+func (m *Machine) resubmitted(r *request, e Submitted) {
+	if r.state == stateMoved && e.Delegated {
+		m.takeBack(r, e)
+		return
+	}
+	body := BodyHash(e.Task)
+	if r.body != 0 && r.body != body {
+		m.refuseCall(e.Call, &domain.Error{
+			Kind:      domain.KindKeyConflict,
+			Message:   "the key or id was used with another body",
+			Remedy:    "use a new key for different work",
+			RequestID: e.Task.ID.String(),
+		})
+		return
+	}
+	if !r.described {
+		// The intent alone was recovered; the repeat brings the description.
+		r.task, r.body, r.described = e.Task, body, true
+	}
+	switch {
+	case r.state == stateMoved:
+		m.emit(Redirect{Call: e.Call, Target: r.target, ID: e.Task.ID})
+	case r.state == stateEnded, r.kept:
+		m.emit(Reply{Call: e.Call, Outcome: r.current()})
+	default:
+		r.calls = append(r.calls, e.Call)
+		if r.urgent() {
+			r.expiresAt = max(r.expiresAt, m.now+e.Budget)
+			m.timed[e.Task.ID] = true
+		}
+	}
+}
+
+func (m *Machine) accept(e Submitted) {
+	r := &request{
+		task:       e.Task,
+		body:       BodyHash(e.Task),
+		described:  true,
+		state:      stateNew,
+		calls:      []CallID{e.Call},
+		attempt:    e.Attempt,
+		checkpoint: e.Checkpoint,
+	}
+	m.add(r)
+	if refusal := m.policy.NeverFits(r.demand(m.now)); refusal != nil {
+		m.neverFits(r, refusal)
+		return
+	}
+	if r.urgent() {
+		r.expiresAt = m.now + e.Budget
+		m.timed[e.Task.ID] = true
+		m.acceptUrgent(r)
+		return
+	}
+	m.acceptKept(r)
+}
+
+func (m *Machine) neverFits(r *request, refusal *Refusal) {
+	err := &domain.Error{
+		Kind:      domain.KindNeverFits,
+		Message:   "no worker can ever hold the task: " + refusal.Reason,
+		Remedy:    "declare less, or ask operators for larger workers",
+		RequestID: r.task.ID.String(),
+	}
+	m.finish(r, domain.Outcome{State: domain.OutcomeNotRun, Err: err})
+}
+
+// acceptUrgent queues an urgent request, after its intent is logged if a
+// repeat would do harm and the log answers.
+func (m *Machine) acceptUrgent(r *request) {
+	if m.config.TakenOut(m.shard.Domain) {
+		m.moveUrgent(r)
+		return
+	}
+	if r.task.Idempotent || !m.logUsable() {
+		m.queue(r)
+		return
+	}
+	m.fire(r, eventLog)
+	intent := journal.Intent{ID: r.task.ID, Body: r.body}
+	m.append([]domain.RequestID{r.task.ID}, journal.Entry{Intent: &intent})
+}
+
+// acceptKept logs a batch task or watch; without the log it is kept once a
+// worker has started it.
+func (m *Machine) acceptKept(r *request) {
+	if !m.logUsable() {
+		r.expiresAt = m.now + acceptWithoutLog
+		m.timed[r.task.ID] = true
+		m.queue(r)
+		return
+	}
+	m.fire(r, eventLog)
+	m.append([]domain.RequestID{r.task.ID}, journal.Entry{Job: r.job()})
+}
+
+func (r *request) job() *journal.Job {
+	return &journal.Job{Task: r.task, Attempt: r.attempt, Checkpoint: r.checkpoint}
+}
+
+// onLogged continues a request whose entry was appended, or was not surely
+// appended.
+func (m *Machine) onLogged(id domain.RequestID, ok bool) {
+	r, known := m.requests[id]
+	if !known {
+		return
+	}
+	switch r.state {
+	case stateLogging:
+		r.logged = ok
+		m.afterLogging(r, ok)
+	case stateMoving:
+		m.afterMoveLogged(r, ok)
+	}
+}
+
+func (m *Machine) afterLogging(r *request, ok bool) {
+	if r.stopping == stopCancel {
+		m.finish(r, domain.Outcome{State: domain.OutcomeCancelled})
+		return
+	}
+	if r.urgent() {
+		m.queue(r)
+		return
+	}
+	if ok {
+		m.keep(r)
+	} else {
+		r.expiresAt = m.now + acceptWithoutLog
+		m.timed[r.task.ID] = true
+	}
+	m.queue(r)
+}
+
+// keep tells the callers of a batch task or watch that it will not be lost.
+func (m *Machine) keep(r *request) {
+	r.kept = true
+	r.expiresAt = 0
+	delete(m.timed, r.task.ID)
+	m.reply(r, r.current())
+}
+
+// queue makes a request wait for a worker.
+func (m *Machine) queue(r *request) {
+	if !m.fire(r, eventQueue) {
+		return
+	}
+	m.release(r, ResultStopped)
+	switch {
+	case r.urgent():
+		m.waiting = append(m.waiting, r.task.ID)
+	case r.notBefore > m.now:
+		m.delayed[r.task.ID] = true
+	default:
+		m.policy.Enqueue(m.now, r.demand(m.now))
+	}
+}
+
+// unqueue removes a queued request from what waits for a worker. Urgent ones
+// are passed over when their turn comes.
+func (m *Machine) unqueue(r *request) {
+	delete(m.delayed, r.task.ID)
+	if !r.urgent() {
+		m.policy.Dequeue(r.task.ID)
+	}
+}
+
+// finish gives a request its final outcome and answers its callers.
+func (m *Machine) finish(r *request, o domain.Outcome) {
+	if r.state == stateQueued {
+		m.unqueue(r)
+	}
+	result := ResultStopped
+	switch o.State {
+	case domain.OutcomeRan:
+		result = ResultSucceeded
+	case domain.OutcomeFailed:
+		result = ResultFailed
+	}
+	m.release(r, result)
+	if !m.fire(r, eventEnd) {
+		return
+	}
+	id := r.task.ID
+	o.ID, o.Worker, o.Attempt = id, r.worker, r.attempt
+	r.outcome, r.endedAt = o, m.now
+	delete(m.timed, id)
+	delete(m.moving, id)
+	delete(m.live, id)
+	m.ended = append(m.ended, id)
+	m.recordEnd(r)
+	m.reply(r, o)
+}
+
+// recordEnd logs the ends that workers do not remember: those of batch tasks
+// and watches, and of requests that must not be started later.
+func (m *Machine) recordEnd(r *request) {
+	ran := r.outcome.State == domain.OutcomeRan || r.outcome.State == domain.OutcomeFailed
+	if r.urgent() && ran {
+		return
+	}
+	o := r.outcome
+	if len(o.Answer) > maxLoggedAnswerBytes {
+		o.Answer = nil
+		o.Err = errAnswerGone(o.ID)
+	}
+	m.record(journal.Entry{Ended: &journal.Ended{Outcome: o}})
+}
+
+func errAnswerGone(id domain.RequestID) *domain.Error {
+	return &domain.Error{
+		Kind:      domain.KindNotFound,
+		Message:   "the work ran, its answer is no longer kept",
+		Remedy:    "fetch answers within 10 minutes",
+		RequestID: id.String(),
+	}
+}
+
+func (m *Machine) reply(r *request, o domain.Outcome) {
+	for _, call := range r.calls {
+		m.emit(Reply{Call: call, Outcome: o})
+	}
+	r.calls = nil
+}
+
+// refuseCall answers a call that is not taken; nothing was started.
+func (m *Machine) refuseCall(call CallID, err *domain.Error) {
+	m.emit(Reply{Call: call, Outcome: domain.Outcome{Err: err}})
+}
+
+func unknownOutcome(id domain.RequestID, why string) domain.Outcome {
+	return domain.Outcome{ID: id, State: domain.OutcomeUnknown, Err: errUnknown(id, why)}
+}
+
+// onQueried answers what is known of a request.
+func (m *Machine) onQueried(e Queried) {
+	if r, known := m.requests[e.ID]; known {
+		if r.state == stateMoved {
+			m.emit(Redirect{Call: e.Call, Target: r.target, ID: e.ID})
+			return
+		}
+		m.emit(Reply{Call: e.Call, Outcome: r.current()})
+		return
+	}
+	switch m.evidence(e.ID) {
+	case evidenceFresh:
+		m.refuseCall(e.Call, &domain.Error{
+			Kind:      domain.KindNotFound,
+			Message:   "the request is not known",
+			Remedy:    "check the id; requests are forgotten one hour after they ended",
+			RequestID: e.ID.String(),
+		})
+	case evidencePending:
+		m.hold(e, recoveryLimit)
+	case evidenceUnknown:
+		why := "a worker that may have run it does not answer"
+		m.emit(Reply{Call: e.Call, Outcome: unknownOutcome(e.ID, why)})
+	}
+}
--- /dev/null
+++ b/core/shard/tick.go
@@ -0,0 +1,195 @@
+package shard
+
+import (
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/journal"
+)
+
+func (m *Machine) onTick() {
+	m.checkWorkers()
+	m.callWorkers()
+	m.expireHeld()
+	m.expireWaits()
+	m.wakeDelayed()
+	m.retryMoves()
+	m.evacuateQueued()
+	m.react()
+	m.forget()
+	m.checkDrained()
+}
+
+// evacuateQueued moves tasks that were stopped for a take-out since.
+func (m *Machine) evacuateQueued() {
+	if !m.config.TakenOut(m.shard.Domain) || m.draining {
+		return
+	}
+	m.evacuate()
+}
+
+// expireWaits answers callers whose time is over.
+func (m *Machine) expireWaits() {
+	late := map[domain.RequestID]*request{}
+	for id := range m.timed {
+		r, known := m.requests[id]
+		if !known {
+			delete(m.timed, id)
+			continue
+		}
+		if r.late(m.now) {
+			late[id] = r
+		}
+	}
+	for _, id := range sortedIDs(late) {
+		delete(m.timed, id)
+		m.expireWait(late[id])
+	}
+}
+
+func (m *Machine) expireWait(r *request) {
+	if !r.urgent() {
+		m.refuseUnlogged(r)
+		return
+	}
+	switch r.state {
+	case stateQueued, stateLogging:
+		m.explain(r.task.ID, "its deadline passed while it waited")
+		err := errNotRun(r.task.ID, "no worker was free before its deadline")
+		m.finish(r, domain.Outcome{State: domain.OutcomeNotRun, Err: err})
+	case stateMoving, stateMoved:
+		m.reply(r, unknownOutcome(r.task.ID, "the failure domain that it was moved to did not answer in time"))
+	default:
+		m.reply(r, unknownOutcome(r.task.ID, "it had not ended at its deadline"))
+	}
+}
+
+// refuseUnlogged refuses a batch task or watch that neither the log nor a
+// worker holds. One that is being started waits for the worker's answer.
+func (m *Machine) refuseUnlogged(r *request) {
+	if r.kept {
+		return
+	}
+	if r.state != stateQueued {
+		r.expiresAt = m.now + acceptWithoutLog
+		m.timed[r.task.ID] = true
+		return
+	}
+	why := "the log service does not answer and no worker was free"
+	m.finish(r, domain.Outcome{State: domain.OutcomeNotRun, Err: errNotRun(r.task.ID, why)})
+}
+
+// wakeDelayed continues requests whose delay is over.
+func (m *Machine) wakeDelayed() {
+	for _, id := range sortedIDs(m.delayed) {
+		r, known := m.requests[id]
+		if !known {
+			delete(m.delayed, id)
+			continue
+		}
+		if m.now < r.notBefore {
+			continue
+		}
+		delete(m.delayed, id)
+		m.wake(r)
+	}
+}
+
+func (m *Machine) wake(r *request) {
+	switch r.state {
+	case stateQueued:
+		if !r.urgent() {
+			m.policy.Enqueue(m.now, r.demand(m.now))
+		}
+	case stateStarting, stateStopping:
+		m.askAgain(r)
+	}
+}
+
+// askAgain repeats a lookup or a stop whose answer was lost.
+func (m *Machine) askAgain(r *request) {
+	w, known := m.workers[r.worker]
+	switch {
+	case !known || !w.tasks[r.task.ID]:
+		return
+	case w.state != workerAttached:
+		m.tryLater(r)
+	case r.state == stateStopping:
+		m.emitStop(r, w)
+	default:
+		m.emit(SendLookup{Worker: w.id, ID: r.task.ID})
+	}
+}
+
+// forget drops old answers and then old requests.
+func (m *Machine) forget() {
+	for len(m.ended) > 0 {
+		r := m.requests[m.ended[0]]
+		if r != nil && m.now-r.endedAt < journal.KeyRetention {
+			break
+		}
+		delete(m.requests, m.ended[0])
+		m.ended = m.ended[1:]
+		m.answersDropped = max(m.answersDropped-1, 0)
+	}
+	m.forgetAnswers()
+}
+
+// forgetAnswers drops answers that are older than keptAnswers.
+func (m *Machine) forgetAnswers() {
+	for m.answersDropped < len(m.ended) {
+		r := m.requests[m.ended[m.answersDropped]]
+		if r != nil && m.now-r.endedAt < keptAnswers {
+			return
+		}
+		m.answersDropped++
+		if r != nil && r.outcome.State == domain.OutcomeRan && r.urgent() {
+			r.outcome.Answer = nil
+			r.outcome.Err = errAnswerGone(r.task.ID)
+			r.task.Payload = nil
+		}
+	}
+}
+
+// WorkerView describes a worker for operators.
+type WorkerView struct {
+	ID       domain.WorkerID
+	Rack     string
+	State    string
+	Capacity domain.Resources
+	Reserved domain.Resources
+	Tasks    int
+}
+
+// Status describes the machine for operators and for other nodes.
+type Status struct {
+	Ready bool
+	// FreeSlots is the number of slots on usable workers that nothing holds.
+	FreeSlots int64
+	Workers   []WorkerView
+}
+
+// Status returns the machine's state. Its cost grows with the shard's workers
+// and running tasks.
+func (m *Machine) Status() Status {
+	s := Status{Ready: m.ready && !m.draining}
+	for _, w := range m.workers {
+		v := m.view(w)
+		if w.usable() {
+			s.FreeSlots += v.Capacity.Slots - v.Reserved.Slots
+		}
+		s.Workers = append(s.Workers, v)
+	}
+	return s
+}
+
+func (m *Machine) view(w *worker) WorkerView {
+	v := WorkerView{ID: w.id, Rack: w.rack, State: string(w.state), Capacity: w.capacity, Tasks: len(w.tasks)}
+	if w.leaving {
+		v.State = "leaving"
+	}
+	for id := range w.tasks {
+		if r, ok := m.requests[id]; ok {
+			v.Reserved = v.Reserved.Add(r.reserved)
+		}
+	}
+	return v
+}
--- /dev/null
+++ b/core/shard/worker.go
@@ -0,0 +1,375 @@
+package shard
+
+import (
+	"fmt"
+
+	"github.com/basilferry/basilferry/core/chart"
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/journal"
+	"github.com/basilferry/basilferry/core/platform"
+)
+
+// States of a worker; the names are those of chart file worker.json.
+const (
+	workerUnknown   chart.State = "unknown"
+	workerAttaching chart.State = "attaching"
+	workerAttached  chart.State = "attached"
+	workerSuspect   chart.State = "suspect"
+	workerLost      chart.State = "lost"
+	workerLapsed    chart.State = "lapsed"
+)
+
+// Events of the worker chart.
+const (
+	eventAttach   chart.Event = "attach"
+	eventAttached chart.Event = "attached"
+	eventFail     chart.Event = "fail"
+	eventSilent   chart.Event = "silent"
+	eventAnswer   chart.Event = "answer"
+	eventLapse    chart.Event = "lapse"
+	eventRefuse   chart.Event = "refuse"
+)
+
+// worker is what the machine knows of one worker.
+type worker struct {
+	id      domain.WorkerID
+	address string
+	rack    string
+	state   chart.State
+	listed  bool
+	leaving bool
+
+	// attachedOnce tells that the worker has accepted this epoch.
+	attachedOnce bool
+	// complete tells that its records went back long enough when it was first
+	// attached.
+	complete bool
+	// tried tells that the first attach was answered or has failed.
+	tried    bool
+	session  platform.SessionID
+	echo     platform.WorkerTime
+	events   uint64
+	capacity domain.Resources
+
+	// ackSentAt is when the last call that was answered at this epoch was
+	// sent; ackAt is when its answer came.
+	ackSentAt Instant
+	ackAt     Instant
+	nextCall  Instant
+	inFlight  bool
+
+	tasks map[domain.RequestID]bool
+}
+
+// usable reports whether new tasks may start on the worker.
+func (w *worker) usable() bool {
+	return w.state == workerAttached && w.listed && !w.leaving
+}
+
+func (m *Machine) fireWorker(w *worker, ev chart.Event) {
+	next, err := m.sessions.Next(w.state, ev)
+	if err != nil {
+		return
+	}
+	w.state = next
+	m.announce(w)
+}
+
+// announce tells the policy whether the worker takes new tasks.
+func (m *Machine) announce(w *worker) {
+	if w.usable() {
+		m.policy.WorkerUp(m.now, WorkerInfo{ID: w.id, Rack: w.rack, Capacity: w.capacity})
+		return
+	}
+	m.policy.WorkerDown(m.now, w.id)
+}
+
+func (m *Machine) onWorkersListed(e WorkersListed) {
+	m.listed = true
+	seen := map[domain.WorkerID]bool{}
+	for _, vm := range e.VMs {
+		seen[vm.ID] = true
+		m.listWorker(vm)
+	}
+	for _, w := range m.sortedWorkers() {
+		if seen[w.id] || !w.listed {
+			continue
+		}
+		w.listed = false
+		m.announce(w)
+	}
+	m.callWorkers()
+}
+
+func (m *Machine) listWorker(vm platform.VM) {
+	w, known := m.workers[vm.ID]
+	if !known {
+		w = &worker{
+			id:    vm.ID,
+			state: m.sessions.Initial(),
+			tasks: map[domain.RequestID]bool{},
+		}
+		m.workers[vm.ID] = w
+	}
+	if w.listed && w.address == vm.Address && w.leaving == (vm.State == platform.VMLeaving) {
+		return
+	}
+	w.listed = true
+	w.address = vm.Address
+	w.rack = vm.Rack
+	w.leaving = vm.State == platform.VMLeaving
+	m.announce(w)
+}
+
+// callWorkers attaches to and renews every worker that is due.
+func (m *Machine) callWorkers() {
+	for _, w := range m.sortedWorkers() {
+		if w.inFlight || m.now < w.nextCall || !w.listed && len(w.tasks) == 0 {
+			continue
+		}
+		m.callWorker(w)
+	}
+}
+
+func (m *Machine) callWorker(w *worker) {
+	switch w.state {
+	case workerUnknown, workerLost, workerLapsed:
+		m.sendAttach(w)
+	case workerAttached, workerSuspect:
+		m.sendRenew(w)
+	}
+}
+
+func (m *Machine) sendAttach(w *worker) {
+	m.fireWorker(w, eventAttach)
+	w.inFlight = true
+	m.emit(SendAttach{
+		Worker:  w.id,
+		Address: w.address,
+		Request: platform.AttachRequest{Epoch: m.epoch, Owner: m.node},
+	})
+}
+
+// sendRenew renews the session. An owner that is not confirmed sends no echo,
+// which asks the worker for its epoch and extends nothing: another owner may
+// count on this lease to end.
+func (m *Machine) sendRenew(w *worker) {
+	echo := w.echo
+	if !m.confirmed() {
+		echo = 0
+	}
+	w.inFlight = true
+	m.emit(SendRenew{
+		Worker: w.id,
+		Request: platform.RenewRequest{
+			Epoch:       m.epoch,
+			Session:     w.session,
+			Echo:        echo,
+			EventsAfter: w.events,
+		},
+	})
+}
+
+func (m *Machine) onAttachDone(e AttachDone) {
+	w, known := m.workers[e.Worker]
+	if !known || w.state != workerAttaching {
+		return
+	}
+	w.inFlight = false
+	w.tried = true
+	if e.Err != nil {
+		m.attachFailed(w, e.Err)
+		return
+	}
+	first := !w.attachedOnce
+	w.session, w.echo = e.Reply.Session, e.Reply.Now
+	w.capacity = e.Reply.Capacity
+	w.rack = e.Reply.Rack
+	w.leaving = w.leaving || e.Reply.Leaving
+	if first {
+		w.complete = e.Reply.RecordsComplete
+	}
+	w.attachedOnce = true
+	w.events = 0
+	m.acknowledge(w, e.SentAt)
+	m.fireWorker(w, eventAttached)
+	m.reconcile(w, e.Reply.Tasks)
+	w.nextCall = m.now
+	m.noteMajority()
+	m.callWorker(w)
+}
+
+func (m *Machine) attachFailed(w *worker, err *domain.Error) {
+	m.fireWorker(w, eventFail)
+	w.nextCall = m.now + retryInterval
+	if err.Kind == domain.KindStaleEpoch {
+		m.stepDown(fmt.Sprintf("worker %s has accepted a newer owner", w.id))
+	}
+}
+
+func (m *Machine) onRenewDone(e RenewDone) {
+	w, known := m.workers[e.Worker]
+	if !known || (w.state != workerAttached && w.state != workerSuspect) {
+		return
+	}
+	w.inFlight = false
+	if e.Err != nil {
+		m.renewFailed(w, e.Err)
+		return
+	}
+	w.echo = max(w.echo, e.Reply.Now)
+	m.acknowledge(w, e.SentAt)
+	m.fireWorker(w, eventAnswer)
+	if e.Reply.Leaving && !w.leaving {
+		w.leaving = true
+		m.announce(w)
+	}
+	w.nextCall = e.SentAt + RenewInterval
+	for _, ev := range e.Reply.Events {
+		w.events = max(w.events, ev.Number)
+		m.reported(w, ev.Status)
+	}
+	if len(e.Reply.Usage) > 0 {
+		m.policy.Observe(m.now, w.id, e.Reply.Usage)
+	}
+}
+
+func (m *Machine) renewFailed(w *worker, err *domain.Error) {
+	w.nextCall = m.now + retryInterval
+	if err.Kind != domain.KindStaleEpoch {
+		return
+	}
+	// The session is closed: it lapsed, the worker restarted, or a newer owner
+	// took it. The attach tells which.
+	m.fireWorker(w, eventRefuse)
+	m.sendAttach(w)
+}
+
+func (m *Machine) acknowledge(w *worker, sentAt Instant) {
+	w.ackSentAt = max(w.ackSentAt, sentAt)
+	w.ackAt = m.now
+}
+
+// checkWorkers notices workers that do not answer.
+func (m *Machine) checkWorkers() {
+	for _, w := range m.sortedWorkers() {
+		age := m.now - w.ackAt
+		switch {
+		case w.state == workerAttached && age >= suspectAfter:
+			m.fireWorker(w, eventSilent)
+		case w.state == workerSuspect && age >= LapseWait:
+			m.lapse(w)
+		case !w.listed && len(w.tasks) == 0 && m.now-w.ackAt >= LapseWait:
+			delete(m.workers, w.id)
+			m.policy.WorkerRemoved(m.now, w.id)
+		case w.leaving && w.state == workerAttached:
+			m.emptyWorker(w)
+		}
+	}
+}
+
+// emptyWorker moves what can resume away from a worker that is leaving; urgent
+// requests end there.
+func (m *Machine) emptyWorker(w *worker) {
+	for _, id := range sortedIDs(w.tasks) {
+		r, known := m.requests[id]
+		if known && r.state == stateRunning && !r.urgent() {
+			m.sendStop(r, w, stopEvict)
+		}
+	}
+}
+
+// lapse takes the tasks of a worker whose session is surely over.
+func (m *Machine) lapse(w *worker) {
+	w.inFlight = false
+	m.fireWorker(w, eventLapse)
+	for _, id := range sortedIDs(w.tasks) {
+		if r, ok := m.requests[id]; ok {
+			m.lost(r, fmt.Sprintf("worker %s did not answer until its lease ended", w.id))
+		}
+	}
+}
+
+// lost handles a task that surely does not run any more and whose end is not
+// known.
+func (m *Machine) lost(r *request, why string) {
+	m.explain(r.task.ID, why)
+	if r.stopping == stopCancel {
+		m.finish(r, domain.Outcome{State: domain.OutcomeCancelled})
+		return
+	}
+	if r.restartable() && !(r.urgent() && r.late(m.now)) {
+		m.requeue(r)
+		return
+	}
+	m.uncertain(r, why)
+}
+
+// uncertain keeps a request whose outcome only its worker can tell.
+func (m *Machine) uncertain(r *request, why string) {
+	worker := r.worker
+	m.release(r, ResultStopped)
+	r.worker = worker
+	if r.state != stateUncertain {
+		m.fire(r, eventLose)
+	}
+	m.reply(r, unknownOutcome(r.task.ID, why))
+}
+
+// requeue lets the next attempt start from the last checkpoint.
+func (m *Machine) requeue(r *request) {
+	r.stopping = stopNone
+	m.queue(r)
+	if r.kept && r.checkpoint != r.loggedCheckpoint {
+		r.loggedCheckpoint = r.checkpoint
+		m.record(journal.Entry{Job: r.job()})
+	}
+}
+
+// release gives back the capacity that a request holds.
+func (m *Machine) release(r *request, result Result) {
+	w, known := m.workers[r.worker]
+	if !known || !w.tasks[r.task.ID] {
+		return
+	}
+	delete(w.tasks, r.task.ID)
+	m.policy.Release(m.now, w.id, r.task.ID, result, m.now-r.startedAt)
+}
+
+// occupy records that a request runs, or may run, on a worker.
+func (m *Machine) occupy(r *request, w *worker) {
+	r.worker = w.id
+	w.tasks[r.task.ID] = true
+	m.policy.Hold(m.now, w.id, r.demand(m.now), r.reserved)
+}
+
+// noteMajority notes when more than half of the listed workers have accepted
+// this epoch: from then on no earlier owner can be confirmed.
+func (m *Machine) noteMajority() {
+	if m.majorityAt != 0 || !m.listed {
+		return
+	}
+	attached := 0
+	for _, w := range m.workers {
+		if w.attachedOnce {
+			attached++
+		}
+	}
+	if 2*attached > len(m.workers) {
+		m.majorityAt = m.now
+	}
+}
+
+// recordsComplete reports whether the records of all workers show every task
+// that an earlier owner can have started.
+func (m *Machine) recordsComplete() bool {
+	if !m.listed {
+		return false
+	}
+	for _, w := range m.workers {
+		if !w.attachedOnce || !w.complete {
+			return false
+		}
+	}
+	return true
+}
