Add the simulated platform services and their HTTP clients

The daemon, the tests and the embedded mode need a worker, a log service and a VM list that keep the contracts of core/platform and can be made to fail.

Adds in-memory stand-ins with fault controls and HTTP servers (HTTP/1.1 and cleartext HTTP/2), clients that check request id, length and checksum of each answer, and core/platform/wire with the form that both sides share.

Contract tests run in memory and over HTTP in virtual time.

--- /dev/null
+++ b/node/workerclient/transport_test.go
@@ -0,0 +1,197 @@
+package workerclient
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/platform/wire"
+	"github.com/basilferry/basilferry/platform/worker"
+	"gotest.tools/v3/assert"
+)
+
+func asMismatch(err error, target **MismatchError) bool { return errors.As(err, target) }
+
+// relay forwards TCP connections until it is told to be silent. Connections
+// that are made later are forwarded.
+type relay struct {
+	ln     net.Listener
+	target string
+	dials  atomic.Int64
+	mu     sync.Mutex
+	silent []*atomic.Bool
+	conns  []net.Conn
+}
+
+func newRelay(t *testing.T, target string) *relay {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	r := &relay{ln: ln, target: target}
+	go r.accept()
+	t.Cleanup(r.close)
+	return r
+}
+
+func (r *relay) close() {
+	r.ln.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.conns {
+		c.Close()
+	}
+}
+
+func (r *relay) accept() {
+	for {
+		in, err := r.ln.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", r.target)
+		if err != nil {
+			in.Close()
+			continue
+		}
+		r.dials.Add(1)
+		silent := &atomic.Bool{}
+		r.mu.Lock()
+		r.silent = append(r.silent, silent)
+		r.conns = append(r.conns, in, out)
+		r.mu.Unlock()
+		go forward(in, out, silent)
+		go forward(out, in, silent)
+	}
+}
+
+func forward(from, to net.Conn, silent *atomic.Bool) {
+	buffer := make([]byte, 1<<15)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			return
+		}
+		if silent.Load() {
+			continue
+		}
+		if _, err := to.Write(buffer[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// silence stops the forwarding on the connections that exist.
+func (r *relay) silence() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.silent {
+		s.Store(true)
+	}
+}
+
+// Guards against calls that stay on a connection which has become permanently
+// unresponsive.
+func TestSilentConnectionIsRedialled(t *testing.T) {
+	b := newBench(t, true)
+	b.attach(epoch)
+	r := newRelay(t, b.server.Address().String())
+	client := New(r.ln.Addr().String())
+	defer client.Close()
+	b.client = client
+	result := b.run(b.request(1, domain.KindUrgent, `{"duration_ms":1000}`))
+	r.silence()
+	began := time.Now()
+	failed := <-result
+	took := time.Since(began)
+	assert.Equal(t, domain.KindOf(failed.err), domain.KindUnavailable)
+	assert.Assert(t, !NotSent(failed.err))
+	assert.Assert(t, took > 100*time.Millisecond && took < 5*time.Second, "took %v", took)
+	t.Logf("the silent connection failed its call after %v", took)
+	b.clock.Advance(time.Second)
+	assert.Equal(t, b.lookup(b.request(1, domain.KindUrgent, "").Task.ID).Attempt, 1)
+	assert.Equal(t, r.dials.Load(), int64(2))
+}
+
+// Guards against one connection per call, which would exhaust the worker.
+func TestCallsShareOneConnection(t *testing.T) {
+	b := newBench(t, true)
+	b.attach(epoch)
+	r := newRelay(t, b.server.Address().String())
+	client := New(r.ln.Addr().String())
+	defer client.Close()
+	id := b.start(b.request(1, domain.KindWatch, "")).Task.ID
+	var wg sync.WaitGroup
+	for range 200 {
+		wg.Go(func() {
+			_, err := client.Lookup(b.ctx, id)
+			assert.Check(t, err)
+		})
+	}
+	wg.Wait()
+	assert.Equal(t, r.dials.Load(), int64(1))
+}
+
+// Guards against "never sent" being claimed for a call that may have reached
+// the worker (I6), and against a failed dial that counts as unclear.
+func TestNotSent(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	closed := New(ln.Addr().String())
+	ln.Close()
+	_, err = closed.Lookup(context.Background(), domain.RequestID{})
+	assert.Equal(t, domain.KindOf(err), domain.KindUnavailable)
+	assert.Assert(t, NotSent(err))
+
+	b := newBench(t, true)
+	b.attach(epoch)
+	b.worker.SetCalls(worker.ModeHang)
+	ctx, cancel := context.WithTimeout(b.ctx, 50*time.Millisecond)
+	defer cancel()
+	_, err = b.client.Lookup(ctx, b.request(1, domain.KindUrgent, "").Task.ID)
+	assert.Equal(t, domain.KindOf(err), domain.KindUnavailable)
+	assert.Assert(t, !NotSent(err))
+
+	b.worker.SetCalls(worker.ModeRefuse)
+	_, err = b.client.Lookup(b.ctx, b.request(1, domain.KindUrgent, "").Task.ID)
+	assert.Equal(t, domain.KindOf(err), domain.KindUnavailable)
+	assert.Assert(t, !NotSent(err))
+}
+
+// Guards against damaged answers that are taken for whole ones (I5).
+func TestDamagedAnswer(t *testing.T) {
+	body := []byte("{}")
+	cases := map[wire.Part]func(h http.Header, body []byte) []byte{
+		wire.PartLength:    func(_ http.Header, body []byte) []byte { return body[:1] },
+		wire.PartChecksum:  func(http.Header, []byte) []byte { return []byte("[]") },
+		wire.PartCallID:    func(h http.Header, b []byte) []byte { h.Set(wire.HeaderCallID, "other"); return b },
+		wire.PartRequestID: func(h http.Header, b []byte) []byte { h.Set(wire.HeaderRequestID, "other"); return b },
+	}
+	for part, damage := range cases {
+		t.Run(string(part), func(t *testing.T) {
+			handler := func(rw http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				wire.Seal(rw.Header(), wire.IdentityOf(r.Header), body)
+				_, _ = rw.Write(damage(rw.Header(), body))
+			}
+			srv := httptest.NewUnstartedServer(http.HandlerFunc(handler))
+			srv.Config.Protocols = new(http.Protocols)
+			srv.Config.Protocols.SetUnencryptedHTTP2(true)
+			srv.Start()
+			defer srv.Close()
+			client := New(srv.Listener.Addr().String())
+			defer client.Close()
+			_, err := client.Lookup(context.Background(), domain.RequestID{Shard: domain.ShardID{Domain: "a"}})
+			var mismatch *MismatchError
+			assert.Assert(t, asMismatch(err, &mismatch), "%v", err)
+			assert.Equal(t, mismatch.Part, part)
+			assert.Equal(t, domain.KindOf(err), domain.KindUnavailable)
+		})
+	}
+}
