--- a/node/internal/platformhttp/client.go
+++ b/node/internal/platformhttp/client.go
@@ -60,8 +60,8 @@
 			// until the server's settings arrive; without this option a burst
 			// during that time opens a second connection.
 			StrictMaxConcurrentRequests: true,
-			SendPingTimeout: SilenceBeforePing,
-			PingTimeout:     PingTimeout,
+			SendPingTimeout:             SilenceBeforePing,
+			PingTimeout:                 PingTimeout,
 		},
 	}
 }
