--- a/node/logclient/client.go
+++ b/node/logclient/client.go
@@ -19,10 +19,6 @@
 	DefaultAttemptTimeout = time.Second
 	// readLimit is the number of records that one read of a search asks for.
 	readLimit = 500
-	// maxPending bounds the unclear appends that a client remembers. Above
-	// it the oldest is forgotten, and a later repeat of it is appended without
-	// a search; readers drop such repeats by the record id.
-	maxPending = 4096
 	// Waits between the attempts of AppendOnce.
 	firstRetryWait = 20 * time.Millisecond
 	maxRetryWait   = 500 * time.Millisecond
@@ -33,18 +29,12 @@
 	calls   *platformhttp.Client
 	timeout time.Duration
 
-	mu sync.Mutex
-	// next is the highest offset after the known end of each stream. A record
-	// appended from now on gets this offset or a higher one.
-	next    map[platform.Stream]platform.Offset
-	pending map[pendingKey]platform.Offset
-	order   []pendingKey
-}
+	unclear unclearAppends
 
-// pendingKey names an append whose effect is unclear.
-type pendingKey struct {
-	stream platform.Stream
-	id     string
+	mu sync.Mutex
+	// next is the end of each stream as far as this client knows. A record
+	// that is appended from now on gets this offset or a higher one.
+	next map[platform.Stream]platform.Offset
 }
 
 var _ platform.Log = (*Client)(nil)
@@ -61,7 +51,6 @@
 		calls:   platformhttp.New(base),
 		timeout: DefaultAttemptTimeout,
 		next:    map[platform.Stream]platform.Offset{},
-		pending: map[pendingKey]platform.Offset{},
 	}
 	for _, set := range options {
 		set(c)
@@ -72,13 +61,21 @@
 // Close closes idle connections.
 func (c *Client) Close() { c.calls.Close() }
 
-// Append implements platform.Log. Errors unwrap to *domain.Error.
+// Append implements platform.Log. Errors unwrap to *domain.Error. After an
+// error that leaves open whether the record was appended, AppendOnce with the
+// same record searches for it first.
 func (c *Client) Append(ctx context.Context, stream platform.Stream, rec platform.Record) (platform.Offset, error) {
+	key := appendKey{stream: stream, id: rec.ID}
+	from := c.end(stream)
 	var reply wire.AppendReply
 	err := c.calls.Call(ctx, wire.PathAppend, "", wire.AppendRequest{Stream: stream, Record: rec}, &reply)
 	if err != nil {
+		if !NotSent(err) && !final(err) {
+			c.unclear.add(key, from)
+		}
 		return 0, err
 	}
+	c.unclear.remove(key)
 	c.advance(stream, reply.Offset+1)
 	return reply.Offset, nil
 }
@@ -94,21 +91,28 @@
 	return reply, nil
 }
 
+func (c *Client) end(stream platform.Stream) platform.Offset {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.next[stream]
+}
+
 func (c *Client) advance(stream platform.Stream, next platform.Offset) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.next[stream] = max(c.next[stream], next)
 }
 
-// AppendOnce appends rec and tries again until ctx ends. After an error that
-// leaves open whether the record was appended, it looks for the record id in
-// the stream before it appends again or reports failure, also in a later call
-// with the same record. The last quarter of the time until ctx's deadline, at
-// most the attempt time-out, is kept for the last search. The returned error
-// still leaves open whether the record was or will be appended: an append that
-// is on its way can take effect after the search.
+// AppendOnce appends rec and tries again until ctx ends. If an earlier append
+// of the record left open whether it took effect, it looks for the record id
+// in the stream before it appends again and before it reports failure; this
+// covers earlier calls of Append and AppendOnce on this client. The last
+// quarter of the time until ctx's deadline, at most the attempt time-out, is
+// kept for the last search. An error for which NotSent is false still leaves
+// open whether the record was or will be appended: an append that is on its
+// way can take effect after the search.
 func (c *Client) AppendOnce(ctx context.Context, stream platform.Stream, rec platform.Record) (platform.Offset, error) {
-	key := pendingKey{stream: stream, id: rec.ID}
+	key := appendKey{stream: stream, id: rec.ID}
 	attempts, cancel := c.attemptContext(ctx)
 	defer cancel()
 	wait := retryWait()
@@ -117,10 +121,7 @@
 		offset, err = c.tryOnce(attempts, key, rec)
 	}
 	if err != nil && !final(err) {
-		offset, err = c.lastSearch(ctx, key, err)
-	}
-	if err == nil || final(err) {
-		c.forget(key)
+		return c.lastSearch(ctx, key, err)
 	}
 	return offset, err
 }
@@ -137,66 +138,61 @@
 
 // tryOnce searches for the record if an earlier append of it is unclear, and
 // appends it if it is not found.
-func (c *Client) tryOnce(ctx context.Context, key pendingKey, rec platform.Record) (platform.Offset, error) {
-	from, unclear := c.begin(key)
-	if unclear {
-		offset, err := c.find(ctx, key, from)
-		if err != nil || offset != 0 {
-			return offset, err
-		}
+func (c *Client) tryOnce(ctx context.Context, key appendKey, rec platform.Record) (platform.Offset, error) {
+	offset, err := c.search(ctx, key)
+	if err != nil || offset != 0 {
+		return offset, err
 	}
 	return c.appendTimed(ctx, key.stream, rec)
 }
 
 // lastSearch returns the offset of the record if the stream holds it, and
-// otherwise err.
-func (c *Client) lastSearch(ctx context.Context, key pendingKey, err error) (platform.Offset, error) {
-	from, _ := c.begin(key)
-	found, findErr := c.find(ctx, key, from)
-	if findErr == nil && found != 0 {
-		return found, nil
+// otherwise err. The result is not NotSent if an append may have been sent,
+// even if the latest call was not.
+func (c *Client) lastSearch(ctx context.Context, key appendKey, err error) (platform.Offset, error) {
+	offset, searchErr := c.search(ctx, key)
+	if searchErr == nil && offset != 0 {
+		return offset, nil
+	}
+	if _, ok := c.unclear.from(key); ok {
+		return 0, openError(key, err)
 	}
 	return 0, err
 }
 
-func (c *Client) appendTimed(ctx context.Context, stream platform.Stream, rec platform.Record) (platform.Offset, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
-	return c.Append(ctx, stream, rec)
+// openError hides that the latest call was never sent, because an earlier one
+// may have been.
+func openError(key appendKey, err error) error {
+	return &domain.Error{
+		Kind:    domain.KindUnavailable,
+		Message: "an append of record " + key.id + " may have taken effect: " + err.Error(),
+		Remedy:  "call AppendOnce again with the same record",
+	}
 }
 
-// begin remembers the append and returns the offset from which its record can
-// be in the stream. unclear tells that it was remembered before.
-func (c *Client) begin(key pendingKey) (from platform.Offset, unclear bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if from, ok := c.pending[key]; ok {
-		return from, true
+// search returns the offset of a record whose append is unclear, or zero if
+// there was no such append or the stream does not hold it.
+func (c *Client) search(ctx context.Context, key appendKey) (platform.Offset, error) {
+	from, ok := c.unclear.from(key)
+	if !ok {
+		return 0, nil
 	}
-	if len(c.order) >= maxPending {
-		delete(c.pending, c.order[0])
-		c.order = c.order[1:]
+	offset, err := c.find(ctx, key, from)
+	if err == nil && offset != 0 {
+		c.unclear.remove(key)
 	}
-	c.pending[key] = c.next[key.stream]
-	c.order = append(c.order, key)
-	return c.pending[key], false
+	return offset, err
 }
 
-func (c *Client) forget(key pendingKey) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.pending, key)
-	for i, k := range c.order {
-		if k == key {
-			c.order = append(c.order[:i], c.order[i+1:]...)
-			return
-		}
-	}
+func (c *Client) appendTimed(ctx context.Context, stream platform.Stream, rec platform.Record) (platform.Offset, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	return c.Append(ctx, stream, rec)
 }
 
 // find returns the offset of the record with the key's id, or zero if the
 // stream does not hold it.
-func (c *Client) find(ctx context.Context, key pendingKey, from platform.Offset) (platform.Offset, error) {
+func (c *Client) find(ctx context.Context, key appendKey, from platform.Offset) (platform.Offset, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	for {
--- a/node/logclient/client_test.go
+++ b/node/logclient/client_test.go
@@ -175,21 +175,49 @@
 	assert.NilError(t, err)
 	assert.Equal(t, offset, platform.Offset(2))
 
-	// The answer is lost and the caller's time ends in an outage; a later call
-	// with the same record finds it.
 	b.log.LoseNext(1)
-	_, err = client.Append(b.ctx, "s", record("filler"))
+	_, err = client.Append(b.ctx, "s", record("b"))
 	assert.Assert(t, err != nil)
-	ctx, cancel := context.WithCancel(b.ctx)
-	cancel()
-	_, err = client.AppendOnce(ctx, "s", record("b"))
-	assert.Equal(t, domain.KindOf(err), domain.KindUnavailable)
-	_, err = b.log.Append(b.ctx, "s", record("b")) // takes effect late
-	assert.NilError(t, err)
 	b.append("after")
 	offset, err = client.AppendOnce(b.ctx, "s", record("b"))
 	assert.NilError(t, err)
-	assert.Equal(t, offset, platform.Offset(4))
-	assert.Equal(t, b.read(1, 0).Next, platform.Offset(6))
-	assert.Equal(t, len(client.pending), 0)
+	assert.Equal(t, offset, platform.Offset(3))
+	assert.Equal(t, b.read(1, 0).Next, platform.Offset(5))
+	assert.Equal(t, len(client.unclear.froms), 0)
+}
+
+// Guards against a failure that is reported although the record is in the
+// stream because only its answer was lost.
+func TestAppendOnceSearchesBeforeFailure(t *testing.T) {
+	b := newBench(t)
+	client := b.serve()
+	b.log.LoseShare(1)
+	ctx, cancel := context.WithTimeout(b.ctx, 10*time.Second)
+	defer cancel()
+	key := appendKey{stream: "s", id: "a"}
+	_, err := client.Append(ctx, "s", record("a"))
+	assert.Assert(t, err != nil)
+	offset, err := client.lastSearch(ctx, key, err)
+	assert.NilError(t, err)
+	assert.Equal(t, offset, platform.Offset(1))
+}
+
+// Guards against a "never sent" claim of AppendOnce when an earlier attempt
+// was sent and only the last one was not.
+func TestAppendOnceNotSent(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	client := New("http://" + ln.Addr().String())
+	defer client.Close()
+	ln.Close()
+	for _, sent := range []bool{false, true} {
+		if sent {
+			client.unclear.add(appendKey{stream: "s", id: "a"}, 1)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		_, err = client.AppendOnce(ctx, "s", record("a"))
+		cancel()
+		assert.Equal(t, domain.KindOf(err), domain.KindUnavailable)
+		assert.Equal(t, NotSent(err), !sent)
+	}
 }
--- a/node/workerclient/transport_test.go
+++ b/node/workerclient/transport_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/platform"
 	"github.com/basilferry/basilferry/core/platform/wire"
 	"github.com/basilferry/basilferry/platform/worker"
 	"gotest.tools/v3/assert"
@@ -119,6 +120,17 @@
 	assert.Equal(t, r.dials.Load(), int64(2))
 }
 
+// Guards against a connection fault of the stand-in that spoils connections
+// which are made after it.
+func TestSilenceEstablished(t *testing.T) {
+	b := newBench(t, true)
+	b.attach(epoch)
+	b.server.SilenceEstablished()
+	_, err := b.client.Attach(b.ctx, platform.AttachRequest{Epoch: epoch, Owner: "n1"})
+	assert.Equal(t, domain.KindOf(err), domain.KindUnavailable)
+	b.attach(epoch)
+}
+
 // Guards against one connection per call, which would exhaust the worker.
 func TestCallsShareOneConnection(t *testing.T) {
 	b := newBench(t, true)
