--- a/node/workerclient/contract_test.go
+++ b/node/workerclient/contract_test.go
@@ -1,8 +1,10 @@
 package workerclient
 
 import (
+	"bytes"
 	"context"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -154,6 +156,19 @@
 	})
 }
 
+// Guards against size limits that refuse the largest payload of the contract.
+func TestLargestPayload(t *testing.T) {
+	eachTransport(t, func(b *bench) {
+		b.attach(epoch)
+		req := b.request(1, domain.KindBatch, strings.Repeat("x", domain.MaxPayloadBytes))
+		assert.Assert(b.t, bytes.Equal(b.start(req).Task.Payload, req.Task.Payload))
+		req.Task.ID.Seq = 2
+		req.Task.Payload = append(req.Task.Payload, 'x')
+		_, err := b.client.Start(b.ctx, req)
+		assert.Equal(b.t, domain.KindOf(err), domain.KindTooLarge)
+	})
+}
+
 // Guards against a replaced owner that can still command the worker.
 func TestStaleEpochAndSession(t *testing.T) {
 	eachTransport(t, func(b *bench) {
