--- /dev/null
+++ b/node/logclient/client.go
@@ -0,0 +1,245 @@
+// Package logclient is the HTTP client of the platform's log service.
+package logclient
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/platform"
+	"github.com/basilferry/basilferry/core/platform/wire"
+	"github.com/basilferry/basilferry/node/internal/platformhttp"
+	"github.com/cenkalti/backoff/v5"
+)
+
+// Defaults of AppendOnce.
+const (
+	// DefaultAttemptTimeout bounds one append or read of AppendOnce.
+	DefaultAttemptTimeout = time.Second
+	// readLimit is the number of records that one read of a search asks for.
+	readLimit = 500
+	// Waits between the attempts of AppendOnce.
+	firstRetryWait = 20 * time.Millisecond
+	maxRetryWait   = 500 * time.Millisecond
+)
+
+// Client implements platform.Log. Use New.
+type Client struct {
+	calls   *platformhttp.Client
+	timeout time.Duration
+
+	unclear unclearAppends
+
+	mu sync.Mutex
+	// next is the end of each stream as far as this client knows. A record
+	// that is appended from now on gets this offset or a higher one.
+	next map[platform.Stream]platform.Offset
+}
+
+var _ platform.Log = (*Client)(nil)
+
+// Option configures a Client.
+type Option func(*Client)
+
+// WithAttemptTimeout bounds one append or read of AppendOnce.
+func WithAttemptTimeout(d time.Duration) Option { return func(c *Client) { c.timeout = d } }
+
+// New returns a client of the log service at base, "http://ip:port".
+func New(base string, options ...Option) *Client {
+	c := &Client{
+		calls:   platformhttp.New(base),
+		timeout: DefaultAttemptTimeout,
+		next:    map[platform.Stream]platform.Offset{},
+	}
+	for _, set := range options {
+		set(c)
+	}
+	return c
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.calls.Close() }
+
+// Append implements platform.Log. Errors unwrap to *domain.Error. After an
+// error that leaves open whether the record was appended, AppendOnce with the
+// same record searches for it first.
+func (c *Client) Append(ctx context.Context, stream platform.Stream, rec platform.Record) (platform.Offset, error) {
+	key := appendKey{stream: stream, id: rec.ID}
+	from := c.end(stream)
+	var reply wire.AppendReply
+	err := c.calls.Call(ctx, wire.PathAppend, "", wire.AppendRequest{Stream: stream, Record: rec}, &reply)
+	if err != nil {
+		if !NotSent(err) && !final(err) {
+			c.unclear.add(key, from)
+		}
+		return 0, err
+	}
+	c.unclear.remove(key)
+	c.advance(stream, reply.Offset+1)
+	return reply.Offset, nil
+}
+
+// Read implements platform.Log. Errors unwrap to *domain.Error.
+func (c *Client) Read(ctx context.Context, stream platform.Stream, from platform.Offset, limit int, wait time.Duration) (platform.ReadReply, error) {
+	req := wire.ReadRequest{Stream: stream, From: from, Limit: limit, WaitNanos: int64(wait)}
+	var reply platform.ReadReply
+	if err := c.calls.Call(ctx, wire.PathRead, "", req, &reply); err != nil {
+		return platform.ReadReply{}, err
+	}
+	c.advance(stream, reply.Next)
+	return reply, nil
+}
+
+func (c *Client) end(stream platform.Stream) platform.Offset {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.next[stream]
+}
+
+func (c *Client) advance(stream platform.Stream, next platform.Offset) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.next[stream] = max(c.next[stream], next)
+}
+
+// AppendOnce appends rec and tries again until ctx ends. If an earlier append
+// of the record left open whether it took effect, it looks for the record id
+// in the stream before it appends again and before it reports failure; this
+// covers earlier calls of Append and AppendOnce on this client. The last
+// quarter of the time until ctx's deadline, at most the attempt time-out, is
+// kept for the last search. An error for which NotSent is false still leaves
+// open whether the record was or will be appended: an append that is on its
+// way can take effect after the search.
+func (c *Client) AppendOnce(ctx context.Context, stream platform.Stream, rec platform.Record) (platform.Offset, error) {
+	key := appendKey{stream: stream, id: rec.ID}
+	attempts, cancel := c.attemptContext(ctx)
+	defer cancel()
+	wait := retryWait()
+	offset, err := c.tryOnce(attempts, key, rec)
+	for err != nil && !final(err) && sleep(attempts, wait.NextBackOff()) {
+		offset, err = c.tryOnce(attempts, key, rec)
+	}
+	if err != nil && !final(err) {
+		return c.lastSearch(ctx, key, err)
+	}
+	return offset, err
+}
+
+// attemptContext returns a context that ends early enough for a last search.
+func (c *Client) attemptContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	reserve := min(c.timeout, time.Until(deadline)/4)
+	return context.WithDeadline(ctx, deadline.Add(-reserve))
+}
+
+// tryOnce searches for the record if an earlier append of it is unclear, and
+// appends it if it is not found.
+func (c *Client) tryOnce(ctx context.Context, key appendKey, rec platform.Record) (platform.Offset, error) {
+	offset, err := c.search(ctx, key)
+	if err != nil || offset != 0 {
+		return offset, err
+	}
+	return c.appendTimed(ctx, key.stream, rec)
+}
+
+// lastSearch returns the offset of the record if the stream holds it, and
+// otherwise err. The result is not NotSent if an append may have been sent,
+// even if the latest call was not.
+func (c *Client) lastSearch(ctx context.Context, key appendKey, err error) (platform.Offset, error) {
+	offset, searchErr := c.search(ctx, key)
+	if searchErr == nil && offset != 0 {
+		return offset, nil
+	}
+	if _, ok := c.unclear.from(key); ok {
+		return 0, openError(key, err)
+	}
+	return 0, err
+}
+
+// openError hides that the latest call was never sent, because an earlier one
+// may have been.
+func openError(key appendKey, err error) error {
+	return &domain.Error{
+		Kind:    domain.KindUnavailable,
+		Message: "an append of record " + key.id + " may have taken effect: " + err.Error(),
+		Remedy:  "call AppendOnce again with the same record",
+	}
+}
+
+// search returns the offset of a record whose append is unclear, or zero if
+// there was no such append or the stream does not hold it.
+func (c *Client) search(ctx context.Context, key appendKey) (platform.Offset, error) {
+	from, ok := c.unclear.from(key)
+	if !ok {
+		return 0, nil
+	}
+	offset, err := c.find(ctx, key, from)
+	if err == nil && offset != 0 {
+		c.unclear.remove(key)
+	}
+	return offset, err
+}
+
+func (c *Client) appendTimed(ctx context.Context, stream platform.Stream, rec platform.Record) (platform.Offset, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	return c.Append(ctx, stream, rec)
+}
+
+// find returns the offset of the record with the key's id, or zero if the
+// stream does not hold it.
+func (c *Client) find(ctx context.Context, key appendKey, from platform.Offset) (platform.Offset, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	for {
+		reply, err := c.Read(ctx, key.stream, from, readLimit, 0)
+		if err != nil {
+			return 0, err
+		}
+		for _, r := range reply.Records {
+			if r.ID == key.id {
+				return r.Offset, nil
+			}
+			from = r.Offset + 1
+		}
+		if len(reply.Records) == 0 || from >= reply.Next {
+			return 0, nil
+		}
+	}
+}
+
+// final reports whether an error shows that the record was refused for good.
+func final(err error) bool {
+	switch domain.KindOf(err) {
+	case domain.KindBadRequest, domain.KindTooLarge, domain.KindUnauthorized:
+		return true
+	}
+	return false
+}
+
+func retryWait() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = firstRetryWait
+	b.MaxInterval = maxRetryWait
+	return b
+}
+
+// sleep waits for d and returns false if ctx ended before.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// NotSent reports whether err shows that the call never reached the log
+// service: no connection was obtained for it, so no byte of it was written.
+func NotSent(err error) bool { return platformhttp.NotSent(err) }
