--- /dev/null
+++ b/core/ring/ring.go
@@ -0,0 +1,120 @@
+package ring
+
+import (
+	"fmt"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/basilferry/basilferry/core/domain"
+)
+
+// separator ends each part of a hashed text, so that two different lists of
+// parts never have the same text.
+const separator = "\x00"
+
+// Ring knows all configured shards. It never changes: the authority for a key
+// must not depend on which failure domains are live.
+type Ring struct {
+	shards    []domain.ShardID
+	perDomain int
+}
+
+// New returns the ring of all configured failure domains. It returns an
+// *domain.Error of kind KindBadRequest if there is no domain, a domain is
+// listed twice or shardsPerDomain is less than 1.
+func New(domains []domain.FailureDomain, shardsPerDomain int) (*Ring, error) {
+	if len(domains) == 0 || shardsPerDomain < 1 {
+		return nil, badTopology("there is no failure domain or no shard per domain")
+	}
+	r := &Ring{perDomain: shardsPerDomain}
+	seen := make(map[domain.FailureDomain]bool, len(domains))
+	for _, d := range domains {
+		if seen[d] {
+			return nil, badTopology(fmt.Sprintf("failure domain %q is listed twice", d))
+		}
+		seen[d] = true
+		r.shards = append(r.shards, r.ShardsOf(d)...)
+	}
+	return r, nil
+}
+
+func badTopology(message string) *domain.Error {
+	return &domain.Error{
+		Kind:    domain.KindBadRequest,
+		Message: message,
+		Remedy:  "list each failure domain once in cluster.domains and set cluster.shards_per_domain to at least 1",
+	}
+}
+
+// ShardsOf returns the shards of one failure domain, ordered by index.
+func (r *Ring) ShardsOf(d domain.FailureDomain) []domain.ShardID {
+	shards := make([]domain.ShardID, r.perDomain)
+	for i := range shards {
+		shards[i] = domain.ShardID{Domain: d, Index: i}
+	}
+	return shards
+}
+
+// Contains reports whether the shard is configured.
+func (r *Ring) Contains(id domain.ShardID) bool {
+	for _, s := range r.shards {
+		if s == id {
+			return true
+		}
+	}
+	return false
+}
+
+// KeyID returns the request id of a caller's key: a shard out of all
+// configured shards, epoch zero and the hash of the key as sequence number.
+func (r *Ring) KeyID(key string) domain.RequestID {
+	best := r.shards[0]
+	var bestWeight uint64
+	for i, s := range r.shards {
+		w := weight("key", key, s.String())
+		if i == 0 || heavier(w, s.String(), bestWeight, best.String()) {
+			best, bestWeight = s, w
+		}
+	}
+	return domain.RequestID{Shard: best, Seq: xxhash.Sum64String(key)}
+}
+
+// WorkerShard returns the shard of its failure domain that a worker belongs to.
+func (r *Ring) WorkerShard(d domain.FailureDomain, id domain.WorkerID) domain.ShardID {
+	best := 0
+	var bestWeight uint64
+	for i := range r.perDomain {
+		w := weight("worker", string(id), strconv.Itoa(i))
+		if i == 0 || w > bestWeight {
+			best, bestWeight = i, w
+		}
+	}
+	return domain.ShardID{Domain: d, Index: best}
+}
+
+// Preferred returns the node that should own the shard out of the live nodes
+// of its failure domain. ok is false if there is none. The order of live does
+// not matter.
+func Preferred(id domain.ShardID, live []domain.NodeID) (best domain.NodeID, ok bool) {
+	var bestWeight uint64
+	for i, n := range live {
+		w := weight("shard", id.String(), string(n))
+		if i == 0 || heavier(w, string(n), bestWeight, string(best)) {
+			best, bestWeight = n, w
+		}
+	}
+	return best, len(live) > 0
+}
+
+// heavier orders candidates by weight, and by name if the weights are equal.
+func heavier(w uint64, name string, than uint64, thanName string) bool {
+	if w != than {
+		return w > than
+	}
+	return name < thanName
+}
+
+func weight(use, key, candidate string) uint64 {
+	return xxhash.Sum64String(use + separator + key + separator + candidate)
+}
--- /dev/null
+++ b/core/ring/ring_test.go
@@ -0,0 +1,78 @@
+package ring
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/basilferry/basilferry/core/domain"
+)
+
+func newRing(t *testing.T) *Ring {
+	t.Helper()
+	r, err := New([]domain.FailureDomain{"larissa", "volos", "lamia"}, 2)
+	assert.NilError(t, err)
+	return r
+}
+
+// Guards against a change of the hash, which would move the authority for
+// keys between two versions of the program that run at once.
+func TestKeyIDIsStable(t *testing.T) {
+	r := newRing(t)
+	assert.Equal(t, r.KeyID("order-1").String(), "lamia-1-0-3baf4120aa43a0ad")
+	assert.Equal(t, r.KeyID("order-2").String(), "lamia-1-0-8f8f6c2e829b9f6d")
+	assert.Assert(t, r.KeyID("order-1").Keyed())
+}
+
+// Guards against shards that get far more than their share of keys or workers.
+func TestSpread(t *testing.T) {
+	const count = 6000
+	r := newRing(t)
+	keys := map[domain.ShardID]int{}
+	workers := map[domain.ShardID]int{}
+	for i := range count {
+		keys[r.KeyID(fmt.Sprintf("key-%d", i)).Shard]++
+		workers[r.WorkerShard("volos", domain.WorkerID(fmt.Sprintf("volos-w%d", i)))]++
+	}
+	assert.Equal(t, len(keys), 6)
+	for s, n := range keys {
+		assert.Assert(t, n > 850 && n < 1150, "%s has %d keys", s, n)
+	}
+	assert.Equal(t, len(workers), 2)
+	for s, n := range workers {
+		assert.Assert(t, n > 2800 && n < 3200, "%s has %d workers", s, n)
+	}
+}
+
+// Guards against a preference that depends on the order of the live nodes, or
+// that moves shards of nodes that stay when another node leaves.
+func TestPreferred(t *testing.T) {
+	live := []domain.NodeID{"n1", "n2", "n3"}
+	for i := range 200 {
+		id := domain.ShardID{Domain: "larissa", Index: i}
+		first, ok := Preferred(id, live)
+		assert.Assert(t, ok)
+		reversed := slices.Clone(live)
+		slices.Reverse(reversed)
+		again, _ := Preferred(id, reversed)
+		assert.Equal(t, again, first)
+		fewer := slices.DeleteFunc(slices.Clone(live), func(n domain.NodeID) bool { return n == "n2" })
+		after, _ := Preferred(id, fewer)
+		assert.Assert(t, first == "n2" || after == first)
+	}
+	_, ok := Preferred(domain.ShardID{Domain: "larissa"}, nil)
+	assert.Assert(t, !ok)
+}
+
+// Guards against settings that give a key two authorities.
+func TestNewRefusesBadTopology(t *testing.T) {
+	for _, c := range []struct {
+		domains []domain.FailureDomain
+		shards  int
+	}{{nil, 2}, {[]domain.FailureDomain{"a"}, 0}, {[]domain.FailureDomain{"a", "a"}, 1}} {
+		_, err := New(c.domains, c.shards)
+		assert.Equal(t, domain.KindOf(err), domain.KindBadRequest)
+	}
+}
--- /dev/null
+++ b/node/engine/committer.go
@@ -0,0 +1,293 @@
+package engine
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/journal"
+	"github.com/basilferry/basilferry/core/platform"
+)
+
+// committer appends the journal entries of all shards of the node in groups,
+// one append at a time.
+type committer struct {
+	log    platform.Log
+	stream platform.Stream
+	// sync reads the stream to its end, see follower.sync.
+	sync func(context.Context) bool
+	// changed is told when the log starts or stops answering appends.
+	changed func(up bool)
+	wake    chan struct{}
+
+	mu      sync.Mutex
+	pending []*item
+	// outstanding holds the batches that the follower has not read yet.
+	outstanding map[string]*batch
+	up          bool
+}
+
+func newCommitter(c Config, changed func(up bool)) *committer {
+	return &committer{
+		log:         c.Log,
+		stream:      journal.StreamOf(c.Domain),
+		changed:     changed,
+		wake:        make(chan struct{}, 1),
+		outstanding: make(map[string]*batch),
+		up:          true,
+	}
+}
+
+// add queues entries. done, if not nil, is called once: with nil when the
+// follower has read the entries, or with an error after AppendTimeout. Entries
+// with a nil done are retried until they are appended or live reports false.
+func (c *committer) add(entries []journal.Entry, live func() bool, done func(*domain.Error)) {
+	items := split(entries)
+	last := items[len(items)-1]
+	last.done = done
+	c.mu.Lock()
+	for _, it := range items {
+		it.live = live
+	}
+	if done != nil {
+		last.timer = time.AfterFunc(AppendTimeout, func() { c.expire(items) })
+	}
+	c.pending = append(c.pending, items...)
+	c.mu.Unlock()
+	c.notify()
+}
+
+func (c *committer) notify() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// expire reports an error for items that were not appended in time. Those that
+// were never sent are not sent any more.
+func (c *committer) expire(items []*item) {
+	last := items[len(items)-1]
+	c.mu.Lock()
+	if last.settled {
+		c.mu.Unlock()
+		return
+	}
+	for _, it := range items {
+		it.settled = true
+	}
+	c.mu.Unlock()
+	c.setUp(false)
+	last.done(&domain.Error{
+		Kind:    domain.KindUnavailable,
+		Message: "the log service did not answer an append within " + AppendTimeout.String(),
+		Remedy:  "check the log service; the record may still be appended",
+	})
+}
+
+// issued reports whether this process made the record and has not read it yet.
+func (c *committer) issued(recordID string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.outstanding[recordID] != nil
+}
+
+// seen settles the batch of a record that the follower has read.
+func (c *committer) seen(recordID string) {
+	c.mu.Lock()
+	b := c.outstanding[recordID]
+	if b == nil {
+		c.mu.Unlock()
+		return
+	}
+	delete(c.outstanding, recordID)
+	close(b.seen)
+	var done []func(*domain.Error)
+	for _, it := range b.items {
+		if !it.settled && it.done != nil {
+			done = append(done, it.done)
+			it.timer.Stop()
+		}
+		it.settled = true
+	}
+	c.mu.Unlock()
+	for _, f := range done {
+		f(nil)
+	}
+}
+
+// setUp records whether the log service answers appends in time.
+func (c *committer) setUp(up bool) {
+	c.mu.Lock()
+	changed := c.up != up
+	c.up = up
+	c.mu.Unlock()
+	if changed {
+		c.changed(up)
+	}
+}
+
+// isUp reports whether the log service answers appends in time.
+func (c *committer) isUp() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.up
+}
+
+// run commits batches until ctx ends.
+func (c *committer) run(ctx context.Context) {
+	var started time.Time
+	for c.waitWork(ctx) {
+		sleep(ctx, appendInterval-time.Since(started))
+		started = time.Now()
+		if b := c.take(); b != nil {
+			c.commit(ctx, b)
+		}
+	}
+}
+
+// waitWork waits for entries, or for the next probe while the log does not
+// answer. It returns false when ctx ends.
+func (c *committer) waitWork(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		c.mu.Lock()
+		ready, up := len(c.pending) > 0, c.up
+		c.mu.Unlock()
+		if ready {
+			return true
+		}
+		probe := time.NewTimer(probeInterval)
+		select {
+		case <-c.wake:
+			probe.Stop()
+		case <-probe.C:
+			if !up {
+				return true
+			}
+		case <-ctx.Done():
+			probe.Stop()
+		}
+	}
+	return false
+}
+
+// take makes the next batch of pending items. It is empty, as a probe, while
+// the log does not answer, and nil if there is nothing to append.
+func (c *committer) take() *batch {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b := &batch{id: uuid.NewString(), seen: make(chan struct{})}
+	total := item{}
+	taken := 0
+	for _, it := range c.pending {
+		wanted := !it.settled && (it.live == nil || it.live())
+		if wanted && len(b.items) > 0 && !total.fits(len(it.entries), it.bytes) {
+			break
+		}
+		taken++
+		if !wanted {
+			c.abandon(it)
+			continue
+		}
+		total.entries = append(total.entries, it.entries...)
+		total.bytes += it.bytes
+		b.items = append(b.items, it)
+	}
+	c.pending = append([]*item(nil), c.pending[taken:]...)
+	if len(b.items) == 0 && c.up {
+		return nil
+	}
+	c.outstanding[b.id] = b
+	return b
+}
+
+// abandon settles an item whose owner is gone.
+func (c *committer) abandon(it *item) {
+	it.settled = true
+	if it.timer != nil {
+		it.timer.Stop()
+	}
+}
+
+// commit appends a batch until it is known to be in the stream. The record id
+// stays the same, so a late copy of an earlier try is dropped by all readers.
+// A batch without entries left is still appended: it takes the place of a copy
+// that may arrive late.
+func (c *committer) commit(ctx context.Context, b *batch) {
+	for ctx.Err() == nil {
+		if c.appendOnce(ctx, b) {
+			return
+		}
+		c.setUp(false)
+		if c.found(ctx, b) {
+			return
+		}
+		sleep(ctx, appendRetryDelay)
+	}
+}
+
+// appendOnce returns true if the record is in the stream. After false it may
+// be there or not.
+func (c *committer) appendOnce(ctx context.Context, b *batch) bool {
+	rec, err := c.encode(b)
+	if err != nil {
+		c.reject(b, err)
+		return true
+	}
+	started := time.Now()
+	callCtx, cancel := context.WithTimeout(ctx, appendAttemptTimeout)
+	defer cancel()
+	result := make(chan error, 1)
+	go func() {
+		_, err := c.log.Append(callCtx, c.stream, rec)
+		result <- err
+	}()
+	ok := false
+	select {
+	case err := <-result:
+		ok = err == nil
+	case <-b.seen:
+		ok = true
+	case <-callCtx.Done():
+	}
+	if ok {
+		c.setUp(time.Since(started) < AppendTimeout)
+	}
+	return ok
+}
+
+func (c *committer) encode(b *batch) (platform.Record, error) {
+	c.mu.Lock()
+	entries := b.entries()
+	c.mu.Unlock()
+	return journal.Encode(b.id, entries)
+}
+
+// reject reports a batch that cannot be encoded.
+func (c *committer) reject(b *batch, err error) {
+	c.mu.Lock()
+	delete(c.outstanding, b.id)
+	var done []func(*domain.Error)
+	for _, it := range b.items {
+		if !it.settled && it.done != nil {
+			done = append(done, it.done)
+			it.timer.Stop()
+		}
+		it.settled = true
+	}
+	c.mu.Unlock()
+	for _, f := range done {
+		f(domain.AsError(err))
+	}
+}
+
+// found looks the batch up by its record id after an append without an answer.
+func (c *committer) found(ctx context.Context, b *batch) bool {
+	if !c.sync(ctx) {
+		return false
+	}
+	return !c.issued(b.id)
+}
--- /dev/null
+++ b/node/engine/engine.go
@@ -0,0 +1,337 @@
+package engine
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/explain"
+	"github.com/basilferry/basilferry/core/journal"
+	"github.com/basilferry/basilferry/core/membership"
+	"github.com/basilferry/basilferry/core/platform"
+	"github.com/basilferry/basilferry/core/shard"
+	"github.com/basilferry/basilferry/node/service"
+)
+
+// Engine runs the shards that this node owns. It implements service.Shards.
+type Engine struct {
+	config    Config
+	follower  *follower
+	committer *committer
+	ctx       context.Context
+	cancel    context.CancelFunc
+	work      sync.WaitGroup
+
+	publishing sync.Mutex
+
+	mu       sync.Mutex
+	runners  map[domain.ShardID]*runner
+	stopping bool
+	readsUp  bool
+	// configured and listed are given to machines that start later.
+	configured *shard.Configured
+	listed     []platform.VM
+	retention  retention
+}
+
+var _ service.Shards = (*Engine)(nil)
+
+// New returns an engine that is not started yet.
+func New(c Config) *Engine {
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &Engine{
+		config:  c,
+		ctx:     ctx,
+		cancel:  cancel,
+		runners: make(map[domain.ShardID]*runner),
+		readsUp: true,
+	}
+	e.committer = newCommitter(c, func(bool) { e.publishLogState() })
+	e.follower = newFollower(c, followerHooks{
+		issued: e.committer.issued,
+		read:   e.logRead,
+		seen:   e.committer.seen,
+	})
+	e.committer.sync = e.follower.sync
+	return e
+}
+
+// Start begins to follow the domain's stream.
+func (e *Engine) Start() {
+	e.spawn(e.follower.run)
+	e.spawn(e.committer.run)
+	e.spawn(e.runSnapshots)
+}
+
+func (e *Engine) spawn(f func(context.Context)) {
+	e.work.Add(1)
+	go func() {
+		defer e.work.Done()
+		f(e.ctx)
+	}()
+}
+
+// Configure gives the configuration to all machines, also later ones.
+func (e *Engine) Configure(c shard.Configured) {
+	e.mu.Lock()
+	e.configured = &c
+	e.mu.Unlock()
+	for _, r := range e.all() {
+		r.set(func(l *latest) { l.configured = &c })
+	}
+}
+
+// SetWorkers gives the VM list of the node's domain to all machines, each its
+// own workers.
+func (e *Engine) SetWorkers(vms []platform.VM) {
+	e.mu.Lock()
+	e.listed = vms
+	e.mu.Unlock()
+	for _, r := range e.all() {
+		listed := e.workersOf(r.shard, vms)
+		r.set(func(l *latest) { l.workers = &listed })
+	}
+}
+
+func (e *Engine) workersOf(id domain.ShardID, vms []platform.VM) shard.WorkersListed {
+	var mine []platform.VM
+	for _, vm := range vms {
+		if vm.Domain == id.Domain && e.config.Ring.WorkerShard(id.Domain, vm.ID) == id {
+			mine = append(mine, vm)
+		}
+	}
+	return shard.WorkersListed{VMs: mine}
+}
+
+// all returns the runners, ordered by shard.
+func (e *Engine) all() []*runner {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	runners := make([]*runner, 0, len(e.runners))
+	for _, r := range e.runners {
+		runners = append(runners, r)
+	}
+	slices.SortFunc(runners, func(a, b *runner) int { return cmp.Compare(a.shard.Index, b.shard.Index) })
+	return runners
+}
+
+func (e *Engine) runner(id domain.ShardID) (*runner, *domain.Error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := e.runners[id]
+	if r == nil || r.fenced.Load() {
+		return nil, notOwned(id)
+	}
+	return r, nil
+}
+
+// logRead takes the result of a read in the follower's goroutine.
+func (e *Engine) logRead(read LogRead) {
+	e.mu.Lock()
+	changed := e.readsUp != read.OK
+	e.readsUp = read.OK
+	e.mu.Unlock()
+	if changed {
+		e.publishLogState()
+	}
+	if read.OK {
+		e.retention.set(read.Retention)
+		for _, o := range read.Owners {
+			e.reconcile(o, read)
+		}
+	}
+	if e.config.Observe != nil {
+		e.config.Observe(read)
+	}
+}
+
+// publishLogState tells all machines whether the log service answers.
+func (e *Engine) publishLogState() {
+	// Two changes at once must not leave the older one as the latest.
+	e.publishing.Lock()
+	defer e.publishing.Unlock()
+	state := e.logState()
+	for _, r := range e.all() {
+		r.set(func(l *latest) { l.log = &state })
+	}
+}
+
+func (e *Engine) logState() shard.LogState {
+	up := e.committer.isUp()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return shard.LogState{Up: e.readsUp && up}
+}
+
+// reconcile starts or drops the machine of a shard as the stream demands.
+func (e *Engine) reconcile(o membership.Ownership, read LogRead) {
+	newest := shard.OwnershipRead{SentAt: read.SentAt, Epoch: o.Epoch}
+	e.mu.Lock()
+	r := e.runners[o.Shard]
+	if r != nil && r.fenced.Load() {
+		r = e.discard(r)
+	}
+	if r != nil && replaced(r, o, read.AtEnd) {
+		r.drop(&newest)
+		r = e.discard(r)
+	}
+	mine := r == nil && !e.stopping && o.Owned() && o.Owner == e.config.Node
+	e.mu.Unlock()
+	if mine && e.follower.claimed(o.Shard, o.Epoch) {
+		r = e.startRunner(o)
+	}
+	if r != nil && read.AtEnd {
+		r.set(func(l *latest) { l.ownership = &newest })
+	}
+}
+
+// discard forgets a runner that was dropped. e.mu is held.
+func (e *Engine) discard(r *runner) *runner {
+	delete(e.runners, r.shard)
+	e.follower.disown(r.shard)
+	return nil
+}
+
+// replaced reports whether the stream shows that the runner's epoch has ended.
+// A lower epoch counts only at the end of the stream, because the stream may be
+// read again from its first record.
+func replaced(r *runner, o membership.Ownership, atEnd bool) bool {
+	if o.Epoch == r.epoch {
+		return o.Released
+	}
+	return atEnd || o.Epoch > r.epoch
+}
+
+func (e *Engine) startRunner(o membership.Ownership) *runner {
+	e.config.Logger.Info("engine: shard taken", "shard", o.Shard, "epoch", o.Epoch)
+	r := newRunner(e.config, o.Shard, o.Epoch)
+	r.exec = e.newExecutor(r)
+	machine, first := e.config.NewMachine(MachineConfig{
+		Shard:   o.Shard,
+		Node:    e.config.Node,
+		Epoch:   o.Epoch,
+		Journal: e.follower.journal(o.Shard),
+		Now:     e.config.now(),
+	})
+	r.machine = machine
+	e.register(r)
+	e.publishLogState()
+	e.spawn(func(ctx context.Context) { r.run(ctx, first) })
+	return r
+}
+
+// register makes the runner known, with the newest values.
+func (e *Engine) register(r *runner) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	listed := e.workersOf(r.shard, e.listed)
+	r.set(func(l *latest) {
+		l.configured = e.configured
+		l.workers = &listed
+	})
+	e.runners[r.shard] = r
+}
+
+func (e *Engine) newExecutor(r *runner) *executor {
+	return &executor{
+		ctx:       e.ctx,
+		calls:     &e.work,
+		clients:   newClients(e.config.Dial),
+		delegator: e.config.Delegator,
+		commit:    e.committer.add,
+		now:       e.config.now,
+		fenced:    &r.fenced,
+		post:      r.post,
+	}
+}
+
+// Claim appends a claim of this node that takes effect if previous is still the
+// epoch in force. done is told whether the claim is in the stream, not whether
+// it took effect.
+func (e *Engine) Claim(id domain.ShardID, previous domain.Epoch, done func(*domain.Error)) {
+	claim := journal.Claim{Shard: id, Node: e.config.Node, Previous: previous}
+	e.committer.add([]journal.Entry{{Shard: id, Claim: &claim}}, nil, done)
+}
+
+// Owned implements service.Shards.
+func (e *Engine) Owned() []service.OwnedShard {
+	owned := []service.OwnedShard{}
+	for _, r := range e.all() {
+		if r.fenced.Load() {
+			continue
+		}
+		s := r.status.Load()
+		owned = append(owned, service.OwnedShard{Shard: r.shard, Epoch: r.epoch, Ready: s.Ready, FreeSlots: s.FreeSlots})
+	}
+	return owned
+}
+
+// Draw implements service.Shards.
+func (e *Engine) Draw(id domain.ShardID, n int) (domain.Epoch, uint64, error) {
+	r, err := e.runner(id)
+	if err != nil {
+		return 0, 0, err
+	}
+	if !r.status.Load().Ready {
+		return 0, 0, notReady(id)
+	}
+	ctx, cancel := context.WithTimeout(e.ctx, service.CallTimeout)
+	defer cancel()
+	var first uint64
+	if err := r.inspect(ctx, func(m Machine) { first = m.Draw(n) }); err != nil {
+		return 0, 0, err
+	}
+	return r.epoch, first, nil
+}
+
+// Submit implements service.Shards.
+func (e *Engine) Submit(ctx context.Context, id domain.ShardID, req shard.Submitted) (domain.Outcome, error) {
+	r, err := e.runner(id)
+	if err != nil {
+		return domain.Outcome{}, err
+	}
+	return r.call(ctx, req.Task.ID, func(call shard.CallID) shard.Event {
+		req.Call = call
+		return req
+	})
+}
+
+// Lookup implements service.Shards.
+func (e *Engine) Lookup(ctx context.Context, id domain.RequestID) (domain.Outcome, error) {
+	r, err := e.runner(id.Shard)
+	if err != nil {
+		return domain.Outcome{}, err
+	}
+	return r.call(ctx, id, func(call shard.CallID) shard.Event { return shard.Queried{Call: call, ID: id} })
+}
+
+// Cancel implements service.Shards.
+func (e *Engine) Cancel(ctx context.Context, id domain.RequestID) (domain.Outcome, error) {
+	r, err := e.runner(id.Shard)
+	if err != nil {
+		return domain.Outcome{}, err
+	}
+	return r.call(ctx, id, func(call shard.CallID) shard.Event { return shard.Cancelled{Call: call, ID: id} })
+}
+
+// Explain implements service.Shards.
+func (e *Engine) Explain(id domain.RequestID) []explain.Entry {
+	return e.config.Reasons.Entries(id)
+}
+
+// Workers implements service.Shards.
+func (e *Engine) Workers() []service.WorkerStatus {
+	workers := []service.WorkerStatus{}
+	for _, r := range e.all() {
+		for _, w := range r.status.Load().Workers {
+			workers = append(workers, service.WorkerStatus{
+				ID: w.ID, Domain: r.shard.Domain, Rack: w.Rack, Shard: r.shard, State: w.State,
+				Capacity: w.Capacity, Reserved: w.Reserved, Tasks: w.Tasks,
+			})
+		}
+	}
+	slices.SortFunc(workers, func(a, b service.WorkerStatus) int { return cmp.Compare(a.ID, b.ID) })
+	return workers
+}
--- /dev/null
+++ b/node/engine/engine_test.go
@@ -0,0 +1,221 @@
+package engine
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/journal"
+	"github.com/basilferry/basilferry/core/platform"
+	"github.com/basilferry/basilferry/core/shard"
+)
+
+// inBubble runs a test with virtual time and one owner of testShard.
+func inBubble(t *testing.T, test func(t *testing.T, l *memLog, g *rig)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		l := newMemLog()
+		g := newRig(t, l, "n1")
+		defer g.close(t)
+		assert.Equal(t, g.claim(t, 0), domain.Epoch(1))
+		settle()
+		test(t, l, g)
+	})
+}
+
+func submit(t *testing.T, g *rig, seq uint64) domain.Outcome {
+	t.Helper()
+	req := urgent(seq)
+	out, err := g.Submit(t.Context(), testShard, req)
+	assert.NilError(t, err)
+	assert.Equal(t, out.ID, req.Task.ID)
+	return out
+}
+
+// Guards against a lost answer that repeats the record or starts the task
+// twice.
+func TestLostAppendAnswer(t *testing.T) {
+	for name, fault := range map[string]func(*memLog){
+		"error": func(l *memLog) { l.loseAnswers = 1 },
+		"hang":  func(l *memLog) { l.hang = 1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, l *memLog, g *rig) {
+				l.set(fault)
+				started := time.Now()
+				assert.Equal(t, submit(t, g, 1).State, domain.OutcomeRan)
+				assert.Assert(t, time.Since(started) < AppendTimeout)
+				assert.Equal(t, submit(t, g, 2).State, domain.OutcomeRan)
+				settle()
+				assert.Equal(t, len(l.entries(t)), 3) // one claim and two intents
+				assert.Equal(t, len(g.worker.runs), 2)
+			})
+		})
+	}
+}
+
+// Guards against a wait for the log that is longer than AppendTimeout, against
+// entries that are appended after their failure was reported, and against an
+// engine that does not notice that the log is back.
+func TestLogOutage(t *testing.T) {
+	inBubble(t, func(t *testing.T, l *memLog, g *rig) {
+		l.set(func(l *memLog) { l.down = true })
+		started := time.Now()
+		assert.Equal(t, submit(t, g, 1).State, domain.OutcomeRan)
+		assert.Equal(t, time.Since(started), AppendTimeout)
+		assert.Assert(t, !g.logState().Up)
+		l.set(func(l *memLog) { l.down = false })
+		time.Sleep(2 * probeInterval)
+		assert.Assert(t, g.logState().Up)
+		assert.Equal(t, len(l.entries(t)), 1)
+		assert.Equal(t, submit(t, g, 2).State, domain.OutcomeRan)
+		assert.Equal(t, len(l.entries(t)), 2)
+	})
+}
+
+// Guards against an owner that goes on after another node's claim, and against
+// a claim on an outdated epoch that takes effect.
+func TestTakeover(t *testing.T) {
+	inBubble(t, func(t *testing.T, l *memLog, g *rig) {
+		g.worker.hold = make(chan struct{})
+		defer close(g.worker.hold)
+		outcome := make(chan domain.Outcome, 1)
+		go func() { outcome <- submit(t, g, 1) }()
+		<-g.worker.runs
+		other := newRig(t, l, "n2")
+		defer other.close(t)
+		epoch := other.claim(t, 1)
+		assert.Assert(t, epoch > 1)
+		assert.Equal(t, (<-outcome).State, domain.OutcomeUnknown)
+		assert.Equal(t, len(g.Owned()), 0)
+		_, err := g.Submit(t.Context(), testShard, urgent(2))
+		assert.Equal(t, domain.KindOf(err), domain.KindStaleEpoch)
+
+		g.Claim(testShard, 1, func(*domain.Error) {})
+		settle()
+		assert.Equal(t, len(g.Owned()), 0)
+		assert.Equal(t, other.Owned()[0].Epoch, epoch)
+	})
+}
+
+// Guards against a false suspicion that does more than move ownership: the node
+// that was suspected claims the shard back and serves it.
+func TestFalseSuspicion(t *testing.T) {
+	inBubble(t, func(t *testing.T, l *memLog, g *rig) {
+		other := newRig(t, l, "n2")
+		defer other.close(t)
+		second := other.claim(t, 1)
+		settle()
+		assert.Equal(t, len(g.Owned()), 0)
+		third := g.claim(t, second)
+		assert.Assert(t, third > second)
+		settle()
+		assert.Equal(t, len(other.Owned()), 0)
+		assert.Equal(t, submit(t, g, 1).State, domain.OutcomeRan)
+	})
+}
+
+// Guards against AppendDone for an entry of a replaced epoch: the intent has no
+// effect, so the task must not start.
+func TestIntentAfterNewerClaimStartsNothing(t *testing.T) {
+	inBubble(t, func(t *testing.T, l *memLog, g *rig) {
+		claim := journal.Entry{Shard: testShard, Claim: &journal.Claim{Shard: testShard, Node: "n2", Previous: 1}}
+		rec, err := journal.Encode("foreign", []journal.Entry{claim})
+		assert.NilError(t, err)
+		l.set(func(l *memLog) { l.intruder = &rec })
+		assert.Equal(t, submit(t, g, 1).State, domain.OutcomeUnknown)
+		settle()
+		assert.Equal(t, len(l.entries(t)), 3)
+		assert.Equal(t, len(g.worker.runs), 0)
+	})
+}
+
+// Guards against a stop that interrupts a request or keeps the shard.
+func TestStopDrains(t *testing.T) {
+	inBubble(t, func(t *testing.T, l *memLog, g *rig) {
+		g.worker.hold = make(chan struct{})
+		outcome := make(chan domain.Outcome, 1)
+		go func() { outcome <- submit(t, g, 1) }()
+		<-g.worker.runs
+		stopped := make(chan error, 1)
+		go func() { stopped <- g.Stop(t.Context()) }()
+		settle()
+		assert.Equal(t, len(stopped), 0)
+		assert.Equal(t, len(g.Owned()), 1)
+		close(g.worker.hold)
+		assert.Equal(t, (<-outcome).State, domain.OutcomeRan)
+		assert.NilError(t, <-stopped)
+		entries := l.entries(t)
+		assert.Assert(t, entries[len(entries)-1].Release != nil)
+	})
+}
+
+// Guards against a stop that never ends while the log is down.
+func TestStopIsBounded(t *testing.T) {
+	inBubble(t, func(t *testing.T, l *memLog, g *rig) {
+		l.set(func(l *memLog) { l.down = true })
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		assert.ErrorIs(t, g.Stop(ctx), context.DeadlineExceeded)
+	})
+}
+
+// Guards against a process that takes over the epoch of an earlier process of
+// the same node, under which it would issue request ids a second time.
+func TestRestartNeedsNewClaim(t *testing.T) {
+	inBubble(t, func(t *testing.T, l *memLog, g *rig) {
+		g.close(t)
+		again := newRig(t, l, "n1")
+		defer again.close(t)
+		settle()
+		assert.Equal(t, len(again.Owned()), 0)
+		assert.Assert(t, again.claim(t, 1) > 1)
+	})
+}
+
+// Guards against a follower that stops when records expire before it has read
+// them.
+func TestRetentionCut(t *testing.T) {
+	inBubble(t, func(t *testing.T, l *memLog, g *rig) {
+		for seq := range uint64(5) {
+			submit(t, g, seq)
+		}
+		l.expire(4)
+		late := newRig(t, l, "n2")
+		defer late.close(t)
+		settle()
+		late.follower.mu.Lock()
+		defer late.follower.mu.Unlock()
+		assert.Equal(t, late.follower.next, l.first+platform.Offset(len(l.records)))
+	})
+}
+
+// Guards against requests that are lost when the queue of a shard is full.
+func TestFullQueueIsRefused(t *testing.T) {
+	r := newRunner(Config{}, testShard, 1)
+	for range requestQueue {
+		assert.Assert(t, r.enqueue(request{}) == nil)
+	}
+	_, err := r.call(t.Context(), domain.RequestID{}, func(shard.CallID) shard.Event { return nil })
+	assert.Equal(t, domain.KindOf(err), domain.KindUnavailable)
+}
+
+// Guards against live entries that expire with their records.
+func TestSnapshot(t *testing.T) {
+	inBubble(t, func(t *testing.T, l *memLog, g *rig) {
+		job := journal.Entry{Shard: testShard, Epoch: 1, Job: &journal.Job{Task: urgent(1).Task, Attempt: 7}}
+		g.committer.add([]journal.Entry{job}, nil, nil)
+		time.Sleep(firstSnapshotDelay + 2*time.Second)
+		entries := l.entries(t)
+		assert.Equal(t, len(entries), 3)
+		assert.Equal(t, entries[2].Job.Attempt, 7)
+		time.Sleep(40*time.Minute - 10*time.Second)
+		assert.Equal(t, len(l.entries(t)), 3)
+		time.Sleep(20 * time.Second)
+		assert.Assert(t, len(l.entries(t)) > 3)
+	})
+}
--- /dev/null
+++ b/node/engine/errors.go
@@ -0,0 +1,53 @@
+package engine
+
+import (
+	"fmt"
+
+	"github.com/basilferry/basilferry/core/domain"
+)
+
+func notOwned(id domain.ShardID) *domain.Error {
+	return &domain.Error{
+		Kind:    domain.KindStaleEpoch,
+		Message: fmt.Sprintf("this node does not own shard %s", id),
+		Remedy:  "send the request to the shard's owner; nothing was started",
+	}
+}
+
+func notReady(id domain.ShardID) *domain.Error {
+	return &domain.Error{
+		Kind:    domain.KindStaleEpoch,
+		Message: fmt.Sprintf("shard %s is not recovered yet", id),
+		Remedy:  "try again; nothing was started",
+	}
+}
+
+func queueFull(id domain.ShardID) *domain.Error {
+	return &domain.Error{
+		Kind:    domain.KindUnavailable,
+		Message: fmt.Sprintf("%d requests wait for shard %s, which is the limit", requestQueue, id),
+		Remedy:  "try again later; nothing was started",
+	}
+}
+
+func unanswered(id domain.ShardID) *domain.Error {
+	return &domain.Error{
+		Kind:    domain.KindUnavailable,
+		Message: fmt.Sprintf("shard %s did not answer in time", id),
+		Remedy:  "try again; nothing was changed",
+	}
+}
+
+// unknownOutcome is the answer when a request may have run.
+func unknownOutcome(id domain.RequestID, message string) domain.Outcome {
+	return domain.Outcome{
+		ID:    id,
+		State: domain.OutcomeUnknown,
+		Err: &domain.Error{
+			Kind:      domain.KindOutcomeUnknown,
+			Message:   message,
+			Remedy:    "look the request up by its id",
+			RequestID: id.String(),
+		},
+	}
+}
--- /dev/null
+++ b/node/engine/executor.go
@@ -0,0 +1,194 @@
+package engine
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/journal"
+	"github.com/basilferry/basilferry/core/platform"
+	"github.com/basilferry/basilferry/core/shard"
+	"github.com/basilferry/basilferry/node/service"
+)
+
+// executor carries out the effects of one machine. Each call runs on its own
+// goroutine, because Worker.Run lasts as long as the task. The calls start in
+// the order of the effects.
+type executor struct {
+	// ctx ends with the engine, not with the runner: a call in flight when the
+	// shard is given up is not cut off at the worker.
+	ctx       context.Context
+	calls     *sync.WaitGroup
+	clients   *clients
+	delegator service.Delegator
+	commit    func(entries []journal.Entry, live func() bool, done func(*domain.Error))
+	now       func() shard.Instant
+	fenced    *atomic.Bool
+	post      func(shard.Event)
+}
+
+func (x *executor) carryOut(effect shard.Effect) {
+	if x.fenced.Load() {
+		return
+	}
+	switch ef := effect.(type) {
+	case shard.SendAttach:
+		x.attach(ef)
+	case shard.SendRenew:
+		x.renew(ef)
+	case shard.SendStart:
+		x.start(ef)
+	case shard.SendStop:
+		x.stop(ef)
+	case shard.SendThrottle:
+		x.throttle(ef)
+	case shard.SendLookup:
+		x.lookup(ef)
+	case shard.Append:
+		x.append(ef)
+	case shard.Delegate:
+		x.delegate(ef)
+	}
+}
+
+// spawn runs a call, unless the shard has another owner by the time that the
+// goroutine starts. The machine is then gone and awaits no result.
+func (x *executor) spawn(call func()) {
+	x.calls.Add(1)
+	go func() {
+		defer x.calls.Done()
+		if !x.fenced.Load() {
+			call()
+		}
+	}()
+}
+
+// neverAttached answers a command to a worker that has no client.
+func neverAttached(id domain.WorkerID) *domain.Error {
+	return &domain.Error{
+		Kind:    domain.KindNotFound,
+		Message: "worker " + string(id) + " was never attached",
+		Remedy:  "report this as a defect",
+	}
+}
+
+func (x *executor) attach(ef shard.SendAttach) {
+	w := x.clients.at(ef.Worker, ef.Address)
+	x.spawn(func() {
+		sentAt := x.now()
+		reply, err := withTimeout(x.ctx, callTimeout, func(ctx context.Context) (platform.AttachReply, error) {
+			return w.Attach(ctx, ef.Request)
+		})
+		x.post(shard.AttachDone{Worker: ef.Worker, Reply: reply, Err: err, SentAt: sentAt})
+	})
+}
+
+func (x *executor) renew(ef shard.SendRenew) {
+	w, ok := x.clients.of(ef.Worker)
+	if !ok {
+		x.post(shard.RenewDone{Worker: ef.Worker, Err: neverAttached(ef.Worker), SentAt: x.now()})
+		return
+	}
+	x.spawn(func() {
+		sentAt := x.now()
+		reply, err := withTimeout(x.ctx, callTimeout, func(ctx context.Context) (platform.RenewReply, error) {
+			return w.Renew(ctx, ef.Request)
+		})
+		x.post(shard.RenewDone{Worker: ef.Worker, Reply: reply, Err: err, SentAt: sentAt})
+	})
+}
+
+func (x *executor) start(ef shard.SendStart) {
+	done := shard.StartDone{Worker: ef.Worker, ID: ef.Request.Task.ID, Attempt: ef.Request.Attempt}
+	w, ok := x.clients.of(ef.Worker)
+	if !ok {
+		done.Err = neverAttached(ef.Worker)
+		x.post(done)
+		return
+	}
+	limit, call := startTimeout, w.Start
+	if ef.Request.Task.Kind == domain.KindUrgent {
+		limit, call = runTimeout(ef.Request.Task), w.Run
+	}
+	x.spawn(func() {
+		done.Status, done.Err = withTimeout(x.ctx, limit, func(ctx context.Context) (platform.TaskStatus, error) {
+			return call(ctx, ef.Request)
+		})
+		x.post(done)
+	})
+}
+
+func (x *executor) stop(ef shard.SendStop) {
+	done := shard.StopDone{Worker: ef.Worker, ID: ef.Request.ID}
+	w, ok := x.clients.of(ef.Worker)
+	if !ok {
+		done.Err = neverAttached(ef.Worker)
+		x.post(done)
+		return
+	}
+	x.spawn(func() {
+		done.Status, done.Err = withTimeout(x.ctx, stopTimeout, func(ctx context.Context) (platform.TaskStatus, error) {
+			return w.Stop(ctx, ef.Request)
+		})
+		x.post(done)
+	})
+}
+
+func (x *executor) throttle(ef shard.SendThrottle) {
+	w, ok := x.clients.of(ef.Worker)
+	if !ok {
+		return
+	}
+	x.spawn(func() {
+		// The machine repeats a throttle that has no effect.
+		_, _ = withTimeout(x.ctx, callTimeout, func(ctx context.Context) (struct{}, error) {
+			return struct{}{}, w.Throttle(ctx, ef.Request)
+		})
+	})
+}
+
+func (x *executor) lookup(ef shard.SendLookup) {
+	done := shard.LookupDone{Worker: ef.Worker, ID: ef.ID}
+	w, ok := x.clients.of(ef.Worker)
+	if !ok {
+		// KindNotFound would mean that the worker has no record of the task.
+		done.Err = callError(context.Canceled)
+		x.post(done)
+		return
+	}
+	x.spawn(func() {
+		done.Status, done.Err = withTimeout(x.ctx, callTimeout, func(ctx context.Context) (platform.TaskStatus, error) {
+			return w.Lookup(ctx, ef.ID)
+		})
+		x.post(done)
+	})
+}
+
+func (x *executor) append(ef shard.Append) {
+	live := func() bool { return !x.fenced.Load() }
+	var done func(*domain.Error)
+	if ef.Token != 0 {
+		done = func(err *domain.Error) { x.post(shard.AppendDone{Token: ef.Token, Err: err}) }
+	}
+	x.commit(ef.Entries, live, done)
+}
+
+func (x *executor) delegate(ef shard.Delegate) {
+	limit := service.CallTimeout
+	if ef.Request.Budget > 0 {
+		limit = ef.Request.Budget
+	}
+	x.spawn(func() {
+		done := shard.DelegateDone{ID: ef.Request.Task.ID}
+		done.Outcome, done.Err = x.callDelegate(ef, limit)
+		x.post(done)
+	})
+}
+
+func (x *executor) callDelegate(ef shard.Delegate, limit time.Duration) (domain.Outcome, *domain.Error) {
+	return withTimeout(x.ctx, limit, func(ctx context.Context) (domain.Outcome, error) {
+		return x.delegator.Delegate(ctx, ef.Target, ef.Request)
+	})
+}
--- /dev/null
+++ b/node/engine/fakes_test.go
@@ -0,0 +1,328 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/explain"
+	"github.com/basilferry/basilferry/core/journal"
+	"github.com/basilferry/basilferry/core/membership"
+	"github.com/basilferry/basilferry/core/platform"
+	"github.com/basilferry/basilferry/core/ring"
+	"github.com/basilferry/basilferry/core/shard"
+)
+
+var errLogDown = errors.New("log is down")
+
+// memLog is one stream in memory with faults.
+type memLog struct {
+	mu      sync.Mutex
+	records []platform.Record
+	first   platform.Offset
+	grown   chan struct{}
+	appends int
+	latency time.Duration
+	// down fails every call. loseAnswers appends and then fails that many times.
+	down        bool
+	loseAnswers int
+	// hang appends and then never answers that many times.
+	hang int
+	// intruder is another node's record that gets the offset before the next
+	// append's.
+	intruder *platform.Record
+}
+
+func newMemLog() *memLog { return &memLog{first: 1, grown: make(chan struct{})} }
+
+func (l *memLog) Append(ctx context.Context, _ platform.Stream, rec platform.Record) (platform.Offset, error) {
+	sleep(ctx, l.latency)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.appends++
+	if l.down {
+		return 0, errLogDown
+	}
+	if l.intruder != nil {
+		l.add(*l.intruder)
+		l.intruder = nil
+	}
+	rec.Offset = l.add(rec)
+	close(l.grown)
+	l.grown = make(chan struct{})
+	if l.loseAnswers > 0 {
+		l.loseAnswers--
+		return 0, errors.New("answer lost")
+	}
+	if l.hang > 0 {
+		l.hang--
+		l.mu.Unlock()
+		<-ctx.Done()
+		l.mu.Lock()
+		return 0, ctx.Err()
+	}
+	return rec.Offset, nil
+}
+
+func (l *memLog) add(rec platform.Record) platform.Offset {
+	rec.Offset = l.first + platform.Offset(len(l.records))
+	l.records = append(l.records, rec)
+	return rec.Offset
+}
+
+func (l *memLog) Read(ctx context.Context, _ platform.Stream, from platform.Offset, limit int, wait time.Duration) (platform.ReadReply, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		l.mu.Lock()
+		reply, grown, down := l.reply(from, limit), l.grown, l.down
+		l.mu.Unlock()
+		if down {
+			return platform.ReadReply{}, errLogDown
+		}
+		if len(reply.Records) > 0 {
+			return reply, nil
+		}
+		select {
+		case <-grown:
+		case <-timer.C:
+			return reply, nil
+		case <-ctx.Done():
+			return platform.ReadReply{}, ctx.Err()
+		}
+	}
+}
+
+func (l *memLog) reply(from platform.Offset, limit int) platform.ReadReply {
+	next := l.first + platform.Offset(len(l.records))
+	from = min(max(from, l.first), next)
+	records := l.records[from-l.first:]
+	records = slices.Clone(records[:min(limit, len(records))])
+	return platform.ReadReply{Records: records, First: l.first, Next: next, Retention: time.Hour}
+}
+
+func (l *memLog) set(change func(*memLog)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	change(l)
+}
+
+// expire drops the first n records.
+func (l *memLog) expire(n int) {
+	l.set(func(l *memLog) {
+		l.records = l.records[n:]
+		l.first += platform.Offset(n)
+	})
+}
+
+func (l *memLog) entries(t *testing.T) []journal.Entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var all []journal.Entry
+	for _, rec := range l.records {
+		entries, err := journal.Decode(rec)
+		assert.NilError(t, err)
+		all = append(all, entries...)
+	}
+	return all
+}
+
+// fakeFold knows claims, releases and the number of effective intents.
+type fakeFold struct {
+	owners map[domain.ShardID]membership.Ownership
+	live   map[domain.ShardID][]journal.Entry
+}
+
+func newFakeFold() Fold {
+	return &fakeFold{owners: map[domain.ShardID]membership.Ownership{}, live: map[domain.ShardID][]journal.Entry{}}
+}
+
+func (f *fakeFold) Apply(offset platform.Offset, entries []journal.Entry) {
+	for _, e := range entries {
+		o := f.owners[e.Shard]
+		switch {
+		case e.Claim != nil && e.Claim.Previous == o.Epoch:
+			f.owners[e.Shard] = membership.Ownership{Owner: e.Claim.Node, Epoch: domain.Epoch(offset)}
+		case e.Release != nil && e.Epoch == o.Epoch:
+			o.Released = true
+			f.owners[e.Shard] = o
+		case e.Job != nil && e.Epoch == o.Epoch:
+			f.live[e.Shard] = append(f.live[e.Shard], e)
+		}
+	}
+}
+
+func (f *fakeFold) Ownership(id domain.ShardID) membership.Ownership { return f.owners[id] }
+
+func (f *fakeFold) Journal(id domain.ShardID) Journal { return fakeJournal(slices.Clone(f.live[id])) }
+
+type fakeJournal []journal.Entry
+
+func (j fakeJournal) Snapshot() []journal.Entry { return j }
+
+// fakeMachine appends an intent for each request, starts it on worker "w" and
+// replies with the worker's result.
+type fakeMachine struct {
+	cfg     MachineConfig
+	trace   func(shard.Event)
+	calls   map[domain.RequestID]shard.CallID
+	pending []domain.Task
+	token   shard.AppendToken
+	seq     uint64
+	drain   bool
+}
+
+func (m *fakeMachine) Step(_ shard.Instant, ev shard.Event) []shard.Effect {
+	m.trace(ev)
+	switch ev := ev.(type) {
+	case shard.Submitted:
+		return m.submit(ev)
+	case shard.AppendDone:
+		task := m.pending[0]
+		m.pending = m.pending[1:]
+		return []shard.Effect{shard.SendStart{Worker: "w", Request: platform.StartRequest{Epoch: m.cfg.Epoch, Task: task}}}
+	case shard.StartDone:
+		call := m.calls[ev.ID]
+		delete(m.calls, ev.ID)
+		out := domain.Outcome{ID: ev.ID, State: domain.OutcomeRan, Answer: ev.Status.Answer, Err: ev.Err}
+		return m.withDrained(shard.Reply{Call: call, Outcome: out})
+	case shard.Draining:
+		m.drain = true
+		return m.withDrained()
+	}
+	return nil
+}
+
+func (m *fakeMachine) submit(ev shard.Submitted) []shard.Effect {
+	m.calls[ev.Task.ID] = ev.Call
+	m.pending = append(m.pending, ev.Task)
+	m.token++
+	intent := journal.Entry{Shard: m.cfg.Shard, Epoch: m.cfg.Epoch, Intent: &journal.Intent{ID: ev.Task.ID}}
+	return []shard.Effect{shard.Append{Token: m.token, Entries: []journal.Entry{intent}}}
+}
+
+func (m *fakeMachine) withDrained(effects ...shard.Effect) []shard.Effect {
+	if m.drain && len(m.calls) == 0 {
+		effects = append(effects, shard.Drained{})
+	}
+	return effects
+}
+
+func (m *fakeMachine) Draw(n int) uint64 {
+	first := m.seq + 1
+	m.seq += uint64(n)
+	return first
+}
+
+func (m *fakeMachine) Status() Status { return Status{Ready: true, FreeSlots: 1} }
+
+// fakeWorker answers Run with the payload once it is released.
+type fakeWorker struct {
+	platform.Worker
+	runs chan platform.StartRequest
+	hold chan struct{}
+}
+
+func (w *fakeWorker) Attach(context.Context, platform.AttachRequest) (platform.AttachReply, error) {
+	return platform.AttachReply{Session: 1}, nil
+}
+
+func (w *fakeWorker) Run(ctx context.Context, req platform.StartRequest) (platform.TaskStatus, error) {
+	w.runs <- req
+	select {
+	case <-w.hold:
+		return platform.TaskStatus{Task: req.Task, State: platform.TaskSucceeded, Answer: req.Task.Payload}, nil
+	case <-ctx.Done():
+		return platform.TaskStatus{}, ctx.Err()
+	}
+}
+
+type fakeReasons struct{}
+
+func (fakeReasons) Record(domain.RequestID, string)          {}
+func (fakeReasons) Entries(domain.RequestID) []explain.Entry { return nil }
+
+// rig is one node with fakes around it.
+type rig struct {
+	*Engine
+	log    *memLog
+	worker *fakeWorker
+	mu     sync.Mutex
+	events []string
+}
+
+const testDomain domain.FailureDomain = "larissa"
+
+var testShard = domain.ShardID{Domain: testDomain}
+
+func newRig(t testing.TB, l *memLog, node domain.NodeID) *rig {
+	t.Helper()
+	topology, err := ring.New([]domain.FailureDomain{testDomain}, 1)
+	assert.NilError(t, err)
+	g := &rig{log: l, worker: &fakeWorker{runs: make(chan platform.StartRequest, 10000), hold: make(chan struct{})}}
+	close(g.worker.hold)
+	g.Engine = New(Config{
+		Node: node, Domain: testDomain, Ring: topology, Log: l,
+		Dial:       func(string) platform.Worker { return g.worker },
+		NewMachine: g.newMachine,
+		NewFold:    newFakeFold,
+		Reasons:    fakeReasons{},
+		Logger:     log.New(io.Discard),
+		Start:      time.Now(),
+	})
+	g.Start()
+	return g
+}
+
+func (g *rig) newMachine(cfg MachineConfig) (Machine, []shard.Effect) {
+	m := &fakeMachine{cfg: cfg, trace: g.trace, calls: map[domain.RequestID]shard.CallID{}}
+	return m, []shard.Effect{shard.SendAttach{Worker: "w", Address: "127.0.0.1:1"}}
+}
+
+func (g *rig) trace(ev shard.Event) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch ev := ev.(type) {
+	case shard.Tick, shard.OwnershipRead:
+	default:
+		text, _ := json.Marshal(ev)
+		g.events = append(g.events, string(text))
+	}
+}
+
+// claim makes the node the owner of testShard and returns the epoch.
+func (g *rig) claim(t testing.TB, previous domain.Epoch) domain.Epoch {
+	t.Helper()
+	done := make(chan *domain.Error, 1)
+	g.Claim(testShard, previous, func(err *domain.Error) { done <- err })
+	assert.Assert(t, <-done == nil)
+	owned := g.Owned()
+	assert.Equal(t, len(owned), 1)
+	return owned[0].Epoch
+}
+
+func (g *rig) close(t testing.TB) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = g.Stop(ctx)
+}
+
+// settle lets the runner refresh its status and the follower its reads.
+func settle() { time.Sleep(2 * TickInterval) }
+
+func urgent(seq uint64) shard.Submitted {
+	return shard.Submitted{Task: domain.Task{
+		ID:   domain.RequestID{Shard: testShard, Epoch: 1, Seq: seq},
+		Kind: domain.KindUrgent, Class: "c", Team: "t", Deadline: time.Minute, Payload: []byte("answer"),
+	}}
+}
--- /dev/null
+++ b/node/engine/runner.go
@@ -0,0 +1,341 @@
+package engine
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/shard"
+)
+
+// request is a caller's event that waits for its turn.
+type request struct {
+	id domain.RequestID
+	// event makes the event for a call id; nil for a request that only reads.
+	event func(shard.CallID) shard.Event
+	// read is run on the machine's goroutine.
+	read  func(Machine)
+	reply chan result
+}
+
+type result struct {
+	outcome domain.Outcome
+	err     *domain.Error
+}
+
+// latest holds the newest value of events of which only the last one counts.
+type latest struct {
+	ownership  *shard.OwnershipRead
+	log        *shard.LogState
+	configured *shard.Configured
+	workers    *shard.WorkersListed
+	draining   bool
+}
+
+// runner owns the machine of one shard.
+type runner struct {
+	config  Config
+	shard   domain.ShardID
+	epoch   domain.Epoch
+	machine Machine
+	exec    *executor
+
+	requests chan request
+	wake     chan struct{}
+	fenced   atomic.Bool
+	fence    chan struct{}
+	drained  chan struct{}
+	done     chan struct{}
+	status   atomic.Pointer[Status]
+
+	mu      sync.Mutex
+	closed  bool
+	results []shard.Event
+	latest  latest
+	// replacement is the read that showed another owner.
+	replacement *shard.OwnershipRead
+
+	// The fields below belong to the runner's goroutine.
+	waiting    map[shard.CallID]request
+	nextCall   shard.CallID
+	isDrained  bool
+	steppedOut bool
+}
+
+func newRunner(c Config, id domain.ShardID, epoch domain.Epoch) *runner {
+	r := &runner{
+		config:   c,
+		shard:    id,
+		epoch:    epoch,
+		requests: make(chan request, requestQueue),
+		wake:     make(chan struct{}, 1),
+		fence:    make(chan struct{}),
+		drained:  make(chan struct{}),
+		done:     make(chan struct{}),
+		waiting:  make(map[shard.CallID]request),
+	}
+	r.status.Store(&Status{})
+	return r
+}
+
+// post queues the result of an effect. Results are bounded by the effects in
+// flight, so they never wait and are never lost.
+func (r *runner) post(ev shard.Event) {
+	r.mu.Lock()
+	r.results = append(r.results, ev)
+	r.mu.Unlock()
+	r.notify()
+}
+
+// set changes the newest values under lock.
+func (r *runner) set(change func(*latest)) {
+	r.mu.Lock()
+	change(&r.latest)
+	r.mu.Unlock()
+	r.notify()
+}
+
+func (r *runner) notify() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// drop stops the machine: when it returns, no further command is sent. newest
+// is the read that shows the other owner, if any.
+func (r *runner) drop(newest *shard.OwnershipRead) {
+	if !r.fenced.CompareAndSwap(false, true) {
+		return
+	}
+	r.mu.Lock()
+	r.replacement = newest
+	r.mu.Unlock()
+	close(r.fence)
+}
+
+// enqueue queues a caller's request. It returns KindUnavailable if the queue
+// is full and KindStaleEpoch if the machine is gone.
+func (r *runner) enqueue(req request) *domain.Error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return notOwned(r.shard)
+	}
+	select {
+	case r.requests <- req:
+		return nil
+	default:
+		return queueFull(r.shard)
+	}
+}
+
+// call queues a request and waits for its result. If ctx ends first the
+// outcome is OutcomeUnknown.
+func (r *runner) call(ctx context.Context, id domain.RequestID, event func(shard.CallID) shard.Event) (domain.Outcome, error) {
+	req := request{id: id, event: event, reply: make(chan result, 1)}
+	if err := r.enqueue(req); err != nil {
+		return domain.Outcome{}, err
+	}
+	select {
+	case res := <-req.reply:
+		if res.err != nil {
+			return domain.Outcome{}, res.err
+		}
+		return res.outcome, nil
+	case <-ctx.Done():
+		return unknownOutcome(id, "the owner did not answer in time"), nil
+	}
+}
+
+// inspect runs read on the machine's goroutine and waits for it.
+func (r *runner) inspect(ctx context.Context, read func(Machine)) *domain.Error {
+	req := request{read: read, reply: make(chan result, 1)}
+	if err := r.enqueue(req); err != nil {
+		return err
+	}
+	select {
+	case res := <-req.reply:
+		return res.err
+	case <-ctx.Done():
+		return unanswered(r.shard)
+	}
+}
+
+// run steps the machine until it is dropped or ctx ends.
+func (r *runner) run(ctx context.Context, first []shard.Effect) {
+	defer close(r.done)
+	ticker := time.NewTicker(TickInterval)
+	defer ticker.Stop()
+	r.carryOut(first)
+	r.refresh()
+	for !r.steppedOut && r.turn(ctx, ticker.C) {
+	}
+	r.drop(nil)
+	r.finish()
+}
+
+// turn handles what has come up. It returns false when the runner must end.
+func (r *runner) turn(ctx context.Context, tick <-chan time.Time) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-r.fence:
+		return false
+	case <-r.wake:
+		r.internal()
+	case req := <-r.requests:
+		r.internal()
+		r.serve(req)
+	case <-tick:
+		r.internal()
+		r.step(shard.Tick{})
+		r.refresh()
+	}
+	return true
+}
+
+// internal steps the newest values and then the results, so that the machine
+// knows of a change of owner before it sees a result.
+func (r *runner) internal() {
+	r.mu.Lock()
+	l, results := r.latest, r.results
+	r.latest, r.results = latest{}, nil
+	r.mu.Unlock()
+	for _, ev := range l.events() {
+		r.step(ev)
+	}
+	for _, ev := range results {
+		r.step(ev)
+	}
+}
+
+func (l latest) events() []shard.Event {
+	var events []shard.Event
+	if l.ownership != nil {
+		events = append(events, *l.ownership)
+	}
+	if l.log != nil {
+		events = append(events, *l.log)
+	}
+	if l.configured != nil {
+		events = append(events, *l.configured)
+	}
+	if l.workers != nil {
+		events = append(events, *l.workers)
+	}
+	if l.draining {
+		events = append(events, shard.Draining{})
+	}
+	return events
+}
+
+// step feeds one event, unless another owner is known.
+func (r *runner) step(ev shard.Event) {
+	if r.steppedOut || r.fenced.Load() {
+		return
+	}
+	r.carryOut(r.machine.Step(r.config.now(), ev))
+}
+
+func (r *runner) carryOut(effects []shard.Effect) {
+	for _, effect := range effects {
+		r.effect(effect)
+	}
+}
+
+// effect handles the effects that concern the runner and passes the others on.
+func (r *runner) effect(effect shard.Effect) {
+	switch ef := effect.(type) {
+	case shard.Reply:
+		r.reply(ef)
+	case shard.Explain:
+		r.config.Reasons.Record(ef.ID, ef.Reason)
+	case shard.StepDown:
+		r.config.Logger.Info("engine: shard given up", "shard", r.shard, "epoch", r.epoch, "reason", ef.Reason)
+		r.steppedOut = true
+	case shard.Drained:
+		r.markDrained()
+	default:
+		r.exec.carryOut(effect)
+	}
+}
+
+func (r *runner) markDrained() {
+	if !r.isDrained {
+		r.isDrained = true
+		close(r.drained)
+	}
+}
+
+func (r *runner) reply(ef shard.Reply) {
+	req, ok := r.waiting[ef.Call]
+	if !ok {
+		r.config.Logger.Error("engine: reply without a waiting call", "shard", r.shard, "id", ef.Outcome.ID)
+		return
+	}
+	delete(r.waiting, ef.Call)
+	req.reply <- result{outcome: ef.Outcome}
+}
+
+// serve steps a caller's request, or refuses it before anything was started.
+func (r *runner) serve(req request) {
+	if r.steppedOut || r.fenced.Load() {
+		req.reply <- result{err: notOwned(r.shard)}
+		return
+	}
+	if req.event == nil {
+		req.read(r.machine)
+		req.reply <- result{}
+		return
+	}
+	if !r.status.Load().Ready {
+		req.reply <- result{err: notReady(r.shard)}
+		return
+	}
+	r.nextCall++
+	r.waiting[r.nextCall] = req
+	r.step(req.event(r.nextCall))
+}
+
+// refresh reads the machine's status. It is called on each tick only, because
+// the status lists all workers of the shard.
+func (r *runner) refresh() {
+	s := r.machine.Status()
+	r.status.Store(&s)
+}
+
+// finish answers everybody who still waits.
+func (r *runner) finish() {
+	r.mu.Lock()
+	r.closed = true
+	newest := r.replacement
+	r.mu.Unlock()
+	if newest != nil && newest.Epoch > r.epoch && !r.steppedOut {
+		r.lastStep(*newest)
+	}
+	for _, req := range r.waiting {
+		req.reply <- result{outcome: unknownOutcome(req.id, "the shard was given up before the outcome was known")}
+	}
+	for {
+		select {
+		case req := <-r.requests:
+			req.reply <- result{err: notOwned(r.shard)}
+		default:
+			return
+		}
+	}
+}
+
+// lastStep tells the machine of the other owner. Only replies and reasons are
+// carried out: commands belong to the new owner.
+func (r *runner) lastStep(ev shard.OwnershipRead) {
+	for _, effect := range r.machine.Step(r.config.now(), ev) {
+		switch effect.(type) {
+		case shard.Reply, shard.Explain, shard.StepDown:
+			r.effect(effect)
+		}
+	}
+}
--- /dev/null
+++ b/node/engine/stop.go
@@ -0,0 +1,76 @@
+package engine
+
+import (
+	"context"
+	"sync"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/journal"
+)
+
+// Stop ends the engine in a planned way: each machine finishes what it has
+// accepted, each shard is released in the log, and only then the machines are
+// dropped. When ctx ends first, the remaining shards are dropped without a
+// release; the other nodes take them over once this node is seen as dead. Stop
+// returns after all goroutines have ended, with ctx's error if it ended first.
+func (e *Engine) Stop(ctx context.Context) error {
+	e.mu.Lock()
+	e.stopping = true
+	e.mu.Unlock()
+	var stops sync.WaitGroup
+	for _, r := range e.all() {
+		stops.Go(func() { e.release(ctx, r) })
+	}
+	stops.Wait()
+	e.cancel()
+	e.work.Wait()
+	return ctx.Err()
+}
+
+// Stopping reports whether a planned stop has begun.
+func (e *Engine) Stopping() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.stopping
+}
+
+// release drains one shard and hands it over.
+func (e *Engine) release(ctx context.Context, r *runner) {
+	r.set(func(l *latest) { l.draining = true })
+	select {
+	case <-r.drained:
+	case <-r.done:
+		return
+	case <-ctx.Done():
+		return
+	}
+	for ctx.Err() == nil {
+		if e.appendRelease(ctx, r) {
+			break
+		}
+	}
+	// The follower drops the runner when it reads the release.
+	select {
+	case <-r.done:
+	case <-ctx.Done():
+	}
+}
+
+// appendRelease reports whether the release is in the stream.
+func (e *Engine) appendRelease(ctx context.Context, r *runner) bool {
+	entry := journal.Entry{
+		Shard:   r.shard,
+		Epoch:   r.epoch,
+		Release: &journal.Release{Shard: r.shard, Epoch: r.epoch},
+	}
+	done := make(chan *domain.Error, 1)
+	e.committer.add([]journal.Entry{entry}, nil, func(err *domain.Error) { done <- err })
+	select {
+	case err := <-done:
+		return err == nil
+	case <-r.done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
