Add membership state and the claimer

Cause: a node must know which shards to claim and whether its domain is cut off. Change: core/membership is a pure state of ping answers, holdings and log reads; node/engine has Members (service.Peers) and Claimer, which appends the claims.

--- a/core/ring/ring.go
+++ b/core/ring/ring.go
@@ -1,7 +1,9 @@
 package ring
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -97,14 +99,24 @@
 // of its failure domain. ok is false if there is none. The order of live does
 // not matter.
 func Preferred(id domain.ShardID, live []domain.NodeID) (best domain.NodeID, ok bool) {
-	var bestWeight uint64
-	for i, n := range live {
-		w := weight("shard", id.String(), string(n))
-		if i == 0 || heavier(w, string(n), bestWeight, string(best)) {
-			best, bestWeight = n, w
-		}
+	if len(live) == 0 {
+		return "", false
+	}
+	return Ranked(id, live)[0], true
+}
+
+// Ranked returns the live nodes in the order in which they should own the
+// shard, the preferred one first. The order of live does not matter.
+func Ranked(id domain.ShardID, live []domain.NodeID) []domain.NodeID {
+	weights := make(map[domain.NodeID]uint64, len(live))
+	for _, n := range live {
+		weights[n] = weight("shard", id.String(), string(n))
 	}
-	return best, len(live) > 0
+	ranked := slices.Clone(live)
+	slices.SortFunc(ranked, func(a, b domain.NodeID) int {
+		return cmp.Or(cmp.Compare(weights[b], weights[a]), cmp.Compare(a, b))
+	})
+	return ranked
 }
 
 // heavier orders candidates by weight, and by name if the weights are equal.
--- /dev/null
+++ b/node/engine/claimer.go
@@ -0,0 +1,52 @@
+package engine
+
+import (
+	"context"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/membership"
+)
+
+// Claimer appends the claims that the membership asks for.
+type Claimer struct {
+	engine  *Engine
+	members *Members
+	version func() domain.Version
+	logger  *log.Logger
+}
+
+// NewClaimer returns a claimer. version returns the configuration version in
+// force on this node.
+func NewClaimer(e *Engine, m *Members, version func() domain.Version, logger *log.Logger) *Claimer {
+	return &Claimer{engine: e, members: m, version: version, logger: logger}
+}
+
+// Run feeds the membership with what this node owns every TickInterval and
+// appends claims until ctx ends.
+func (c *Claimer) Run(ctx context.Context) {
+	ticker := time.NewTicker(TickInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		c.members.held(c.engine.Owned(), c.version(), c.engine.Stopping())
+		for _, claim := range c.members.take() {
+			c.claim(claim)
+		}
+		select {
+		case <-ticker.C:
+		case <-c.members.wake:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (c *Claimer) claim(claim membership.Claim) {
+	c.logger.Info("engine: claiming shard", "shard", claim.Shard, "previous", claim.Previous, "reason", claim.Reason)
+	c.engine.Claim(claim.Shard, claim.Previous, func(err *domain.Error) {
+		if err != nil {
+			c.logger.Warn("engine: claim is not confirmed", "shard", claim.Shard, "err", err)
+		}
+	})
+}
--- a/node/engine/fakes_test.go
+++ b/node/engine/fakes_test.go
@@ -265,6 +265,11 @@
 var testShard = domain.ShardID{Domain: testDomain}
 
 func newRig(t testing.TB, l *memLog, node domain.NodeID) *rig {
+	t.Helper()
+	return newRigWith(t, l, node, nil)
+}
+
+func newRigWith(t testing.TB, l *memLog, node domain.NodeID, observe func(LogRead)) *rig {
 	t.Helper()
 	topology, err := ring.New([]domain.FailureDomain{testDomain}, 1)
 	assert.NilError(t, err)
@@ -277,6 +282,7 @@
 		NewFold:    newFakeFold,
 		Reasons:    fakeReasons{},
 		Logger:     log.New(io.Discard),
+		Observe:    observe,
 		Start:      time.Now(),
 	})
 	g.Start()
--- /dev/null
+++ b/node/engine/members.go
@@ -0,0 +1,145 @@
+package engine
+
+import (
+	"sync"
+	"time"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/membership"
+	"github.com/basilferry/basilferry/node/peer"
+	"github.com/basilferry/basilferry/node/service"
+)
+
+// Members shares a membership.State between the ping loop, the follower and
+// the claimer. It implements service.Peers.
+type Members struct {
+	addresses map[domain.NodeID]string
+	start     time.Time
+	wake      chan struct{}
+
+	mu     sync.Mutex
+	state  *membership.State
+	claims []membership.Claim
+}
+
+var _ service.Peers = (*Members)(nil)
+
+// NewMembers returns the membership of a node that starts now. addresses gives
+// the peer address "ip:port" of each node; start is the origin of the node's
+// Instants.
+func NewMembers(c membership.Config, addresses map[domain.NodeID]string, start time.Time) *Members {
+	return &Members{
+		addresses: addresses,
+		start:     start,
+		wake:      make(chan struct{}, 1),
+		state:     membership.New(c, time.Since(start)),
+	}
+}
+
+func (m *Members) step(ev membership.Event) {
+	m.mu.Lock()
+	claims := m.state.Step(time.Since(m.start), ev)
+	m.claims = append(m.claims, claims...)
+	m.mu.Unlock()
+	if len(claims) == 0 {
+		return
+	}
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// take returns the claims that are due and forgets them.
+func (m *Members) take() []membership.Claim {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	claims := m.claims
+	m.claims = nil
+	return claims
+}
+
+// Answered takes a peer's answer to a ping.
+func (m *Members) Answered(reply peer.PingReply) {
+	ev := membership.Answered{From: reply.From, ConfigVersion: reply.ConfigVersion, Stopping: reply.Stopping}
+	for _, o := range reply.Owned {
+		ev.Holdings = append(ev.Holdings, membership.Holding(o))
+	}
+	m.step(ev)
+}
+
+// Observe takes a log read; it is meant for Config.Observe.
+func (m *Members) Observe(read LogRead) {
+	m.step(membership.LogRead{OK: read.OK, SentAt: read.SentAt, AtEnd: read.AtEnd, Owners: read.Owners})
+}
+
+// held takes what this node owns.
+func (m *Members) held(owned []service.OwnedShard, version domain.Version, stopping bool) {
+	ev := membership.Held{ConfigVersion: version, Stopping: stopping}
+	for _, o := range owned {
+		ev.Holdings = append(ev.Holdings, membership.Holding(o))
+	}
+	m.step(ev)
+}
+
+// view runs f on the state with the present time.
+func view[T any](m *Members, f func(s *membership.State, now membership.Instant) T) T {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return f(m.state, time.Since(m.start))
+}
+
+// FarPeers returns the nodes of other failure domains to ping now.
+func (m *Members) FarPeers() []domain.NodeID {
+	return view(m, (*membership.State).FarPeers)
+}
+
+// NearPeers returns the other nodes of the own failure domain.
+func (m *Members) NearPeers() []domain.NodeID {
+	return view(m, func(s *membership.State, _ membership.Instant) []domain.NodeID { return s.NearPeers() })
+}
+
+// Owner implements service.Peers.
+func (m *Members) Owner(id domain.ShardID) (owner domain.NodeID, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.Owner(time.Since(m.start), id)
+}
+
+// LiveInDomain implements service.Peers.
+func (m *Members) LiveInDomain() []domain.NodeID {
+	return view(m, (*membership.State).LiveInDomain)
+}
+
+// ReachableShards implements service.Peers.
+func (m *Members) ReachableShards() []domain.ShardID {
+	return view(m, (*membership.State).ReachableShards)
+}
+
+// Isolated implements service.Peers.
+func (m *Members) Isolated() bool { return view(m, (*membership.State).Isolated) }
+
+// LogUp implements service.Peers.
+func (m *Members) LogUp() bool { return view(m, (*membership.State).LogUp) }
+
+// Status implements service.Peers. Isolated and LogUp are those of this node;
+// a ping does not carry them.
+func (m *Members) Status() []service.NodeStatus {
+	views := view(m, (*membership.State).Views)
+	isolated, logUp := m.Isolated(), m.LogUp()
+	statuses := make([]service.NodeStatus, 0, len(views))
+	for _, v := range views {
+		s := service.NodeStatus{
+			ID: v.Node.ID, Domain: v.Node.Domain, Address: m.addresses[v.Node.ID],
+			Live: v.Live, ConfigVersion: v.Report.ConfigVersion,
+		}
+		if v.Self {
+			s.Isolated, s.LogUp = isolated, logUp
+		}
+		for _, h := range v.Report.Holdings {
+			s.Shards = append(s.Shards, h.Shard)
+		}
+		statuses = append(statuses, s)
+	}
+	return statuses
+}
