--- a/node/engine/committer.go
+++ b/node/engine/committer.go
@@ -217,7 +217,7 @@
 // A batch without entries left is still appended: it takes the place of a copy
 // that may arrive late.
 func (c *committer) commit(ctx context.Context, b *batch) {
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && c.issued(b.id) {
 		if c.appendOnce(ctx, b) {
 			return
 		}
--- a/node/engine/engine_test.go
+++ b/node/engine/engine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,6 +43,8 @@
 	for name, fault := range map[string]func(*memLog){
 		"error": func(l *memLog) { l.loseAnswers = 1 },
 		"hang":  func(l *memLog) { l.hang = 1 },
+		// The retry must wait for the look-up.
+		"slow look-up": func(l *memLog) { l.loseAnswers, l.readLatency = 1, 2*appendRetryDelay },
 	} {
 		t.Run(name, func(t *testing.T) {
 			inBubble(t, func(t *testing.T, l *memLog, g *rig) {
@@ -134,6 +137,54 @@
 	})
 }
 
+// Guards against a late copy of a record that takes effect a second time.
+func TestRepeatedRecordIsDropped(t *testing.T) {
+	inBubble(t, func(t *testing.T, l *memLog, g *rig) {
+		job := journal.Entry{Shard: testShard, Epoch: 1, Job: &journal.Job{Task: urgent(1).Task}}
+		rec, err := journal.Encode("same", []journal.Entry{job})
+		assert.NilError(t, err)
+		for range 2 {
+			_, err = l.Append(t.Context(), "", rec)
+			assert.NilError(t, err)
+		}
+		settle()
+		assert.Equal(t, len(g.follower.journal(testShard).Snapshot()), 1)
+	})
+}
+
+// Guards against a log that counts as down for ever after one slow append: no
+// machine appends anything while it is down.
+func TestSlowAppend(t *testing.T) {
+	inBubble(t, func(t *testing.T, l *memLog, g *rig) {
+		l.set(func(l *memLog) { l.latency = 400 * time.Millisecond })
+		assert.Equal(t, submit(t, g, 1).State, domain.OutcomeRan)
+		time.Sleep(2 * probeInterval)
+		assert.Assert(t, !g.logState().Up)
+		l.set(func(l *memLog) { l.latency = 0 })
+		time.Sleep(2 * probeInterval)
+		assert.Assert(t, g.logState().Up)
+	})
+}
+
+// Guards against a command that is sent after the drop of the shard, whichever
+// of the goroutines runs first.
+func TestNothingIsSentAfterDrop(t *testing.T) {
+	r := newRunner(Config{}, testShard, 1)
+	stepped := false
+	r.machine = &fakeMachine{trace: func(shard.Event) { stepped = true }}
+	w := &fakeWorker{runs: make(chan platform.StartRequest, 1)}
+	var calls sync.WaitGroup
+	x := &executor{ctx: t.Context(), calls: &calls, fenced: &r.fenced, clients: newClients(nil), post: r.post}
+	x.clients.byID["w"] = client{worker: w}
+	r.drop(nil)
+	r.post(shard.AppendDone{Token: 1})
+	r.internal()
+	assert.Assert(t, !stepped)
+	x.carryOut(shard.SendStart{Worker: "w", Request: platform.StartRequest{Task: urgent(1).Task}})
+	calls.Wait()
+	assert.Equal(t, len(w.runs), 0)
+}
+
 // Guards against a stop that interrupts a request or keeps the shard.
 func TestStopDrains(t *testing.T) {
 	inBubble(t, func(t *testing.T, l *memLog, g *rig) {
@@ -194,6 +245,26 @@
 	})
 }
 
+// Guards against state that outlives its records in a follower that missed the
+// records which ended it.
+func TestExpiredUnread(t *testing.T) {
+	inBubble(t, func(t *testing.T, l *memLog, g *rig) {
+		job := journal.Entry{Shard: testShard, Epoch: 1, Job: &journal.Job{Task: urgent(1).Task}}
+		g.committer.add([]journal.Entry{job}, nil, nil)
+		settle()
+		l.set(func(l *memLog) { l.down = true })
+		time.Sleep(2 * pollWait)
+		l.set(func(l *memLog) {
+			l.add(platform.Record{ID: "unread"})
+			l.down = false
+		})
+		l.expire(3)
+		time.Sleep(2 * pollWait)
+		assert.Equal(t, len(g.follower.journal(testShard).Snapshot()), 0)
+		assert.Equal(t, len(g.Owned()), 0)
+	})
+}
+
 // Guards against requests that are lost when the queue of a shard is full.
 func TestFullQueueIsRefused(t *testing.T) {
 	r := newRunner(Config{}, testShard, 1)
--- a/node/engine/fakes_test.go
+++ b/node/engine/fakes_test.go
@@ -32,6 +32,8 @@
 	grown   chan struct{}
 	appends int
 	latency time.Duration
+	// readLatency delays records on their way to readers.
+	readLatency time.Duration
 	// down fails every call. loseAnswers appends and then fails that many times.
 	down        bool
 	loseAnswers int
@@ -45,7 +47,10 @@
 func newMemLog() *memLog { return &memLog{first: 1, grown: make(chan struct{})} }
 
 func (l *memLog) Append(ctx context.Context, _ platform.Stream, rec platform.Record) (platform.Offset, error) {
-	sleep(ctx, l.latency)
+	l.mu.Lock()
+	latency := l.latency
+	l.mu.Unlock()
+	sleep(ctx, latency)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.appends++
@@ -84,13 +89,14 @@
 	defer timer.Stop()
 	for {
 		l.mu.Lock()
-		reply, grown, down := l.reply(from, limit), l.grown, l.down
+		reply, grown, down, delay := l.reply(from, limit), l.grown, l.down, l.readLatency
 		l.mu.Unlock()
 		if down {
 			return platform.ReadReply{}, errLogDown
 		}
 		if len(reply.Records) > 0 {
-			return reply, nil
+			sleep(ctx, delay)
+			return reply, ctx.Err()
 		}
 		select {
 		case <-grown:
