--- /dev/null
+++ b/core/placement/index.go
@@ -0,0 +1,287 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"sort"
+
+	"github.com/basilferry/basilferry/core/domain"
+)
+
+const (
+	initialLeaves = 64
+	// seedStream separates the generator from others with the same seed.
+	seedStream = 0x706c6163
+)
+
+// Index is the set of workers with what is held on them. It is used from one
+// goroutine.
+type Index struct {
+	limits  Limits
+	workers []*worker // by leaf; nil where a worker was removed
+	leafOf  map[domain.WorkerID]int
+	vacant  []int // leaves without a worker
+	racks   map[string]*rack
+	shapes  map[domain.Resources]int // number of workers per capacity
+	order   []domain.Resources       // the keys of shapes in a fixed order
+	tree    *tree
+	random  *rand.Rand
+	chosen  candidates // reused between calls
+}
+
+// New returns an empty index whose random choices follow from the seed.
+func New(seed uint64) *Index {
+	return &Index{
+		limits: Limits{BatchShare: 1},
+		leafOf: map[domain.WorkerID]int{},
+		racks:  map[string]*rack{},
+		shapes: map[domain.Resources]int{},
+		tree:   newTree(initialLeaves),
+		random: rand.New(rand.NewPCG(seed, seedStream)),
+	}
+}
+
+// SetLimits puts the limits of a preset in force. What is held stays held.
+func (x *Index) SetLimits(l Limits) {
+	x.limits = l
+	for leaf := range x.workers {
+		x.refresh(leaf)
+	}
+}
+
+// Limits returns the limits in force.
+func (x *Index) Limits() Limits { return x.limits }
+
+// Up adds a worker or makes it available, with the capacity given.
+func (x *Index) Up(v Worker) {
+	leaf := x.leaf(v.ID)
+	w := x.workers[leaf]
+	x.forgetShape(w)
+	x.moveRack(w, v.Rack)
+	w.Worker = v
+	w.known = true
+	w.up = true
+	w.removed = false
+	x.countShape(v.Capacity, 1)
+	x.refresh(leaf)
+}
+
+// Down makes a worker unavailable. What is held on it stays held.
+func (x *Index) Down(id domain.WorkerID) {
+	if leaf, ok := x.leafOf[id]; ok {
+		x.workers[leaf].up = false
+		x.refresh(leaf)
+	}
+}
+
+// SetBlocked excludes a worker from Find, or admits it again, whether or not
+// it is up.
+func (x *Index) SetBlocked(id domain.WorkerID, blocked bool) {
+	if leaf, ok := x.leafOf[id]; ok {
+		x.workers[leaf].blocked = blocked
+		x.refresh(leaf)
+	}
+}
+
+// Remove forgets a worker. If tasks are still held on it, it becomes
+// unavailable and is forgotten with the last Release.
+func (x *Index) Remove(id domain.WorkerID) {
+	leaf, ok := x.leafOf[id]
+	if !ok {
+		return
+	}
+	w := x.workers[leaf]
+	w.removed = true
+	w.up = false
+	x.refresh(leaf)
+	x.dropIfEmpty(leaf)
+}
+
+// Hold records a task on a worker; an unknown worker is kept as unavailable
+// until Up. A second Hold of the same id replaces the first.
+func (x *Index) Hold(id domain.WorkerID, t Task) {
+	leaf := x.leaf(id)
+	w := x.workers[leaf]
+	if old, ok := w.tasks[t.ID]; ok {
+		w.drop(old)
+	}
+	t.Reserved = atLeastZero(t.Reserved)
+	w.add(t)
+	x.refresh(leaf)
+}
+
+// Release ends a Hold and returns the task. Unknown ids return false.
+func (x *Index) Release(id domain.WorkerID, task domain.RequestID) (Task, bool) {
+	leaf, ok := x.leafOf[id]
+	if !ok {
+		return Task{}, false
+	}
+	w := x.workers[leaf]
+	t, ok := w.tasks[task]
+	if !ok {
+		return Task{}, false
+	}
+	w.drop(t)
+	x.refresh(leaf)
+	x.dropIfEmpty(leaf)
+	return t, true
+}
+
+// Task returns a task held on a worker.
+func (x *Index) Task(id domain.WorkerID, task domain.RequestID) (Task, bool) {
+	leaf, ok := x.leafOf[id]
+	if !ok {
+		return Task{}, false
+	}
+	t, ok := x.workers[leaf].tasks[task]
+	return t, ok
+}
+
+// Held returns what is held on a worker, at most its capacity in every
+// dimension. Holds beyond the capacity keep it full until enough is released.
+func (x *Index) Held(id domain.WorkerID) domain.Resources {
+	leaf, ok := x.leafOf[id]
+	if !ok {
+		return domain.Resources{}
+	}
+	w := x.workers[leaf]
+	return w.Capacity.Sub(w.free())
+}
+
+// Occupants lists the classes held on a worker. The slice is valid until the
+// next change of the index.
+func (x *Index) Occupants(id domain.WorkerID) []Occupant {
+	leaf, ok := x.leafOf[id]
+	if !ok {
+		return nil
+	}
+	return x.workers[leaf].occupants
+}
+
+// Fits reports whether a worker that is up, blocked or not, has room for the
+// demand now.
+func (x *Index) Fits(id domain.WorkerID, kind domain.Kind, demand domain.Resources) bool {
+	leaf, ok := x.leafOf[id]
+	if !ok || !x.workers[leaf].up {
+		return false
+	}
+	r := x.workers[leaf].openRooms(x.limits)
+	return demand.Fits(r[kindIndex(kind)])
+}
+
+// Shapes lists the distinct capacities of the known workers, largest first.
+func (x *Index) Shapes() []domain.Resources { return x.order }
+
+// Len returns the number of known workers.
+func (x *Index) Len() int { return len(x.leafOf) }
+
+func (x *Index) leaf(id domain.WorkerID) int {
+	if leaf, ok := x.leafOf[id]; ok {
+		return leaf
+	}
+	leaf := x.vacantLeaf()
+	x.leafOf[id] = leaf
+	x.workers[leaf] = &worker{Worker: Worker{ID: id}, tasks: map[domain.RequestID]Task{}}
+	x.moveRack(x.workers[leaf], "")
+	return leaf
+}
+
+func (x *Index) vacantLeaf() int {
+	if n := len(x.vacant); n > 0 {
+		leaf := x.vacant[n-1]
+		x.vacant = x.vacant[:n-1]
+		return leaf
+	}
+	x.workers = append(x.workers, nil)
+	if len(x.workers) > x.tree.leaves {
+		x.tree = x.tree.grow()
+	}
+	return len(x.workers) - 1
+}
+
+func (x *Index) refresh(leaf int) {
+	if w := x.workers[leaf]; w != nil {
+		x.tree.set(leaf, w.rooms(x.limits))
+	}
+}
+
+func (x *Index) dropIfEmpty(leaf int) {
+	w := x.workers[leaf]
+	if !w.removed || len(w.tasks) > 0 {
+		return
+	}
+	x.forgetShape(w)
+	x.leaveRack(w)
+	delete(x.leafOf, w.ID)
+	x.workers[leaf] = nil
+	x.vacant = append(x.vacant, leaf)
+	x.tree.set(leaf, closedRooms)
+}
+
+func (x *Index) moveRack(w *worker, name string) {
+	if w.rack != nil && w.rack.name == name {
+		return
+	}
+	x.leaveRack(w)
+	r, ok := x.racks[name]
+	if !ok {
+		r = &rack{name: name, classes: map[domain.Class]int64{}}
+		x.racks[name] = r
+	}
+	r.workers++
+	w.rack = r
+	for _, o := range w.occupants {
+		r.count(o.Class, int64(o.Count))
+	}
+}
+
+func (x *Index) leaveRack(w *worker) {
+	if w.rack == nil {
+		return
+	}
+	for _, o := range w.occupants {
+		w.rack.count(o.Class, -int64(o.Count))
+	}
+	w.rack.workers--
+	if w.rack.workers == 0 {
+		delete(x.racks, w.rack.name)
+	}
+	w.rack = nil
+}
+
+func (x *Index) forgetShape(w *worker) {
+	if w.known {
+		x.countShape(w.Capacity, -1)
+	}
+}
+
+func (x *Index) countShape(c domain.Resources, by int) {
+	before := len(x.shapes)
+	x.shapes[c] += by
+	if x.shapes[c] == 0 {
+		delete(x.shapes, c)
+	}
+	if len(x.shapes) == before && by > 0 {
+		return
+	}
+	x.order = x.order[:0]
+	for shape := range x.shapes {
+		x.order = append(x.order, shape)
+	}
+	sort.Slice(x.order, func(i, j int) bool { return larger(x.order[i], x.order[j]) })
+}
+
+func larger(a, b domain.Resources) bool {
+	if a.CPUMilli != b.CPUMilli {
+		return a.CPUMilli > b.CPUMilli
+	}
+	if a.MemoryMiB != b.MemoryMiB {
+		return a.MemoryMiB > b.MemoryMiB
+	}
+	if a.Accelerators != b.Accelerators {
+		return a.Accelerators > b.Accelerators
+	}
+	if a.Slots != b.Slots {
+		return a.Slots > b.Slots
+	}
+	return a.Connections > b.Connections
+}
--- /dev/null
+++ b/core/placement/vector.go
@@ -0,0 +1,38 @@
+package placement
+
+import "github.com/basilferry/basilferry/core/domain"
+
+func share(amount int64, s float64) int64 {
+	return int64(float64(amount) * s)
+}
+
+func ratio(used, capacity int64) float64 {
+	if capacity <= 0 {
+		return 0
+	}
+	return float64(used) / float64(capacity)
+}
+
+func minimum(a, b domain.Resources) domain.Resources {
+	return domain.Resources{
+		CPUMilli:     min(a.CPUMilli, b.CPUMilli),
+		MemoryMiB:    min(a.MemoryMiB, b.MemoryMiB),
+		Accelerators: min(a.Accelerators, b.Accelerators),
+		Slots:        min(a.Slots, b.Slots),
+		Connections:  min(a.Connections, b.Connections),
+	}
+}
+
+func maximum(a, b domain.Resources) domain.Resources {
+	return domain.Resources{
+		CPUMilli:     max(a.CPUMilli, b.CPUMilli),
+		MemoryMiB:    max(a.MemoryMiB, b.MemoryMiB),
+		Accelerators: max(a.Accelerators, b.Accelerators),
+		Slots:        max(a.Slots, b.Slots),
+		Connections:  max(a.Connections, b.Connections),
+	}
+}
+
+func atLeastZero(r domain.Resources) domain.Resources {
+	return maximum(r, domain.Resources{})
+}
--- /dev/null
+++ b/core/placement/worker.go
@@ -0,0 +1,214 @@
+package placement
+
+import (
+	"github.com/basilferry/basilferry/core/domain"
+)
+
+// Worker describes a worker VM.
+type Worker struct {
+	ID       domain.WorkerID
+	Rack     string
+	Capacity domain.Resources
+}
+
+// Task is what is held on a worker.
+type Task struct {
+	ID       domain.RequestID
+	Kind     domain.Kind
+	Class    domain.Class
+	Team     domain.Team
+	Reserved domain.Resources
+}
+
+// Occupant counts the tasks of one class and kind on a worker.
+type Occupant struct {
+	Class domain.Class
+	Kind  domain.Kind
+	Count int
+}
+
+// Limits are the bounds that a preset puts on every worker.
+type Limits struct {
+	// BatchShare is the share of each worker's capacity that batch tasks may
+	// reserve together, in [0, 1].
+	BatchShare float64
+	// UrgentSlots is the number of slots that batch tasks leave free.
+	UrgentSlots int64
+	// UrgentPerWorker bounds the urgent requests on a worker; zero means the
+	// number of its slots.
+	UrgentPerWorker int64
+}
+
+// BatchLimit returns what batch tasks may reserve together on a worker of the
+// given capacity. Accelerators are whole units and are not divided by the
+// share: a share of one accelerator would exclude batch tasks from it.
+func (l Limits) BatchLimit(capacity domain.Resources) domain.Resources {
+	limit := domain.Resources{
+		CPUMilli:     share(capacity.CPUMilli, l.BatchShare),
+		MemoryMiB:    share(capacity.MemoryMiB, l.BatchShare),
+		Accelerators: capacity.Accelerators,
+		Slots:        capacity.Slots - l.UrgentSlots,
+		Connections:  share(capacity.Connections, l.BatchShare),
+	}
+	if l.BatchShare <= 0 {
+		limit.Accelerators = 0
+		limit.Slots = 0
+	}
+	return atLeastZero(limit)
+}
+
+func (l Limits) guard(capacity domain.Resources) int64 {
+	if l.UrgentPerWorker == 0 {
+		return capacity.Slots
+	}
+	return l.UrgentPerWorker
+}
+
+// kindCount is the number of demand kinds, each with its own free capacity.
+const kindCount = 3
+
+func kindIndex(k domain.Kind) int {
+	switch k {
+	case domain.KindUrgent:
+		return 0
+	case domain.KindWatch:
+		return 1
+	default:
+		return 2
+	}
+}
+
+// rooms is what a worker can still hold, per kind.
+type rooms [kindCount]domain.Resources
+
+// noRoom fits no demand, because demands are never negative.
+var noRoom = domain.Resources{CPUMilli: -1, MemoryMiB: -1, Accelerators: -1, Slots: -1, Connections: -1}
+
+var closedRooms = rooms{noRoom, noRoom, noRoom}
+
+// worker is a worker with what is held on it.
+type worker struct {
+	Worker
+	known   bool // Up was called since the entry was made
+	up      bool
+	blocked bool
+	removed bool
+	rack    *rack
+	// total is the sum of all holds. It exceeds the capacity only if the
+	// caller holds more than Find offered, for example after a shrink.
+	total     domain.Resources
+	batch     domain.Resources
+	watchUsed domain.Resources
+	urgent    int64
+	tasks     map[domain.RequestID]Task
+	occupants []Occupant
+}
+
+func (w *worker) free() domain.Resources {
+	return atLeastZero(w.Capacity.Sub(w.total))
+}
+
+func (w *worker) rooms(l Limits) rooms {
+	if !w.up || w.blocked {
+		return closedRooms
+	}
+	return w.openRooms(l)
+}
+
+func (w *worker) openRooms(l Limits) rooms {
+	free := w.Capacity.Sub(w.total)
+	result := rooms{free, free, w.batchRoom(free, l)}
+	if w.urgent >= l.guard(w.Capacity) {
+		result[0] = noRoom
+	}
+	return result
+}
+
+// batchRoom counts the slots of watches against the batch limit, so that a
+// watch in a kept slot does not let batch tasks take the last slots.
+func (w *worker) batchRoom(free domain.Resources, l Limits) domain.Resources {
+	if l.BatchShare <= 0 {
+		return noRoom
+	}
+	left := l.BatchLimit(w.Capacity).Sub(w.batch)
+	left.Slots -= w.watchUsed.Slots
+	return minimum(left, free)
+}
+
+func (w *worker) add(t Task) {
+	w.tasks[t.ID] = t
+	w.total = w.total.Add(t.Reserved)
+	w.count(t, 1)
+}
+
+func (w *worker) drop(t Task) {
+	delete(w.tasks, t.ID)
+	w.total = w.total.Sub(t.Reserved)
+	w.count(t, -1)
+}
+
+func (w *worker) count(t Task, by int64) {
+	amount := t.Reserved
+	if by < 0 {
+		amount = domain.Resources{}.Sub(t.Reserved)
+	}
+	switch t.Kind {
+	case domain.KindUrgent:
+		w.urgent += by
+	case domain.KindWatch:
+		w.watchUsed = w.watchUsed.Add(amount)
+	default:
+		w.batch = w.batch.Add(amount)
+	}
+	w.countOccupant(t, int(by))
+	w.rack.count(t.Class, by)
+}
+
+func (w *worker) countOccupant(t Task, by int) {
+	for i := range w.occupants {
+		o := &w.occupants[i]
+		if o.Class != t.Class || o.Kind != t.Kind {
+			continue
+		}
+		o.Count += by
+		if o.Count == 0 {
+			last := len(w.occupants) - 1
+			w.occupants[i] = w.occupants[last]
+			w.occupants = w.occupants[:last]
+		}
+		return
+	}
+	w.occupants = append(w.occupants, Occupant{Class: t.Class, Kind: t.Kind, Count: by})
+}
+
+// load returns the largest share of a dimension in use once extra is held.
+func (w *worker) load(extra domain.Resources) float64 {
+	used := w.total.Add(extra)
+	load := ratio(used.CPUMilli, w.Capacity.CPUMilli)
+	load = max(load, ratio(used.MemoryMiB, w.Capacity.MemoryMiB))
+	load = max(load, ratio(used.Accelerators, w.Capacity.Accelerators))
+	load = max(load, ratio(used.Slots, w.Capacity.Slots))
+	return max(load, ratio(used.Connections, w.Capacity.Connections))
+}
+
+// rack counts held tasks per class, to spread a class over racks.
+type rack struct {
+	name    string
+	workers int
+	classes map[domain.Class]int64
+}
+
+func (r *rack) count(c domain.Class, by int64) {
+	r.classes[c] += by
+	if r.classes[c] == 0 {
+		delete(r.classes, c)
+	}
+}
+
+// density is the number of held tasks of the class per worker of the rack.
+func (r *rack) density(c domain.Class) float64 {
+	if r.workers == 0 {
+		return 0
+	}
+	return float64(r.classes[c]) / float64(r.workers)
+}
