--- /dev/null
+++ b/core/admission/controller_test.go
@@ -0,0 +1,68 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const ms = time.Millisecond
+
+func measured(took time.Duration) *Controller {
+	c := New()
+	for range 2 * minSamples {
+		c.Started(0, "c", false)
+		c.Finished(0, "c", took)
+	}
+	return c
+}
+
+// Guards against late answers in place of an early "not run", and against
+// refusals without evidence.
+func TestCheck(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		c       *Controller
+		r       Request
+		refused bool
+	}{
+		{"no evidence", New(), Request{Class: "c", Budget: ms}, false},
+		{"no time left", New(), Request{Class: "c"}, true},
+		{"wait too long", New(), Request{Class: "c", Budget: ms, Wait: 2 * ms}, true},
+		{"fits", measured(100 * ms), Request{Class: "c", Budget: 120 * ms}, false},
+		{"service too long", measured(100 * ms), Request{Class: "c", Budget: 90 * ms}, true},
+		{"wait and service too long", measured(100 * ms), Request{Class: "c", Budget: 120 * ms, Wait: 30 * ms}, true},
+		{"other class", measured(100 * ms), Request{Class: "d", Budget: 90 * ms}, false},
+	} {
+		got := test.c.Check(0, test.r)
+		assert.Equal(t, got != "", test.refused, "%s: %s", test.name, got)
+	}
+}
+
+// Guards against a class that stays refused after it became fast again.
+func TestProbesARefusedClass(t *testing.T) {
+	c := measured(100 * ms)
+	r := Request{Class: "c", Budget: 90 * ms}
+	assert.Assert(t, c.Check(probeInterval-1, r) != "")
+	assert.Equal(t, c.Check(probeInterval, r), "")
+	c.Started(probeInterval, "c", false)
+	assert.Assert(t, c.Check(probeInterval, r) != "")
+}
+
+// Guards against retries that multiply the load when many starts are refused.
+func TestRetryBudget(t *testing.T) {
+	c := New()
+	retry := Request{Class: "c", Budget: ms, Retry: true}
+	assert.Assert(t, c.Check(0, retry) != "")
+	c.SetRetryShare(0.1)
+	retries := 0
+	for range 1000 {
+		c.Started(0, "c", false)
+		for c.Check(0, retry) == "" {
+			c.Started(0, "c", true)
+			retries++
+		}
+	}
+	assert.Assert(t, retries >= 100 && retries <= 100+maxTokens, "%d retries", retries)
+}
--- a/core/placement/find.go
+++ b/core/placement/find.go
@@ -28,10 +28,9 @@
 	Kind   domain.Kind
 	Class  domain.Class
 	Demand domain.Resources
+	Zone   Zone
 	// Avoid lists workers that are not chosen.
 	Avoid []domain.WorkerID
-	// Hints lists workers to compare in addition to those drawn.
-	Hints []domain.WorkerID
 	// Cost is added to the cost of a candidate; nil adds nothing. The load of
 	// a full worker costs 1.
 	Cost func(id domain.WorkerID, occupants []Occupant) float64
@@ -63,7 +62,6 @@
 // the state of the generator.
 func (x *Index) Find(q Query) (Found, bool) {
 	x.chosen.leaves = x.chosen.leaves[:0]
-	x.addHints(q)
 	x.draw(q)
 	if len(x.chosen.leaves) < enoughCandidates {
 		x.searchTree(q)
@@ -71,14 +69,6 @@
 	return x.cheapest(q)
 }
 
-func (x *Index) addHints(q Query) {
-	for _, id := range q.Hints {
-		if leaf, ok := x.leafOf[id]; ok && x.suits(leaf, q) {
-			x.chosen.add(leaf)
-		}
-	}
-}
-
 func (x *Index) draw(q Query) {
 	if len(x.workers) == 0 {
 		return
@@ -92,14 +82,14 @@
 }
 
 func (x *Index) suits(leaf int, q Query) bool {
-	if !q.Demand.Fits(x.tree.nodes[x.tree.leaves+leaf][kindIndex(q.Kind)]) {
+	if !q.Demand.Fits(x.tree.nodes[x.tree.leaves+leaf][roomIndex(q.Kind, q.Zone)]) {
 		return false
 	}
 	return !slices.Contains(q.Avoid, x.workers[leaf].ID)
 }
 
 func (x *Index) searchTree(q Query) {
-	s := search{tree: x.tree, kind: kindIndex(q.Kind), demand: q.Demand, visits: visitLimit}
+	s := search{tree: x.tree, kind: roomIndex(q.Kind, q.Zone), demand: q.Demand, visits: visitLimit}
 	s.visit = func(leaf int) bool {
 		if !slices.Contains(q.Avoid, x.workers[leaf].ID) {
 			x.chosen.add(leaf)
--- a/core/placement/index.go
+++ b/core/placement/index.go
@@ -23,6 +23,8 @@
 	racks   map[string]*rack
 	shapes  map[domain.Resources]int // number of workers per capacity
 	order   []domain.Resources       // the keys of shapes in a fixed order
+	total   domain.Resources         // capacity of the workers that are up
+	noisy   int                      // workers marked as noisy
 	tree    *tree
 	random  *rand.Rand
 	chosen  candidates // reused between calls
@@ -55,11 +57,12 @@
 func (x *Index) Up(v Worker) {
 	leaf := x.leaf(v.ID)
 	w := x.workers[leaf]
+	x.setUp(w, false)
 	x.forgetShape(w)
 	x.moveRack(w, v.Rack)
 	w.Worker = v
 	w.known = true
-	w.up = true
+	x.setUp(w, true)
 	w.removed = false
 	x.countShape(v.Capacity, 1)
 	x.refresh(leaf)
@@ -68,7 +71,7 @@
 // Down makes a worker unavailable. What is held on it stays held.
 func (x *Index) Down(id domain.WorkerID) {
 	if leaf, ok := x.leafOf[id]; ok {
-		x.workers[leaf].up = false
+		x.setUp(x.workers[leaf], false)
 		x.refresh(leaf)
 	}
 }
@@ -82,6 +85,25 @@
 	}
 }
 
+// SetNoisy marks a worker as one with noisy tasks, see Zone.
+func (x *Index) SetNoisy(id domain.WorkerID, noisy bool) {
+	leaf, ok := x.leafOf[id]
+	if !ok || x.workers[leaf].noisy == noisy {
+		return
+	}
+	x.workers[leaf].noisy = noisy
+	x.noisy += step(noisy)
+	x.refresh(leaf)
+}
+
+// NoisyShare returns the share of the known workers that are noisy.
+func (x *Index) NoisyShare() float64 {
+	return ratio(int64(x.noisy), int64(len(x.leafOf)))
+}
+
+// Total returns the capacity of the workers that are up.
+func (x *Index) Total() domain.Resources { return x.total }
+
 // Remove forgets a worker. If tasks are still held on it, it becomes
 // unavailable and is forgotten with the last Release.
 func (x *Index) Remove(id domain.WorkerID) {
@@ -91,7 +113,7 @@
 	}
 	w := x.workers[leaf]
 	w.removed = true
-	w.up = false
+	x.setUp(w, false)
 	x.refresh(leaf)
 	x.dropIfEmpty(leaf)
 }
@@ -165,7 +187,17 @@
 		return false
 	}
 	r := x.workers[leaf].openRooms(x.limits)
-	return demand.Fits(r[kindIndex(kind)])
+	return demand.Fits(r[roomIndex(kind, Anywhere)])
+}
+
+// Room returns what a worker can still hold of a kind; every dimension is
+// negative if it takes none.
+func (x *Index) Room(id domain.WorkerID, kind domain.Kind) domain.Resources {
+	leaf, ok := x.leafOf[id]
+	if !ok {
+		return noRoom
+	}
+	return x.workers[leaf].rooms(x.limits)[roomIndex(kind, Anywhere)]
 }
 
 // Shapes lists the distinct capacities of the known workers, largest first.
@@ -185,6 +217,25 @@
 	return leaf
 }
 
+func (x *Index) setUp(w *worker, up bool) {
+	if w.up == up {
+		return
+	}
+	w.up = up
+	if up {
+		x.total = x.total.Add(w.Capacity)
+	} else {
+		x.total = x.total.Sub(w.Capacity)
+	}
+}
+
+func step(up bool) int {
+	if up {
+		return 1
+	}
+	return -1
+}
+
 func (x *Index) vacantLeaf() int {
 	if n := len(x.vacant); n > 0 {
 		leaf := x.vacant[n-1]
@@ -211,6 +262,7 @@
 	}
 	x.forgetShape(w)
 	x.leaveRack(w)
+	x.SetNoisy(w.ID, false)
 	delete(x.leafOf, w.ID)
 	x.workers[leaf] = nil
 	x.vacant = append(x.vacant, leaf)
--- /dev/null
+++ b/core/placement/index_test.go
@@ -0,0 +1,206 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/basilferry/basilferry/core/domain"
+)
+
+var big = domain.Resources{CPUMilli: 32_000, MemoryMiB: 125_000, Accelerators: 1, Slots: 8, Connections: 64}
+
+func id(seq int) domain.RequestID { return domain.RequestID{Epoch: 1, Seq: uint64(seq)} }
+
+func name(i int) domain.WorkerID { return domain.WorkerID(fmt.Sprint("w", i)) }
+
+func fleet(workers, perRack int) *Index {
+	x := New(1)
+	for i := range workers {
+		x.Up(Worker{ID: name(i), Rack: fmt.Sprint("r", i/perRack), Capacity: big})
+	}
+	return x
+}
+
+// naive is the reference: the tasks held per worker, added up on demand.
+type naive struct {
+	capacity map[domain.WorkerID]domain.Resources
+	up       map[domain.WorkerID]bool
+	held     map[domain.WorkerID]map[domain.RequestID]Task
+}
+
+func (n *naive) sum(w domain.WorkerID, kind domain.Kind) domain.Resources {
+	var s domain.Resources
+	for _, t := range n.held[w] {
+		if kind == "" || t.Kind == kind {
+			s = s.Add(t.Reserved)
+		}
+	}
+	return s
+}
+
+func (n *naive) fits(w domain.WorkerID, q Query, l Limits) bool {
+	c := n.capacity[w]
+	if !n.up[w] || !n.sum(w, "").Add(q.Demand).Fits(c) {
+		return false
+	}
+	if q.Kind == domain.KindUrgent {
+		urgent := int64(0)
+		for _, t := range n.held[w] {
+			if t.Kind == domain.KindUrgent {
+				urgent++
+			}
+		}
+		return urgent < l.UrgentPerWorker
+	}
+	if q.Kind == domain.KindWatch {
+		return true
+	}
+	batch := n.sum(w, domain.KindBatch).Add(q.Demand)
+	batch.Slots += n.sum(w, domain.KindWatch).Slots
+	return batch.Fits(l.BatchLimit(c))
+}
+
+func drawSize(t *rapid.T) domain.Resources {
+	return domain.Resources{
+		CPUMilli:     rapid.Int64Range(0, 20_000).Draw(t, "cpu"),
+		MemoryMiB:    rapid.Int64Range(0, 80_000).Draw(t, "memory"),
+		Accelerators: rapid.Int64Range(0, 1).Draw(t, "accelerators"),
+		Slots:        rapid.Int64Range(0, 3).Draw(t, "slots"),
+		Connections:  rapid.Int64Range(0, 40).Draw(t, "connections"),
+	}
+}
+
+// Guards against a worker that holds more than its capacity (I1) and against
+// a refusal while a worker has room, under any sequence of calls. Holds that
+// Find did not offer, of any size, are part of the sequence.
+func TestNeverOverCapacity(t *testing.T) {
+	kinds := []domain.Kind{domain.KindUrgent, domain.KindBatch, domain.KindWatch}
+	rapid.Check(t, func(t *rapid.T) {
+		limits := Limits{BatchShare: 0.75, UrgentSlots: 2, UrgentPerWorker: 3}
+		x := New(rapid.Uint64().Draw(t, "seed"))
+		x.SetLimits(limits)
+		n := &naive{map[domain.WorkerID]domain.Resources{}, map[domain.WorkerID]bool{}, map[domain.WorkerID]map[domain.RequestID]Task{}}
+		hold := func(w domain.WorkerID, task Task) {
+			x.Hold(w, task)
+			if n.held[w] == nil {
+				n.held[w] = map[domain.RequestID]Task{}
+			}
+			n.held[w][task.ID] = task
+		}
+		for seq := range rapid.IntRange(1, 150).Draw(t, "steps") {
+			w := name(rapid.IntRange(0, 4).Draw(t, "worker"))
+			switch rapid.IntRange(0, 9).Draw(t, "call") {
+			case 0:
+				capacity := big
+				capacity.CPUMilli = rapid.SampledFrom([]int64{16_000, 32_000}).Draw(t, "capacity")
+				x.Up(Worker{ID: w, Rack: "r", Capacity: capacity})
+				n.capacity[w], n.up[w] = capacity, true
+			case 1:
+				x.Down(w)
+				n.up[w] = false
+			case 2:
+				x.Remove(w)
+				n.up[w] = false
+			case 3:
+				hold(w, Task{ID: id(seq), Kind: rapid.SampledFrom(kinds).Draw(t, "kind"), Class: "c", Reserved: drawSize(t)})
+			case 4, 5:
+				task := id(rapid.IntRange(0, seq).Draw(t, "task"))
+				x.Release(w, task)
+				delete(n.held[w], task)
+			default:
+				q := Query{Kind: rapid.SampledFrom(kinds).Draw(t, "kind"), Class: "c", Demand: drawSize(t)}
+				found, ok := x.Find(q)
+				possible := false
+				for i := range 5 {
+					possible = possible || n.fits(name(i), q, limits)
+				}
+				if ok != possible {
+					t.Fatalf("found %v, possible %v", ok, possible)
+				}
+				if !ok {
+					continue
+				}
+				if !n.fits(found.Worker, q, limits) {
+					t.Fatalf("worker %s cannot hold %+v", found.Worker, q.Demand)
+				}
+				hold(found.Worker, Task{ID: id(seq), Kind: q.Kind, Class: "c", Reserved: q.Demand})
+			}
+			for i := range 5 {
+				if n.up[name(i)] && !x.Held(name(i)).Fits(n.capacity[name(i)]) {
+					t.Fatalf("worker %d holds %+v", i, x.Held(name(i)))
+				}
+			}
+		}
+	})
+}
+
+// Guards against a class that sits in one rack and is lost with it.
+func TestSpreadsOverRacks(t *testing.T) {
+	x := fleet(48, 8)
+	perRack := map[string]int{}
+	for seq := range 24 {
+		q := Query{Kind: domain.KindWatch, Class: "c", Demand: domain.Resources{CPUMilli: 1000, MemoryMiB: 1000, Slots: 1}}
+		found, ok := x.Find(q)
+		assert.Assert(t, ok)
+		x.Hold(found.Worker, Task{ID: id(seq), Kind: q.Kind, Class: q.Class, Reserved: q.Demand})
+		perRack[x.workers[x.leafOf[found.Worker]].rack.name]++
+	}
+	assert.Equal(t, len(perRack), 6)
+	for rack, n := range perRack {
+		assert.Assert(t, n <= 6, "rack %s holds %d of 24", rack, n)
+	}
+}
+
+// Guards against urgent requests on noisy workers while quiet ones have room.
+func TestZones(t *testing.T) {
+	x := fleet(10, 5)
+	for i := range 9 {
+		x.SetNoisy(name(i), true)
+	}
+	small := domain.Resources{CPUMilli: 1000, Slots: 1}
+	for range 20 {
+		found, ok := x.Find(Query{Kind: domain.KindUrgent, Demand: small, Zone: Quiet})
+		assert.Assert(t, ok)
+		assert.Equal(t, found.Worker, name(9))
+		found, ok = x.Find(Query{Kind: domain.KindBatch, Demand: small, Zone: Noisy})
+		assert.Assert(t, ok)
+		assert.Assert(t, found.Worker != name(9))
+	}
+	assert.Equal(t, x.NoisyShare(), 0.9)
+}
+
+// Measures a decision with the hold and release that follow it, on workers
+// that are nearly full, so that most draws do not fit.
+func BenchmarkFind(b *testing.B) {
+	for _, workers := range []int{50, 1500, 15_000} {
+		for _, fill := range []int{4, 8} {
+			b.Run(fmt.Sprintf("workers=%d/slots=%dof8", workers, fill), func(b *testing.B) { benchmarkFind(b, workers, fill) })
+		}
+	}
+}
+
+func benchmarkFind(b *testing.B, workers, fill int) {
+	x := fleet(workers, 8)
+	q := Query{Kind: domain.KindUrgent, Class: "c", Demand: domain.Resources{CPUMilli: 2000, MemoryMiB: 4000, Slots: 1}}
+	seq := 0
+	for i := range workers {
+		for slot := range fill {
+			if fill == 8 && slot == 7 && i%50 == 0 {
+				continue // one worker in 50 has one slot left
+			}
+			x.Hold(name(i), Task{ID: id(seq), Kind: q.Kind, Class: q.Class, Reserved: q.Demand})
+			seq++
+		}
+	}
+	for b.Loop() {
+		found, ok := x.Find(q)
+		if !ok {
+			b.Fatal("no worker found")
+		}
+		x.Hold(found.Worker, Task{ID: id(seq), Kind: q.Kind, Class: q.Class, Reserved: q.Demand})
+		x.Release(found.Worker, id(seq))
+	}
+}
--- a/core/placement/worker.go
+++ b/core/placement/worker.go
@@ -64,27 +64,51 @@
 	return l.UrgentPerWorker
 }
 
-// kindCount is the number of demand kinds, each with its own free capacity.
-const kindCount = 3
+// Zone restricts a query to workers with or without noisy tasks.
+type Zone int
+
+// Zones of a query.
+const (
+	// Anywhere does not restrict the query.
+	Anywhere Zone = iota
+	// Quiet restricts an urgent request to workers without noisy tasks.
+	Quiet
+	// Noisy restricts a batch task to workers with noisy tasks.
+	Noisy
+)
 
-func kindIndex(k domain.Kind) int {
-	switch k {
-	case domain.KindUrgent:
-		return 0
-	case domain.KindWatch:
-		return 1
+// Rooms that the tree keeps for each worker.
+const (
+	urgentRoom = iota
+	watchRoom
+	batchRoom
+	quietUrgentRoom
+	noisyBatchRoom
+	roomCount
+)
+
+func roomIndex(k domain.Kind, z Zone) int {
+	switch {
+	case k == domain.KindUrgent && z == Quiet:
+		return quietUrgentRoom
+	case k == domain.KindUrgent:
+		return urgentRoom
+	case k == domain.KindWatch:
+		return watchRoom
+	case z == Noisy:
+		return noisyBatchRoom
 	default:
-		return 2
+		return batchRoom
 	}
 }
 
-// rooms is what a worker can still hold, per kind.
-type rooms [kindCount]domain.Resources
+// rooms is what a worker can still hold, per kind and zone.
+type rooms [roomCount]domain.Resources
 
 // noRoom fits no demand, because demands are never negative.
 var noRoom = domain.Resources{CPUMilli: -1, MemoryMiB: -1, Accelerators: -1, Slots: -1, Connections: -1}
 
-var closedRooms = rooms{noRoom, noRoom, noRoom}
+var closedRooms = rooms{noRoom, noRoom, noRoom, noRoom, noRoom}
 
 // worker is a worker with what is held on it.
 type worker struct {
@@ -92,6 +116,7 @@
 	known   bool // Up was called since the entry was made
 	up      bool
 	blocked bool
+	noisy   bool
 	removed bool
 	rack    *rack
 	// total is the sum of all holds. It exceeds the capacity only if the
@@ -117,9 +142,16 @@
 
 func (w *worker) openRooms(l Limits) rooms {
 	free := w.Capacity.Sub(w.total)
-	result := rooms{free, free, w.batchRoom(free, l)}
-	if w.urgent >= l.guard(w.Capacity) {
-		result[0] = noRoom
+	result := closedRooms
+	result[watchRoom] = free
+	result[batchRoom] = w.batchRoom(free, l)
+	if w.urgent < l.guard(w.Capacity) {
+		result[urgentRoom] = free
+	}
+	if w.noisy {
+		result[noisyBatchRoom] = result[batchRoom]
+	} else {
+		result[quietUrgentRoom] = result[urgentRoom]
 	}
 	return result
 }
--- /dev/null
+++ b/core/policy/quantile/sketch.go
@@ -0,0 +1,79 @@
+package quantile
+
+import "math"
+
+const (
+	// growth is the ratio of the bounds of neighbouring buckets, and so the
+	// relative error.
+	growth = 1.05
+	// bucketCount covers values up to 1.05^440, about 2e9.
+	bucketCount = 440
+	// halfAt is the weight at which all weights are halved. Older samples so
+	// lose their influence after about a thousand newer ones.
+	halfAt = 1024
+)
+
+var logGrowth = math.Log(growth)
+
+// Sketch is a histogram with logarithmic buckets and decaying weights. The
+// zero value is empty.
+type Sketch struct {
+	weights [bucketCount]float32
+	total   float64
+	count   int
+}
+
+// Add adds a sample. Values below 1 count as 1.
+func (s *Sketch) Add(value int64) {
+	s.weights[bucketOf(value)]++
+	s.total++
+	s.count++
+	if s.total >= halfAt {
+		s.halve()
+	}
+}
+
+// Count returns the number of samples added since the sketch was empty.
+func (s *Sketch) Count() int { return s.count }
+
+// Quantile returns an upper bound of the q-quantile that is at most 5% above
+// it, and 0 for an empty sketch.
+func (s *Sketch) Quantile(q float64) int64 {
+	if s.total == 0 {
+		return 0
+	}
+	rank := q * s.total
+	sum := 0.0
+	last := 0
+	for i, w := range s.weights {
+		if w == 0 {
+			continue
+		}
+		last = i
+		sum += float64(w)
+		if sum >= rank {
+			break
+		}
+	}
+	return upperBound(last)
+}
+
+func (s *Sketch) halve() {
+	s.total = 0
+	for i := range s.weights {
+		s.weights[i] /= 2
+		s.total += float64(s.weights[i])
+	}
+}
+
+func bucketOf(value int64) int {
+	if value <= 1 {
+		return 0
+	}
+	i := int(math.Ceil(math.Log(float64(value))/logGrowth - 1e-9))
+	return min(i, bucketCount-1)
+}
+
+func upperBound(bucket int) int64 {
+	return int64(math.Floor(math.Pow(growth, float64(bucket)) + 1e-6))
+}
--- /dev/null
+++ b/core/reservation/learner_test.go
@@ -0,0 +1,51 @@
+package reservation
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/basilferry/basilferry/core/domain"
+)
+
+func size(cpu, memory int64) domain.Resources {
+	return domain.Resources{CPUMilli: cpu, MemoryMiB: memory, Slots: 1}
+}
+
+// Guards against reservations below the declared size or the observed use,
+// and against learning in other dimensions.
+func TestWant(t *testing.T) {
+	l := New()
+	declared := size(1000, 1000)
+	assert.Equal(t, l.Want("c", declared, 0.95), declared)
+	for range 100 {
+		l.Observe("c", domain.Resources{CPUMilli: 4000, MemoryMiB: 200, Slots: 9, Connections: 9})
+	}
+	want := l.Want("c", declared, 0.95)
+	assert.Assert(t, want.CPUMilli >= 4000 && want.CPUMilli <= 4200)
+	assert.Equal(t, want.MemoryMiB, int64(1000))
+	assert.Equal(t, want.Slots, int64(1))
+	assert.Equal(t, want.Connections, int64(0))
+}
+
+// Guards against a reservation above the worker's size or, when the declared
+// size is larger than that, below the declared size.
+func TestClamp(t *testing.T) {
+	for _, c := range []struct{ want, declared, size, result domain.Resources }{
+		{size(8000, 100), size(1000, 100), size(4000, 100), size(4000, 100)},
+		{size(8000, 900), size(1000, 100), size(9000, 500), size(8000, 500)},
+		{size(8000, 100), size(6000, 100), size(4000, 100), size(6000, 100)},
+	} {
+		assert.Equal(t, Clamp(c.want, c.declared, c.size), c.result)
+	}
+}
+
+// Guards against memory that grows with the number of class names.
+func TestBoundedClasses(t *testing.T) {
+	l := New()
+	for i := range 3 * maxClasses {
+		l.Observe(domain.Class(fmt.Sprint("c", i)), size(1, 1))
+	}
+	assert.Equal(t, l.classes.Len(), maxClasses)
+}
