Fold the config stream into the configuration in force

Operators change the configuration concurrently, and nodes start reading the stream at different places. A reader that does not know the version in force yet keeps changes undecided in place of judging them on the built-in configuration.

--- /dev/null
+++ b/core/configlog/memory.go
@@ -0,0 +1,76 @@
+package configlog
+
+import (
+	"crypto/sha256"
+	"slices"
+
+	"github.com/basilferry/basilferry/core/platform"
+)
+
+// seenLimit bounds the record ids that are remembered. A repeat of a forgotten
+// record is rejected as based on an old version, so the bound only changes the
+// decision that is reported.
+const seenLimit = 4096
+
+type fingerprint [sha256.Size]byte
+
+// seenRecords remembers the decisions about records by id and content. The
+// content counts, because a reader that starts later cannot know that an id was
+// used before for something else and would decide differently.
+type seenRecords struct {
+	decisions map[fingerprint]Decision
+	order     []fingerprint
+}
+
+func newSeenRecords() *seenRecords {
+	return &seenRecords{decisions: make(map[fingerprint]Decision)}
+}
+
+func (r *seenRecords) lookup(rec platform.Record) (Decision, bool) {
+	d, ok := r.decisions[fingerprintOf(rec)]
+	return d, ok
+}
+
+func (r *seenRecords) add(rec platform.Record, d Decision) {
+	key := fingerprintOf(rec)
+	r.decisions[key] = d
+	r.order = append(r.order, key)
+	if len(r.order) > seenLimit {
+		delete(r.decisions, r.order[0])
+		r.order = r.order[1:]
+	}
+}
+
+func fingerprintOf(rec platform.Record) fingerprint {
+	id := sha256.Sum256([]byte(rec.Type + "\x00" + rec.ID))
+	return sha256.Sum256(append(id[:], rec.Data...))
+}
+
+// history keeps the newest decisions in the order of their versions.
+type history struct {
+	limit int
+	list  []Decision
+}
+
+func newHistory(limit int) *history { return &history{limit: limit} }
+
+// put adds a decision, or replaces the one about the same record.
+func (h *history) put(d Decision) {
+	for i := len(h.list) - 1; i >= 0 && h.list[i].Version >= d.Version; i-- {
+		if h.list[i].Version == d.Version {
+			h.list[i] = d
+			return
+		}
+	}
+	h.list = append(h.list, d)
+	if len(h.list) > h.limit {
+		h.list = h.list[1:]
+	}
+}
+
+func (h *history) newest(limit int) []Decision {
+	limit = max(0, min(limit, len(h.list)))
+	out := slices.Clone(h.list[len(h.list)-limit:])
+	slices.Reverse(out)
+	return out
+}
--- /dev/null
+++ b/core/configlog/state_test.go
@@ -0,0 +1,234 @@
+package configlog
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/platform"
+)
+
+var epochStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// stamped places a record in the stream.
+func stamped(rec platform.Record, offset int) platform.Record {
+	rec.Offset = platform.Offset(offset)
+	rec.AppendedAt = epochStart.Add(time.Duration(offset) * time.Second)
+	return rec
+}
+
+// reference folds a whole stream without any bound or shortcut. It returns the
+// configuration after each record, by offset.
+func reference(stream []platform.Record) []domain.Configuration {
+	states := []domain.Configuration{Initial()}
+	seen := map[string]bool{}
+	for _, rec := range stream {
+		c := states[len(states)-1]
+		var change Change
+		whole := rec.Type == ChangeType && json.Unmarshal(rec.Data, &change) == nil && ValidateChange(change) == nil
+		if whole && !seen[rec.ID] && change.Base == c.Version {
+			seen[rec.ID] = true
+			c = withChange(c, change, rec)
+		}
+		states = append(states, c)
+	}
+	return states
+}
+
+func drawChange(t *rapid.T, base domain.Version) Change {
+	c := Change{Base: base, Operator: "op"}
+	d := domain.FailureDomain(rapid.SampledFrom([]string{"larissa", "volos", "lamia"}).Draw(t, "domain"))
+	switch rapid.IntRange(0, 3).Draw(t, "what") {
+	case 0:
+		c.TakeOut = &d
+	case 1:
+		c.BringBack = &d
+	case 2:
+		p := rapid.SampledFrom(Presets()).Draw(t, "preset")
+		c.Preset = &p
+	default:
+		team := domain.Team(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "team"))
+		c.Quota = &domain.Quota{Team: team, Weight: float64(rapid.IntRange(1, 9).Draw(t, "weight"))}
+	}
+	return c
+}
+
+// drawStream makes changes with current, old and future bases, repeats,
+// malformed records and snapshots that are up to two records out of date.
+func drawStream(t *rapid.T) []platform.Record {
+	var stream []platform.Record
+	for i := 1; i <= rapid.IntRange(1, 40).Draw(t, "length"); i++ {
+		states := reference(stream)
+		now := states[len(states)-1]
+		var rec platform.Record
+		var err error
+		switch rapid.IntRange(0, 9).Draw(t, "record") {
+		case 0, 1:
+			made := max(0, len(states)-1-rapid.IntRange(0, 2).Draw(t, "lag"))
+			rec, err = EncodeSnapshot(fmt.Sprint("s", i), states[made])
+		case 2:
+			rec = platform.Record{ID: fmt.Sprint("x", i), Type: ChangeType, Data: []byte(`{"base":`)}
+		case 3:
+			if len(stream) > 0 {
+				rec = rapid.SampledFrom(stream).Draw(t, "repeated")
+			}
+		case 4:
+			base := domain.Version(rapid.IntRange(0, i+1).Draw(t, "base"))
+			rec, err = EncodeChange(fmt.Sprint("c", i), drawChange(t, base))
+		default:
+			rec, err = EncodeChange(fmt.Sprint("c", i), drawChange(t, now.Version))
+		}
+		assert.NilError(t, err)
+		stream = append(stream, stamped(rec, i))
+	}
+	return stream
+}
+
+func acceptedOffsets(states []domain.Configuration) []domain.Version {
+	var out []domain.Version
+	for _, c := range states[1:] {
+		if c.Version > 0 && !slices.Contains(out, c.Version) {
+			out = append(out, c.Version)
+		}
+	}
+	return out
+}
+
+// Guards against readers that disagree: each reader that starts at the first
+// record, or later with a snapshot or a peer's configuration, ends with the
+// configuration of the naive fold and never goes back to a lower version.
+func TestReadersAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		stream := drawStream(t)
+		states := reference(stream)
+		want := states[len(states)-1]
+		from := rapid.IntRange(1, len(stream)).Draw(t, "from")
+		adoptBefore := rapid.IntRange(from, len(stream)+1).Draw(t, "adopt before")
+		peer := states[rapid.IntRange(from-1, len(stream)).Draw(t, "peer position")]
+
+		s := New(Initial())
+		informed := from == 1
+		for i := from; i <= len(stream)+1; i++ {
+			if i == adoptBefore && s.Adopt(peer) {
+				informed = true
+			}
+			if i > len(stream) {
+				break
+			}
+			rec := stream[i-1]
+			if rec.Type == SnapshotType && !informed {
+				var c domain.Configuration
+				assert.NilError(t, json.Unmarshal(rec.Data, &c))
+				for _, v := range acceptedOffsets(states) {
+					if v > c.Version && v < domain.Version(from) {
+						t.Skip("starts after a change that a snapshot lacks")
+					}
+				}
+				informed = true
+			}
+			before := s.Current().Version
+			d := s.Apply(rec)
+			assert.Assert(t, s.Current().Version >= before)
+			if from == 1 && rec.Type == ChangeType {
+				// Adopting ahead of the reader changes no decision.
+				accepted := states[i].Version == domain.Version(i)
+				assert.Equal(t, d.Accepted && d.Version == domain.Version(i), accepted, "offset %d", i)
+			}
+		}
+		if informed {
+			assert.DeepEqual(t, s.Current(), want)
+		}
+	})
+}
+
+func change(t *testing.T, id string, offset int, base domain.Version, d domain.FailureDomain) platform.Record {
+	rec, err := EncodeChange(id, Change{Base: base, Operator: "op", TakeOut: &d})
+	assert.NilError(t, err)
+	return stamped(rec, offset)
+}
+
+// Guards against a stale change that is accepted, a repeat that counts twice
+// and a malformed record that changes something.
+func TestDecisions(t *testing.T) {
+	s := New(Initial())
+	first := change(t, "a", 1, 0, "volos")
+	assert.Assert(t, s.Apply(first).Accepted)
+	stale := s.Apply(change(t, "b", 2, 0, "lamia"))
+	assert.Equal(t, stale.Err.Kind, domain.KindVersionConflict)
+	assert.Equal(t, stale.InForce, domain.Version(1))
+	repeat := s.Apply(stamped(first, 3))
+	assert.Equal(t, repeat.Version, domain.Version(1))
+	assert.Assert(t, repeat.Accepted)
+	for i, rec := range []platform.Record{
+		{Offset: 4, ID: "c", Type: ChangeType, Data: []byte(`{"base":1}`)},
+		{Offset: 5, ID: "d", Type: ChangeType, Data: []byte(`{"base":1,"take_out":"a-b"}`)},
+		{Offset: 6, ID: "", Type: ChangeType, Data: first.Data},
+		{Offset: 7, ID: "e", Type: "other", Data: first.Data},
+		{Offset: 8, ID: "f", Type: SnapshotType, Data: []byte(`{"version":9}`)},
+		{Offset: 0, ID: "g", Type: ChangeType, Data: first.Data},
+	} {
+		assert.Equal(t, s.Apply(rec).Err.Kind, domain.KindBadRequest, "record %d", i)
+	}
+	assert.Equal(t, s.Current().Version, domain.Version(1))
+	got := s.History(2)
+	assert.Equal(t, len(got), 2)
+	assert.Assert(t, got[0].Version > got[1].Version)
+}
+
+// Guards against changes that are accepted on the built-in configuration by a
+// reader that lacks the older records, and against a lower version from a peer.
+func TestLateReader(t *testing.T) {
+	s := New(Initial())
+	assert.Assert(t, !s.Apply(change(t, "a", 70, 0, "volos")).Accepted)
+	assert.Equal(t, s.Current().Version, domain.Version(0))
+	peer := Initial()
+	peer.Version = 60
+	assert.Assert(t, s.Adopt(peer))
+	assert.Assert(t, !s.Adopt(Initial()))
+	assert.Assert(t, s.Apply(change(t, "b", 71, 60, "lamia")).Accepted)
+	s.Lost()
+	assert.Assert(t, !s.Apply(change(t, "c", 90, 71, "volos")).Accepted)
+	snapshot, err := EncodeSnapshot("s", s.Current())
+	assert.NilError(t, err)
+	s.Apply(stamped(snapshot, 91))
+	assert.Equal(t, s.Current().Version, domain.Version(90))
+	assert.Assert(t, !s.SnapshotDue(epochStart.Add(91*time.Second), time.Hour))
+	assert.Assert(t, s.SnapshotDue(epochStart.Add(41*time.Minute+31*time.Second), time.Hour))
+}
+
+// Guards against presets that would run with a missing or impossible field.
+func TestValidatePreset(t *testing.T) {
+	for _, p := range Presets() {
+		assert.NilError(t, ValidatePreset(p))
+	}
+	for name, spoil := range map[string]func(*domain.Preset){
+		"name":      func(p *domain.Preset) { p.Name = "night" },
+		"isolated":  func(p *domain.Preset) { p.IsolatedStarts = "" },
+		"share":     func(p *domain.Preset) { p.BatchShare = 1.1 },
+		"slots":     func(p *domain.Preset) { p.UrgentSlots = -1 },
+		"quantile":  func(p *domain.Preset) { p.ReservationQuantile = 0 },
+		"throttle":  func(p *domain.Preset) { p.ThrottleSlowdown = 0.5 },
+		"evict":     func(p *domain.Preset) { p.EvictSlowdown = 1.1 },
+		"retry":     func(p *domain.Preset) { p.RetryBudget = -0.1 },
+		"forbidden": func(p *domain.Preset) { p.Name = PresetMaintenance },
+	} {
+		p := Presets()[0]
+		spoil(&p)
+		assert.Equal(t, domain.KindOf(ValidatePreset(p)), domain.KindBadRequest, name)
+	}
+}
+
+// The seed is fixed so that a run can be repeated; -rapid.seed overrides it and
+// rapid prints it with a failure.
+func init() {
+	if err := flag.Set("rapid.seed", "20260101"); err != nil {
+		panic(err)
+	}
+}
--- /dev/null
+++ b/core/configlog/validate.go
@@ -0,0 +1,143 @@
+package configlog
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+
+	"github.com/basilferry/basilferry/core/domain"
+)
+
+// ValidatePreset returns an *domain.Error of kind KindBadRequest that names the
+// first wrong field, or nil.
+func ValidatePreset(p domain.Preset) error {
+	if !slices.Contains(PresetNames(), p.Name) {
+		return badField("preset "+quote(p.Name)+" is unknown", "use "+strings.Join(PresetNames(), ", "))
+	}
+	switch p.IsolatedStarts {
+	case domain.IsolatedAll, domain.IsolatedUrgent, domain.IsolatedNone:
+	default:
+		return badField("isolated_starts "+quote(string(p.IsolatedStarts))+" is unknown", "use all, urgent or none")
+	}
+	// No task may start in a taken-out domain during maintenance, also when
+	// the domain cannot hear of the take-out.
+	if p.Name == PresetMaintenance && p.IsolatedStarts != domain.IsolatedNone {
+		return badField("preset maintenance lets an isolated domain start tasks", "set isolated_starts to none")
+	}
+	return validateNumbers(p)
+}
+
+func validateNumbers(p domain.Preset) error {
+	rules := []struct {
+		holds bool
+		field string
+		rule  string
+	}{
+		{p.BatchShare >= 0 && p.BatchShare <= 1, "batch_share", "between 0 and 1"},
+		{p.UrgentSlots >= 0, "urgent_slots", "zero or more"},
+		{p.UrgentPerWorker >= 0, "urgent_per_worker", "zero or more"},
+		{p.ReservationQuantile > 0 && p.ReservationQuantile <= 1, "reservation_quantile", "above 0 and at most 1"},
+		{p.ThrottleSlowdown >= 1 && finite(p.ThrottleSlowdown), "throttle_slowdown", "1 or more"},
+		{p.EvictSlowdown >= p.ThrottleSlowdown && finite(p.EvictSlowdown), "evict_slowdown", "at least throttle_slowdown"},
+		{p.RetryBudget >= 0 && p.RetryBudget <= 1, "retry_budget", "between 0 and 1"},
+	}
+	for _, r := range rules {
+		if !r.holds {
+			return badField("preset "+p.Name+": "+r.field+" is out of range", "set "+r.field+" to a number "+r.rule)
+		}
+	}
+	return nil
+}
+
+// ValidateChange returns an *domain.Error of kind KindBadRequest that names
+// what is wrong with the change, or nil. It does not look at Base.
+func ValidateChange(c Change) error {
+	set := 0
+	for _, has := range []bool{c.Preset != nil, c.TakeOut != nil, c.BringBack != nil, c.Quota != nil} {
+		if has {
+			set++
+		}
+	}
+	if set != 1 {
+		return badField(fmt.Sprintf("the change sets %d of preset, take_out, bring_back and quota", set), "set exactly one of them")
+	}
+	switch {
+	case c.Preset != nil:
+		return ValidatePreset(*c.Preset)
+	case c.TakeOut != nil:
+		return validateDomain(*c.TakeOut)
+	case c.BringBack != nil:
+		return validateDomain(*c.BringBack)
+	}
+	return validateQuota(*c.Quota)
+}
+
+func validateDomain(d domain.FailureDomain) error {
+	if d == "" || strings.ContainsAny(string(d), "-/") {
+		return badField("failure domain "+quote(string(d))+" is malformed", "use a name without '-' and '/'")
+	}
+	return nil
+}
+
+func validateQuota(q domain.Quota) error {
+	if q.Team == "" {
+		return badField("the quota names no team", "set team")
+	}
+	if !(q.Weight > 0) || !finite(q.Weight) {
+		return badField("the weight of team "+quote(string(q.Team))+" is not above zero", "set weight to a number above 0")
+	}
+	if q.Limit.Negative() {
+		return badField("the limit of team "+quote(string(q.Team))+" is negative", "set each limit to zero (none) or more")
+	}
+	return nil
+}
+
+func validateConfiguration(c domain.Configuration) error {
+	if err := ValidatePreset(c.Preset); err != nil {
+		return err
+	}
+	for _, t := range c.TakeOuts {
+		if err := validateDomain(t.Domain); err != nil {
+			return err
+		}
+	}
+	for _, q := range c.Quotas {
+		if err := validateQuota(q); err != nil {
+			return err
+		}
+	}
+	if !strictlyAscending(c.TakeOuts, compareTakeOuts) || !strictlyAscending(c.Quotas, compareQuotas) {
+		return badField("take-outs or quotas are not in order or appear twice", "order them by name")
+	}
+	return nil
+}
+
+func strictlyAscending[T any](list []T, compare func(a, b T) int) bool {
+	for i := 1; i < len(list); i++ {
+		if compare(list[i-1], list[i]) >= 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func finite(f float64) bool { return !math.IsInf(f, 0) && !math.IsNaN(f) }
+
+func quote(text string) string { return fmt.Sprintf("%q", text) }
+
+func badField(message, remedy string) *domain.Error {
+	return &domain.Error{Kind: domain.KindBadRequest, Message: message, Remedy: remedy}
+}
+
+func badRecord(message string) *domain.Error {
+	return badField(message, "write config records with the encoders of this release")
+}
+
+func conflict(base, inForce domain.Version) *domain.Error {
+	return &domain.Error{
+		Kind:    domain.KindVersionConflict,
+		Message: fmt.Sprintf("the change is based on version %d but version %d is in force", base, inForce),
+		Remedy:  "read the configuration again and send the change with its version as base",
+	}
+}
