Read and check the settings file

A settings file with a misspelt or impossible field must not start a node. The file is JSON with comments, checked by an embedded schema and by rules across fields. All problems are reported at once with line, column and remedy, and an unknown field names the nearest valid one.

--- /dev/null
+++ b/node/settings/load.go
@@ -0,0 +1,118 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/basilferry/basilferry/core/domain"
+)
+
+// Load reads, checks and completes a settings file. It returns an *Error of
+// kind KindNotFound if the file cannot be read, and of kind KindBadRequest that
+// lists every problem if it is not valid.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, &domain.Error{
+			Kind:    domain.KindNotFound,
+			Message: "the settings file cannot be read: " + err.Error(),
+			Remedy:  "name a readable file",
+		}
+	}
+	s, problems := read(data)
+	if len(problems) > 0 {
+		return Settings{}, fileError(path, problems)
+	}
+	return s, nil
+}
+
+// Check returns all problems of a settings file, ordered by place; none if it
+// is valid.
+func Check(data []byte) []Problem {
+	_, problems := read(data)
+	return problems
+}
+
+// read returns the settings with defaults filled in; they are of use only if
+// there is no problem.
+func read(data []byte) (Settings, []Problem) {
+	doc, syntax := parse(data)
+	if syntax != nil {
+		return Settings{}, []Problem{*syntax}
+	}
+	problems := append(doc.repeated, checkSchema(doc)...)
+	s, err := decode(doc, problems)
+	if err != nil {
+		problems = append(problems, decodeProblem(doc, err))
+		sortProblems(problems)
+		return s, problems
+	}
+	problems = append(problems, checkRules(doc, s, problems)...)
+	sortProblems(problems)
+	return s, problems
+}
+
+// decode reads the values that have no problem over the defaults.
+func decode(doc *document, problems []Problem) (Settings, error) {
+	var tree any
+	decoder := json.NewDecoder(bytes.NewReader(doc.standard))
+	decoder.UseNumber()
+	if err := decoder.Decode(&tree); err != nil {
+		return Settings{}, err
+	}
+	for _, p := range problems {
+		tree = blank(tree, strings.Split(p.Field, "/")[1:])
+	}
+	clean, err := json.Marshal(tree)
+	if err != nil {
+		return Settings{}, err
+	}
+	s := Defaults()
+	if doc.has("/embedded") {
+		embedded := DefaultEmbedded()
+		s.Embedded = &embedded
+	}
+	if err := json.Unmarshal(clean, &s); err != nil {
+		return s, err
+	}
+	if s.Goals == nil {
+		s.Goals = DefaultGoals()
+	}
+	return s, nil
+}
+
+// blank replaces the value at the path by null, which leaves the default.
+func blank(tree any, path []string) any {
+	if len(path) == 0 {
+		return nil
+	}
+	switch node := tree.(type) {
+	case map[string]any:
+		name := pointerUnescaper.Replace(path[0])
+		if child, ok := node[name]; ok {
+			node[name] = blank(child, path[1:])
+		}
+	case []any:
+		if i, err := strconv.Atoi(path[0]); err == nil && i >= 0 && i < len(node) {
+			node[i] = blank(node[i], path[1:])
+		}
+	}
+	return tree
+}
+
+var pointerUnescaper = strings.NewReplacer("~1", "/", "~0", "~")
+
+// decodeProblem covers numbers that the schema takes as whole but Go does not,
+// such as 2.0.
+func decodeProblem(doc *document, err error) Problem {
+	pointer := ""
+	var mismatch *json.UnmarshalTypeError
+	if errors.As(err, &mismatch) {
+		pointer = "/" + strings.ReplaceAll(mismatch.Field, ".", "/")
+	}
+	return doc.problem(pointer, fieldName(pointer)+" cannot be read: "+err.Error(), "write whole numbers without a fraction or exponent")
+}
--- /dev/null
+++ b/node/settings/schema.go
@@ -0,0 +1,162 @@
+package settings
+
+import (
+	"bytes"
+	_ "embed"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/santhosh-tekuri/jsonschema/v6/kind"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/node/settings/nearest"
+)
+
+//go:embed schema.json
+var schemaText []byte
+
+// schemaURL only names the schema; nothing is loaded from it.
+const schemaURL = "basilferry:///settings"
+
+var english = message.NewPrinter(language.English)
+
+var compiledSchema = sync.OnceValue(func() *jsonschema.Schema {
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(schemaText))
+	if err != nil {
+		panic("settings: embedded schema: " + err.Error())
+	}
+	c := jsonschema.NewCompiler()
+	c.AssertFormat()
+	for _, f := range formats {
+		c.RegisterFormat(f)
+	}
+	if err := c.AddResource(schemaURL, doc); err != nil {
+		panic("settings: embedded schema: " + err.Error())
+	}
+	return c.MustCompile(schemaURL)
+})
+
+// checkSchema returns the problems that the schema finds.
+func checkSchema(doc *document) []Problem {
+	value, err := jsonschema.UnmarshalJSON(bytes.NewReader(doc.standard))
+	if err != nil {
+		return []Problem{doc.problem("", "the file is not valid JSON: "+err.Error(), "write JSON")}
+	}
+	err = compiledSchema().Validate(value)
+	var invalid *jsonschema.ValidationError
+	if !errors.As(err, &invalid) {
+		return nil
+	}
+	return schemaProblems(doc, invalid)
+}
+
+// schemaProblems flattens the tree of schema errors.
+func schemaProblems(doc *document, e *jsonschema.ValidationError) []Problem {
+	if len(e.Causes) == 0 {
+		return schemaProblem(doc, e)
+	}
+	var list []Problem
+	for _, cause := range e.Causes {
+		list = append(list, schemaProblems(doc, cause)...)
+	}
+	return list
+}
+
+func schemaProblem(doc *document, e *jsonschema.ValidationError) []Problem {
+	at := pointerOf(e.InstanceLocation)
+	field := fieldName(at)
+	switch k := e.ErrorKind.(type) {
+	case *kind.AdditionalProperties:
+		return unknownFields(doc, e.InstanceLocation, k.Properties)
+	case *kind.Required:
+		return missingFields(doc, at, k.Missing)
+	case *kind.Format:
+		err := domain.AsError(k.Err)
+		if k.Want == tokenFormat {
+			// A problem is logged, a token must not be.
+			return []Problem{doc.problem(at, field+" "+err.Message, err.Remedy)}
+		}
+		return []Problem{doc.problem(at, fmt.Sprintf("%s: %s %s", field, quoted(k.Got), err.Message), err.Remedy)}
+	case *kind.Enum:
+		return []Problem{doc.problem(at, fmt.Sprintf("%s: %v is unknown", field, quoted(k.Got)), "use "+choices(k.Want))}
+	case *kind.Type:
+		return []Problem{doc.problem(at, fmt.Sprintf("%s has type %s", field, k.Got), "write a value of type "+strings.Join(k.Want, " or "))}
+	}
+	text := e.ErrorKind.LocalizedString(english)
+	return []Problem{doc.problem(at, field+" is out of range: "+text, "set a value within the limits in docs/settings.md")}
+}
+
+func unknownFields(doc *document, object []string, names []string) []Problem {
+	var list []Problem
+	for _, name := range names {
+		at := pointerOf(object) + "/" + escape(name)
+		near := nearest.Name(name, fieldsOf(object))
+		text := fmt.Sprintf("field %q is unknown", name)
+		list = append(list, doc.nameProblem(at, text, fmt.Sprintf("the nearest valid name is %q", near)))
+	}
+	return list
+}
+
+func missingFields(doc *document, object string, names []string) []Problem {
+	var list []Problem
+	for _, name := range names {
+		p := doc.problem(object, "field "+fieldName(object+"/"+name)+" is missing", "set it; docs/settings.md describes it")
+		p.Field = object + "/" + name
+		list = append(list, p)
+	}
+	return list
+}
+
+// fieldsOf returns the names that the object at the path may have.
+func fieldsOf(path []string) []string {
+	s := resolve(compiledSchema())
+	for _, token := range path {
+		if child, ok := s.Properties[token]; ok {
+			s = resolve(child)
+			continue
+		}
+		element, ok := s.Items2020, s.Items2020 != nil
+		if !ok {
+			return nil
+		}
+		s = resolve(element)
+	}
+	return slices.Sorted(maps.Keys(s.Properties))
+}
+
+func resolve(s *jsonschema.Schema) *jsonschema.Schema {
+	for s.Ref != nil {
+		s = s.Ref
+	}
+	return s
+}
+
+// fieldName writes a JSON pointer in dotted form for people.
+func fieldName(pointer string) string {
+	if pointer == "" {
+		return "the file"
+	}
+	return strings.ReplaceAll(strings.TrimPrefix(pointer, "/"), "/", ".")
+}
+
+func quoted(value any) string {
+	if text, ok := value.(string); ok {
+		return fmt.Sprintf("%q", text)
+	}
+	return fmt.Sprint(value)
+}
+
+func choices(values []any) string {
+	texts := make([]string, len(values))
+	for i, v := range values {
+		texts[i] = fmt.Sprint(v)
+	}
+	return strings.Join(texts, ", ")
+}
