Serve callers and operators over HTTP

Input is checked at the edge: malformed, misspelt, repeated and oversized input is answered with a typed error and starts nothing. Answers go out whole with length and xxhash64, and carry the request id when there is one. A planned stop fails the health check first, waits until no request is active, and closes the listeners last.

The body deadline is set on each connection, because http.Server.ReadTimeout goes on during the call and cancels the context of long requests.

--- /dev/null
+++ b/node/httpapi/answer.go
@@ -0,0 +1,110 @@
+package httpapi
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/node/service"
+)
+
+// OutcomeBody is the answer about one request. It can be read as a
+// domain.Outcome and, if there is an error, as a domain.Error.
+type OutcomeBody struct {
+	domain.Outcome
+	RequestID string           `json:"request_id"`
+	Kind      domain.ErrorKind `json:"kind,omitempty"`
+	Message   string           `json:"message,omitempty"`
+	Remedy    string           `json:"remedy,omitempty"`
+}
+
+// ChangeBody is the answer to POST /v1/config. If the change was rejected it
+// can be read as a domain.Error and has the configuration in force.
+type ChangeBody struct {
+	service.ChangeResult
+	Kind          domain.ErrorKind      `json:"kind,omitempty"`
+	Message       string                `json:"message,omitempty"`
+	Remedy        string                `json:"remedy,omitempty"`
+	Configuration *domain.Configuration `json:"configuration,omitempty"`
+}
+
+// write sends a whole JSON answer. An error while writing means that the
+// caller is gone, and it can look its request up.
+func (s *Server) write(w http.ResponseWriter, status int, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		status = http.StatusInternalServerError
+		body, _ = json.Marshal(defect(err))
+	}
+	body = append(body, '\n')
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	header.Set(ChecksumHeader, Checksum(body))
+	w.WriteHeader(status)
+	if _, err := w.Write(body); err != nil {
+		s.metrics.lostAnswers.Inc(1)
+	}
+}
+
+func (s *Server) writeError(w http.ResponseWriter, err *domain.Error) {
+	s.writeErrorStatus(w, err.HTTPStatus(), err)
+}
+
+func (s *Server) writeErrorStatus(w http.ResponseWriter, status int, err *domain.Error) {
+	if err.RequestID != "" {
+		w.Header().Set(IDHeader, err.RequestID)
+	}
+	s.write(w, status, err)
+}
+
+// writeOutcome sends an outcome. An error without an outcome goes out as the
+// error, with the id if it is known.
+func (s *Server) writeOutcome(w http.ResponseWriter, known domain.RequestID, o domain.Outcome, err error, status int) {
+	if o.ID.IsZero() {
+		o.ID = known
+	}
+	if err != nil {
+		s.writeError(w, withID(domain.AsError(err), o.ID))
+		return
+	}
+	if o.ID.IsZero() {
+		s.writeError(w, defect("the outcome has no request id"))
+		return
+	}
+	o.Err = withID(errorOf(o), o.ID)
+	body := OutcomeBody{Outcome: o, RequestID: o.ID.String()}
+	if o.Err != nil {
+		body.Kind, body.Message, body.Remedy = o.Err.Kind, o.Err.Message, o.Err.Remedy
+		status = o.Err.HTTPStatus()
+	}
+	w.Header().Set(IDHeader, body.RequestID)
+	s.write(w, status, body)
+}
+
+// statusOf returns the HTTP status of an outcome without an error.
+func statusOf(state domain.OutcomeState) int {
+	switch state {
+	case domain.OutcomeAccepted, domain.OutcomeRunning:
+		return http.StatusAccepted
+	}
+	return http.StatusOK
+}
+
+// errorOf returns the error of an outcome, with a general one for states that
+// must never look like success.
+func errorOf(o domain.Outcome) *domain.Error {
+	if o.Err != nil {
+		return o.Err
+	}
+	switch o.State {
+	case domain.OutcomeFailed:
+		return &domain.Error{Kind: domain.KindTaskFailed, Message: "the task ran and failed", Remedy: "read the task's own log"}
+	case domain.OutcomeNotRun:
+		return &domain.Error{Kind: domain.KindNotRun, Message: "the task did not run and will not run", Remedy: "send the request again under a new key or id"}
+	case domain.OutcomeRan, domain.OutcomeAccepted, domain.OutcomeRunning, domain.OutcomeCancelled:
+		return nil
+	}
+	return &domain.Error{Kind: domain.KindOutcomeUnknown, Message: "whether the task ran cannot be shown", Remedy: "look the request up with GET /v1/requests/{id}"}
+}
--- /dev/null
+++ b/node/httpapi/middleware.go
@@ -0,0 +1,135 @@
+package httpapi
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"strings"
+	"time"
+
+	"github.com/basilferry/basilferry/core/domain"
+)
+
+// withTracking counts active requests, bounds the arrival of their bodies and
+// closes connections during a planned stop.
+//
+// http.Server.ReadTimeout is no use here: it goes on during the call and
+// cancels the context of long requests. readBody lifts the deadline once the
+// body is whole.
+func (s *Server) withTracking(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.began()
+		defer s.ended()
+		if r.ContentLength != 0 {
+			// Also bounds the reading of a body that no handler takes.
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(readBodyTimeout))
+		}
+		if s.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// withRecovery answers a panic with KindInternal.
+func (s *Server) withRecovery(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() {
+			value := recover()
+			if value == http.ErrAbortHandler {
+				panic(value)
+			}
+			if value != nil {
+				s.cfg.Logger.Error("Handler panicked", "path", r.URL.Path, "panic", value, "stack", string(debug.Stack()))
+				s.writeError(w, defect("internal fault"))
+			}
+		}()
+		next.ServeHTTP(w, r)
+	})
+}
+
+// withToken lets only calls with the operator token pass. Digests are compared,
+// so that the time tells neither content nor length of the token.
+func (s *Server) withToken(next http.Handler) http.Handler {
+	if s.cfg.OperatorToken == "" {
+		return next
+	}
+	want := sha256.Sum256([]byte(s.cfg.OperatorToken))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		got := sha256.Sum256([]byte(token))
+		if subtle.ConstantTimeCompare(got[:], want[:]) != 1 || !ok {
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			s.writeError(w, unauthorized())
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// withSlot refuses requests above the in-flight limit before their body is
+// read.
+func (s *Server) withSlot(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case s.slots <- struct{}{}:
+		default:
+			s.metrics.refused.Inc(1)
+			w.Header().Set("Retry-After", "1")
+			s.writeError(w, overloaded(cap(s.slots)))
+			return
+		}
+		defer func() { <-s.slots }()
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *Server) withMetrics(route string, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		recorder := &statusRecorder{ResponseWriter: w, status: http.StatusOK}
+		start := time.Now()
+		defer func() { s.metrics.record(route, r.Method, recorder.status, time.Since(start)) }()
+		next.ServeHTTP(recorder, r)
+	})
+}
+
+// statusRecorder remembers the status of an answer.
+type statusRecorder struct {
+	http.ResponseWriter
+	status int
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (r *statusRecorder) WriteHeader(status int) {
+	r.status = status
+	r.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap lets http.ResponseController reach the connection.
+func (r *statusRecorder) Unwrap() http.ResponseWriter { return r.ResponseWriter }
+
+// readBody reads the whole body within the size and time limits.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *domain.Error) {
+	limit := s.cfg.Limits.MaxBodyBytes
+	if r.ContentLength > limit {
+		w.Header().Set("Connection", "close")
+		return nil, tooLarge(limit)
+	}
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var over *http.MaxBytesError
+	switch {
+	case err == nil:
+		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+		return data, nil
+	case errors.As(err, &over):
+		return nil, tooLarge(limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		w.Header().Set("Connection", "close")
+		return nil, slowBody()
+	}
+	return nil, cutBody(err)
+}
--- /dev/null
+++ b/node/httpapi/operations.go
@@ -0,0 +1,159 @@
+package httpapi
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/basilferry/basilferry/core/configlog"
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/node/service"
+)
+
+const (
+	// defaultChangeWait is how long POST /v1/config waits for all nodes; a
+	// change is in force everywhere reachable within 3 s.
+	defaultChangeWait = 3 * time.Second
+	maxChangeWait     = 30 * time.Second
+
+	defaultHistory = 50
+	maxHistory     = 500
+)
+
+// HistoryAnswer is the answer to GET /v1/config/history, newest first.
+type HistoryAnswer struct {
+	Decisions []configlog.Decision `json:"decisions"`
+}
+
+// NodesAnswer is the answer to GET /v1/nodes.
+type NodesAnswer struct {
+	Nodes []service.NodeStatus `json:"nodes"`
+}
+
+// WorkersAnswer is the answer to GET /v1/workers. Missing lists the failure
+// domains that did not answer.
+type WorkersAnswer struct {
+	Workers []service.WorkerStatus `json:"workers"`
+	Missing []domain.FailureDomain `json:"missing,omitempty"`
+}
+
+func (s *Server) getConfig(w http.ResponseWriter, _ *http.Request) {
+	s.write(w, http.StatusOK, s.cfg.Operations.Configuration())
+}
+
+func (s *Server) getHistory(w http.ResponseWriter, r *http.Request) {
+	limit := defaultHistory
+	if text := r.URL.Query().Get("limit"); text != "" {
+		parsed, err := strconv.Atoi(text)
+		if err != nil || parsed < 1 || parsed > maxHistory {
+			s.writeError(w, badRequest(fmt.Sprintf("limit %q is out of range", text), fmt.Sprintf("set limit to 1 to %d", maxHistory)))
+			return
+		}
+		limit = parsed
+	}
+	decisions := append([]configlog.Decision{}, s.cfg.Operations.History(limit)...)
+	s.write(w, http.StatusOK, HistoryAnswer{Decisions: decisions})
+}
+
+func (s *Server) postConfig(w http.ResponseWriter, r *http.Request) {
+	wait, fault := readWait(r)
+	if fault != nil {
+		s.writeError(w, fault)
+		return
+	}
+	change, fault := s.readChange(w, r)
+	if fault != nil {
+		s.writeError(w, fault)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), callTimeout+wait)
+	defer cancel()
+	result, err := s.cfg.Operations.Change(ctx, change, wait)
+	if err != nil {
+		s.writeError(w, domain.AsError(err))
+		return
+	}
+	s.writeChange(w, result)
+}
+
+func readWait(r *http.Request) (time.Duration, *domain.Error) {
+	text := r.URL.Query().Get("wait")
+	if text == "" {
+		return defaultChangeWait, nil
+	}
+	wait, err := time.ParseDuration(text)
+	if err != nil || wait < 0 || wait > maxChangeWait {
+		return 0, badRequest(fmt.Sprintf("wait %q is out of range", text), "set wait to a duration from 0s to "+maxChangeWait.String())
+	}
+	return wait, nil
+}
+
+func (s *Server) readChange(w http.ResponseWriter, r *http.Request) (configlog.Change, *domain.Error) {
+	var change configlog.Change
+	data, fault := s.readBody(w, r)
+	if fault != nil {
+		return change, fault
+	}
+	if fault := decodeStrict(data, &change); fault != nil {
+		return change, fault
+	}
+	if !hasBase(data) {
+		return change, badRequest("the change names no base", "set base to the version from GET /v1/config")
+	}
+	if err := configlog.ValidateChange(change); err != nil {
+		return change, domain.AsError(err)
+	}
+	return change, nil
+}
+
+// hasBase tells a change for version 0 from one that leaves base out.
+func hasBase(data []byte) bool {
+	var fields struct {
+		Base json.RawMessage `json:"base"`
+	}
+	err := json.Unmarshal(data, &fields)
+	return err == nil && len(fields.Base) > 0 && !bytes.Equal(fields.Base, []byte("null"))
+}
+
+// writeChange answers 200 once every node has the change in force, and 202
+// while nodes are missing or the change is provisional.
+func (s *Server) writeChange(w http.ResponseWriter, result service.ChangeResult) {
+	body := ChangeBody{ChangeResult: result}
+	status := http.StatusOK
+	if result.Provisional || len(result.Missing) > 0 {
+		status = http.StatusAccepted
+	}
+	if err := result.Decision.Err; err != nil {
+		body.Kind, body.Message, body.Remedy = err.Kind, err.Message, err.Remedy
+		inForce := s.cfg.Operations.Configuration()
+		body.Configuration = &inForce
+		status = err.HTTPStatus()
+	}
+	s.write(w, status, body)
+}
+
+func (s *Server) getNodes(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+	defer cancel()
+	nodes, err := s.cfg.Operations.Nodes(ctx)
+	if err != nil {
+		s.writeError(w, domain.AsError(err))
+		return
+	}
+	s.write(w, http.StatusOK, NodesAnswer{Nodes: append([]service.NodeStatus{}, nodes...)})
+}
+
+func (s *Server) getWorkers(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+	defer cancel()
+	workers, missing, err := s.cfg.Operations.Workers(ctx)
+	if err != nil {
+		s.writeError(w, domain.AsError(err))
+		return
+	}
+	s.write(w, http.StatusOK, WorkersAnswer{Workers: append([]service.WorkerStatus{}, workers...), Missing: missing})
+}
--- /dev/null
+++ b/node/httpapi/routes.go
@@ -0,0 +1,104 @@
+package httpapi
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/gorilla/mux"
+)
+
+// route is one path and method. Calls of callers take a slot of the in-flight
+// limit; calls of operators need the token and take none, so that an overloaded
+// node can still be operated.
+type route struct {
+	method   string
+	path     string
+	handler  http.HandlerFunc
+	caller   bool
+	operator bool
+}
+
+func (s *Server) routes() []route {
+	return []route{
+		{method: http.MethodPost, path: "/v1/ids", handler: s.postIDs, caller: true},
+		{method: http.MethodPost, path: "/v1/requests", handler: s.postRequest, caller: true},
+		{method: http.MethodGet, path: "/v1/requests/{id}", handler: s.idCall(s.cfg.Requests.Lookup), caller: true},
+		{method: http.MethodDelete, path: "/v1/requests/{id}", handler: s.idCall(s.cfg.Requests.Cancel), caller: true},
+		{method: http.MethodGet, path: "/v1/explain/{id}", handler: s.getExplain, caller: true},
+		{method: http.MethodGet, path: "/v1/config", handler: s.getConfig, operator: true},
+		{method: http.MethodPost, path: "/v1/config", handler: s.postConfig, operator: true},
+		{method: http.MethodGet, path: "/v1/config/history", handler: s.getHistory, operator: true},
+		{method: http.MethodGet, path: "/v1/workers", handler: s.getWorkers, operator: true},
+		{method: http.MethodGet, path: "/v1/nodes", handler: s.getNodes, operator: true},
+		{method: http.MethodGet, path: "/v1/burn", handler: s.injected(s.cfg.Burn), operator: true},
+		{method: http.MethodGet, path: "/metrics", handler: s.injected(s.cfg.Metrics)},
+		{method: http.MethodGet, path: "/healthz", handler: s.getHealth},
+	}
+}
+
+// Handler returns the API without a listener.
+func (s *Server) Handler() http.Handler {
+	router := mux.NewRouter()
+	// A cleaned path would be answered with a redirect, which callers may
+	// follow with another method.
+	router.SkipClean(true)
+	for _, rt := range s.routes() {
+		var h http.Handler = rt.handler
+		if rt.operator {
+			h = s.withToken(h)
+		}
+		if rt.caller {
+			h = s.withSlot(h)
+		}
+		router.Handle(rt.path, s.withMetrics(rt.path, s.withRecovery(h))).Methods(rt.method)
+	}
+	router.NotFoundHandler = s.withMetrics("none", http.HandlerFunc(s.notFound))
+	router.MethodNotAllowedHandler = s.withMetrics("none", s.methodNotAllowed(router))
+	return s.withTracking(router)
+}
+
+func (s *Server) injected(h http.Handler) http.HandlerFunc {
+	if h == nil {
+		return s.notFound
+	}
+	return h.ServeHTTP
+}
+
+func (s *Server) notFound(w http.ResponseWriter, r *http.Request) {
+	s.writeError(w, unknownPath(r.URL.Path))
+}
+
+func (s *Server) methodNotAllowed(router *mux.Router) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var allowed []string
+		for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodDelete} {
+			probe := *r
+			probe.Method = method
+			var match mux.RouteMatch
+			if router.Match(&probe, &match) && match.MatchErr == nil {
+				allowed = append(allowed, method)
+			}
+		}
+		w.Header().Set("Allow", strings.Join(allowed, ", "))
+		s.writeErrorStatus(w, http.StatusMethodNotAllowed, wrongMethod(r.Method, allowed))
+	})
+}
+
+// HealthAnswer is the answer to GET /healthz of a node that can serve.
+type HealthAnswer struct {
+	Status string `json:"status"`
+}
+
+func (s *Server) getHealth(w http.ResponseWriter, _ *http.Request) {
+	if s.draining.Load() {
+		s.writeError(w, stopping())
+		return
+	}
+	if s.cfg.Ready != nil {
+		if fault := s.cfg.Ready(); fault != nil {
+			s.writeError(w, fault)
+			return
+		}
+	}
+	s.write(w, http.StatusOK, HealthAnswer{Status: "ok"})
+}
--- /dev/null
+++ b/node/httpapi/server.go
@@ -0,0 +1,161 @@
+package httpapi
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/node/service"
+	"github.com/basilferry/basilferry/node/settings"
+)
+
+// Limits of connections.
+const (
+	maxHeaderBytes    = 16 << 10
+	readHeaderTimeout = 5 * time.Second
+	readBodyTimeout   = 15 * time.Second
+	idleTimeout       = 60 * time.Second
+	// writeMargin is the time to write an answer after the longest call.
+	writeMargin = 15 * time.Second
+	// DefaultQuiet covers a request that is on its way when the load balancer
+	// sees the node leave: callers are 3 ms away.
+	DefaultQuiet = 250 * time.Millisecond
+)
+
+// Config is what a Server needs.
+type Config struct {
+	Requests   service.Requests
+	Operations service.Operations
+	Limits     settings.Limits
+	// OperatorToken is needed for operator calls; empty for none.
+	OperatorToken string
+	// Burn serves GET /v1/burn, Metrics serves GET /metrics; a nil handler is
+	// answered with KindNotFound.
+	Burn    http.Handler
+	Metrics http.Handler
+	// Ready returns why the node cannot serve yet, nil if it can; optional.
+	Ready func() *domain.Error
+	// Scope takes the metrics of docs/metrics.md; nil for none.
+	Scope tally.Scope
+	// Logger takes faults; nil for none.
+	Logger *log.Logger
+	// Quiet is how long Shutdown waits for a further request before it closes
+	// the listeners; zero for DefaultQuiet.
+	Quiet time.Duration
+}
+
+// Server is the HTTP API of one node.
+type Server struct {
+	cfg      Config
+	http     *http.Server
+	metrics  *metrics
+	slots    chan struct{}
+	active   atomic.Int64
+	draining atomic.Bool
+	// activity has a token after a request started or ended.
+	activity chan struct{}
+}
+
+// New returns a server that is not listening yet.
+func New(cfg Config) *Server {
+	if cfg.Scope == nil {
+		cfg.Scope = tally.NoopScope
+	}
+	if cfg.Logger == nil {
+		cfg.Logger = log.New(io.Discard)
+	}
+	if cfg.Quiet == 0 {
+		cfg.Quiet = DefaultQuiet
+	}
+	s := &Server{
+		cfg:      cfg,
+		metrics:  newMetrics(cfg.Scope),
+		slots:    make(chan struct{}, cfg.Limits.MaxInFlight),
+		activity: make(chan struct{}, 1),
+	}
+	s.http = &http.Server{
+		Handler:           s.Handler(),
+		MaxHeaderBytes:    maxHeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		WriteTimeout:      max(time.Duration(cfg.Limits.MaxDeadline), maxChangeWait, callTimeout) + writeMargin,
+		ErrorLog:          cfg.Logger.StandardLog(log.StandardLogOptions{ForceLevel: log.WarnLevel}),
+	}
+	return s
+}
+
+// Serve answers connections until Shutdown; it may be called for several
+// listeners.
+func (s *Server) Serve(l net.Listener) error {
+	err := s.http.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return &domain.Error{
+		Kind:    domain.KindUnavailable,
+		Message: "the HTTP listener failed: " + err.Error(),
+		Remedy:  "check the address and the limits of the process",
+	}
+}
+
+// Drain starts a planned stop: the health check fails, so that the load
+// balancer sends no further callers, and each answer closes its connection.
+// Requests are served as before.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// Shutdown drains, waits until no request is active and none has come for the
+// quiet time, and closes the listeners last. If ctx ends first it cuts the
+// remaining requests off and returns an *Error of kind KindUnavailable.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.Drain()
+	if s.awaitQuiet(ctx) && s.http.Shutdown(ctx) == nil {
+		return nil
+	}
+	left := s.active.Load()
+	s.http.Close()
+	return interrupted(left)
+}
+
+// awaitQuiet reports whether the server became quiet before ctx ended.
+func (s *Server) awaitQuiet(ctx context.Context) bool {
+	timer := time.NewTimer(s.cfg.Quiet)
+	defer timer.Stop()
+	for {
+		select {
+		case <-s.activity:
+			timer.Reset(s.cfg.Quiet)
+		case <-timer.C:
+			if s.active.Load() == 0 {
+				return true
+			}
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// began and ended track active requests for Shutdown.
+func (s *Server) began() {
+	s.metrics.inFlight.Update(float64(s.active.Add(1)))
+	s.noteActivity()
+}
+
+func (s *Server) ended() {
+	s.metrics.inFlight.Update(float64(s.active.Add(-1)))
+	s.noteActivity()
+}
+
+func (s *Server) noteActivity() {
+	select {
+	case s.activity <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/node/httpapi/strict.go
@@ -0,0 +1,178 @@
+package httpapi
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"reflect"
+	"strconv"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/node/settings/nearest"
+)
+
+// decodeStrict reads one JSON object into the struct that value points to. It
+// rejects unknown and repeated fields, further data, and text that has no exact
+// byte form, because encoding/json would alter or skip these silently.
+func decodeStrict(body []byte, value any) *domain.Error {
+	if !utf8.Valid(body) || hasLoneSurrogate(body) {
+		return badRequest("the body is not valid UTF-8", "send binary payload as payload_base64")
+	}
+	dec := json.NewDecoder(bytes.NewReader(body))
+	dec.UseNumber()
+	if err := checkFields(dec, reflect.TypeOf(value).Elem(), ""); err != nil {
+		return err
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return badRequest("the body has more than one JSON value", "send one JSON object")
+	}
+	if err := json.Unmarshal(body, value); err != nil {
+		return malformedJSON(err)
+	}
+	return nil
+}
+
+func malformedJSON(err error) *domain.Error {
+	var mismatch *json.UnmarshalTypeError
+	if errors.As(err, &mismatch) && mismatch.Field == "" {
+		return notAnObject()
+	}
+	if errors.As(err, &mismatch) {
+		return badRequest(fmt.Sprintf("field %s cannot hold %s", mismatch.Field, mismatch.Value), "write a value of type "+mismatch.Type.String())
+	}
+	var typed *domain.Error
+	if errors.As(err, &typed) {
+		return typed
+	}
+	if errors.Is(err, io.EOF) {
+		return badRequest("the body is empty or cut off", "send one JSON object")
+	}
+	return badRequest("the body is not valid JSON: "+err.Error(), "send one JSON object")
+}
+
+func notAnObject() *domain.Error {
+	return badRequest("the body is not a JSON object", "send one JSON object")
+}
+
+// checkFields reads one value from dec and compares the names of its objects
+// with the fields of typ.
+func checkFields(dec *json.Decoder, typ reflect.Type, path string) *domain.Error {
+	token, err := dec.Token()
+	if err != nil {
+		return malformedJSON(err)
+	}
+	for typ != nil && typ.Kind() == reflect.Pointer {
+		typ = typ.Elem()
+	}
+	switch token {
+	case json.Delim('{'):
+		return checkObject(dec, typ, path)
+	case json.Delim('['):
+		return checkArray(dec, typ, path)
+	}
+	if path == "" {
+		return notAnObject()
+	}
+	return nil
+}
+
+func checkObject(dec *json.Decoder, typ reflect.Type, path string) *domain.Error {
+	fields := fieldTypes(typ)
+	seen := map[string]bool{}
+	for dec.More() {
+		token, err := dec.Token()
+		if err != nil {
+			return malformedJSON(err)
+		}
+		name, _ := token.(string)
+		child, known := fields[name]
+		if fields != nil && !known {
+			return unknownField(path+name, name, fields)
+		}
+		if seen[name] {
+			return badRequest(fmt.Sprintf("field %q appears twice", path+name), "send it once")
+		}
+		seen[name] = true
+		if err := checkFields(dec, child, path+name+"."); err != nil {
+			return err
+		}
+	}
+	return closeDelim(dec)
+}
+
+func checkArray(dec *json.Decoder, typ reflect.Type, path string) *domain.Error {
+	var element reflect.Type
+	if typ != nil && typ.Kind() == reflect.Slice {
+		element = typ.Elem()
+	}
+	for dec.More() {
+		if err := checkFields(dec, element, path+"[]."); err != nil {
+			return err
+		}
+	}
+	return closeDelim(dec)
+}
+
+func closeDelim(dec *json.Decoder) *domain.Error {
+	if _, err := dec.Token(); err != nil {
+		return malformedJSON(err)
+	}
+	return nil
+}
+
+// fieldTypes returns the JSON fields of a struct; nil for any other type.
+func fieldTypes(typ reflect.Type) map[string]reflect.Type {
+	if typ == nil || typ.Kind() != reflect.Struct {
+		return nil
+	}
+	fields := make(map[string]reflect.Type, typ.NumField())
+	for i := range typ.NumField() {
+		name, _, _ := strings.Cut(typ.Field(i).Tag.Get("json"), ",")
+		fields[name] = typ.Field(i).Type
+	}
+	return fields
+}
+
+func unknownField(path, name string, fields map[string]reflect.Type) *domain.Error {
+	valid := make([]string, 0, len(fields))
+	for field := range fields {
+		valid = append(valid, field)
+	}
+	return badRequest(fmt.Sprintf("field %q is unknown", path), fmt.Sprintf("the nearest valid name is %q", nearest.Name(name, valid)))
+}
+
+// hasLoneSurrogate reports whether the text has a \u escape of half a surrogate
+// pair, which encoding/json replaces by U+FFFD.
+func hasLoneSurrogate(body []byte) bool {
+	for i := 0; i < len(body); i++ {
+		if body[i] != '\\' {
+			continue
+		}
+		unit, ok := escapedUnit(body[i:])
+		if !ok || unit < 0xd800 || unit > 0xdfff {
+			i++
+			continue
+		}
+		low, ok := escapedUnit(body[min(i+escapeLength, len(body)):])
+		if unit >= 0xdc00 || !ok || low < 0xdc00 || low > 0xdfff {
+			return true
+		}
+		i += 2*escapeLength - 1
+	}
+	return false
+}
+
+// escapeLength is the length of an escape such as \u00e9.
+const escapeLength = 6
+
+func escapedUnit(text []byte) (uint64, bool) {
+	if len(text) < escapeLength || text[0] != '\\' || text[1] != 'u' {
+		return 0, false
+	}
+	unit, err := strconv.ParseUint(string(text[2:escapeLength]), 16, 16)
+	return unit, err == nil
+}
--- /dev/null
+++ b/node/httpapi/submit.go
@@ -0,0 +1,134 @@
+package httpapi
+
+import (
+	"encoding/base64"
+	"net/http"
+	"time"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/node/service"
+)
+
+// Headers that name a request.
+const (
+	KeyHeader = "Idempotency-Key"
+	IDHeader  = "Request-Id"
+)
+
+// maxKeyBytes bounds an Idempotency-Key.
+const maxKeyBytes = 255
+
+// SubmitBody is the body of POST /v1/requests.
+type SubmitBody struct {
+	Kind  domain.Kind  `json:"kind"`
+	Class domain.Class `json:"class"`
+	Team  domain.Team  `json:"team"`
+	// DeadlineMS bounds the answer of an urgent request, in milliseconds from
+	// its arrival.
+	DeadlineMS int64            `json:"deadline_ms,omitempty"`
+	Resources  domain.Resources `json:"resources"`
+	Idempotent bool             `json:"idempotent,omitempty"`
+	// Payload is text whose UTF-8 bytes are handed to the task. At most one of
+	// Payload and PayloadBase64 is set.
+	Payload       *string `json:"payload,omitempty"`
+	PayloadBase64 *string `json:"payload_base64,omitempty"`
+}
+
+// name is how the caller names its request: by key, by id, or not at all.
+type name struct {
+	key string
+	id  domain.RequestID
+}
+
+// readName reads the headers KeyHeader and IDHeader.
+func readName(header http.Header) (name, *domain.Error) {
+	keys, ids := header.Values(KeyHeader), header.Values(IDHeader)
+	if len(keys)+len(ids) > 1 {
+		return name{}, badRequest("the request is named more than once", "send one of the headers "+KeyHeader+" and "+IDHeader+", once")
+	}
+	if len(keys) == 1 {
+		return name{key: keys[0]}, checkKey(keys[0])
+	}
+	if len(ids) == 0 {
+		return name{}, nil
+	}
+	id, err := parseID(ids[0])
+	return name{id: id}, err
+}
+
+func checkKey(key string) *domain.Error {
+	if key == "" || len(key) > maxKeyBytes {
+		return badRequest(KeyHeader+" is empty or longer than 255 bytes", "use a short unique key, for example a UUID")
+	}
+	for _, c := range []byte(key) {
+		if c < ' ' || c > '~' {
+			return badRequest(KeyHeader+" has a character that is not printable ASCII", "use a short unique key, for example a UUID")
+		}
+	}
+	return nil
+}
+
+func parseID(text string) (domain.RequestID, *domain.Error) {
+	id, err := domain.ParseRequestID(text)
+	if err != nil {
+		return id, domain.AsError(err)
+	}
+	return id, nil
+}
+
+// submitRequest returns the request that the body describes.
+func (b SubmitBody) submitRequest(n name, maxDeadline time.Duration) (service.SubmitRequest, *domain.Error) {
+	req := service.SubmitRequest{Key: n.key}
+	payload, err := b.payload()
+	if err != nil {
+		return req, err
+	}
+	if err := b.checkDeadline(maxDeadline); err != nil {
+		return req, err
+	}
+	req.Task = domain.Task{
+		ID:         n.id,
+		Kind:       b.Kind,
+		Class:      b.Class,
+		Team:       b.Team,
+		Resources:  b.Resources,
+		Idempotent: b.Idempotent,
+		Deadline:   time.Duration(b.DeadlineMS) * time.Millisecond,
+		Payload:    payload,
+	}
+	if err := req.Task.Validate(); err != nil {
+		return req, domain.AsError(err)
+	}
+	return req, nil
+}
+
+// checkDeadline compares in milliseconds, because a large number would
+// overflow as a time.Duration. Task.Validate checks that there is a deadline.
+func (b SubmitBody) checkDeadline(limit time.Duration) *domain.Error {
+	if b.DeadlineMS < 0 {
+		return badRequest("deadline_ms is negative", "set deadline_ms to a positive number")
+	}
+	if b.DeadlineMS > limit.Milliseconds() {
+		return deadlineAbove(limit)
+	}
+	if b.DeadlineMS != 0 && (b.Kind == domain.KindBatch || b.Kind == domain.KindWatch) {
+		return badRequest("a "+string(b.Kind)+" task has a deadline", "leave deadline_ms out; only urgent requests have one")
+	}
+	return nil
+}
+
+func (b SubmitBody) payload() ([]byte, *domain.Error) {
+	switch {
+	case b.Payload != nil && b.PayloadBase64 != nil:
+		return nil, badRequest("payload and payload_base64 are both set", "set one of them")
+	case b.Payload != nil:
+		return []byte(*b.Payload), nil
+	case b.PayloadBase64 == nil:
+		return nil, nil
+	}
+	data, err := base64.StdEncoding.Strict().DecodeString(*b.PayloadBase64)
+	if err != nil {
+		return nil, badRequest("payload_base64 is malformed: "+err.Error(), "use standard base64 with padding")
+	}
+	return data, nil
+}
--- a/node/settings/nearest/nearest.go
+++ b/node/settings/nearest/nearest.go
@@ -8,11 +8,12 @@
 )
 
 // Name returns the valid name with the smallest edit distance to got, the first
-// in alphabetical order if several are as near; empty if valid is empty.
+// in alphabetical order if several are as near; empty if valid is empty. Letter
+// case does not count.
 func Name(got string, valid []string) string {
 	best, bestDistance := "", 0
 	for _, name := range slices.Sorted(slices.Values(valid)) {
-		d := distance(strings.ToLower(got), strings.ToLower(name))
+		d := score(strings.ToLower(got), strings.ToLower(name))
 		if best == "" || d < bestDistance {
 			best, bestDistance = name, d
 		}
@@ -20,6 +21,20 @@
 	return best
 }
 
+// minPrefix is the shortest name that is taken as the start of another.
+const minPrefix = 3
+
+// score is the edit distance, but at most 2 for a name that starts the other,
+// because units are often left out ("cpu" for "cpu_milli").
+func score(a, b string) int {
+	d := distance(a, b)
+	short := min(len(a), len(b))
+	if short >= minPrefix && a[:short] == b[:short] {
+		return min(d, 2)
+	}
+	return d
+}
+
 // distance returns the number of single-byte insertions, deletions and
 // replacements that turn a into b.
 func distance(a, b string) int {
--- /dev/null
+++ b/node/settings/nearest/nearest_test.go
@@ -0,0 +1,18 @@
+package nearest
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a hint that names an unrelated field.
+func TestName(t *testing.T) {
+	valid := []string{"cpu_milli", "memory_mib", "slots", "deadline_ms"}
+	for got, want := range map[string]string{
+		"cpu": "cpu_milli", "slot": "slots", "sltos": "slots", "Memory_MiB": "memory_mib", "dead_line": "deadline_ms",
+	} {
+		assert.Equal(t, Name(got, valid), want, got)
+	}
+	assert.Equal(t, Name("x", nil), "")
+}
