Bound the arrival of bodies with the server's read time-out

The deadline that was set on each connection is not needed: net/http lifts its own read time-out once the body is whole, so the context of a long request is not cancelled. The reason given before was wrong.

Answers of injected handlers go out whole with length and checksum as well.

--- a/node/httpapi/answer.go
+++ b/node/httpapi/answer.go
@@ -1,6 +1,7 @@
 package httpapi
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -37,9 +38,13 @@
 		status = http.StatusInternalServerError
 		body, _ = json.Marshal(defect(err))
 	}
-	body = append(body, '\n')
+	w.Header().Set("Content-Type", "application/json")
+	s.writeBody(w, status, append(body, '\n'))
+}
+
+// writeBody sends a whole body of any type.
+func (s *Server) writeBody(w http.ResponseWriter, status int, body []byte) {
 	header := w.Header()
-	header.Set("Content-Type", "application/json")
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	header.Set(ChecksumHeader, Checksum(body))
 	w.WriteHeader(status)
@@ -48,6 +53,22 @@
 	}
 }
 
+// heldAnswer keeps an answer until it is whole.
+type heldAnswer struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+// Header implements http.ResponseWriter.
+func (a *heldAnswer) Header() http.Header { return a.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (a *heldAnswer) WriteHeader(status int) { a.status = status }
+
+// Write implements http.ResponseWriter.
+func (a *heldAnswer) Write(data []byte) (int, error) { return a.body.Write(data) }
+
 func (s *Server) writeError(w http.ResponseWriter, err *domain.Error) {
 	s.writeErrorStatus(w, err.HTTPStatus(), err)
 }
--- a/node/httpapi/errors.go
+++ b/node/httpapi/errors.go
@@ -21,7 +21,7 @@
 }
 
 func slowBody() *domain.Error {
-	return badRequest("the body did not arrive within "+readBodyTimeout.String(), "send the request again over a faster connection")
+	return badRequest("the body did not arrive within "+readTimeout.String(), "send the request again over a faster connection")
 }
 
 func cutBody(err error) *domain.Error {
--- a/node/httpapi/middleware.go
+++ b/node/httpapi/middleware.go
@@ -14,20 +14,12 @@
 	"github.com/basilferry/basilferry/core/domain"
 )
 
-// withTracking counts active requests, bounds the arrival of their bodies and
-// closes connections during a planned stop.
-//
-// http.Server.ReadTimeout is no use here: it goes on during the call and
-// cancels the context of long requests. readBody lifts the deadline once the
-// body is whole.
+// withTracking counts active requests and closes connections during a planned
+// stop.
 func (s *Server) withTracking(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.began()
 		defer s.ended()
-		if r.ContentLength != 0 {
-			// Also bounds the reading of a body that no handler takes.
-			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(readBodyTimeout))
-		}
 		if s.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
@@ -109,9 +101,6 @@
 	r.ResponseWriter.WriteHeader(status)
 }
 
-// Unwrap lets http.ResponseController reach the connection.
-func (r *statusRecorder) Unwrap() http.ResponseWriter { return r.ResponseWriter }
-
 // readBody reads the whole body within the size and time limits.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *domain.Error) {
 	limit := s.cfg.Limits.MaxBodyBytes
@@ -123,7 +112,6 @@
 	var over *http.MaxBytesError
 	switch {
 	case err == nil:
-		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 		return data, nil
 	case errors.As(err, &over):
 		return nil, tooLarge(limit)
--- a/node/httpapi/routes.go
+++ b/node/httpapi/routes.go
@@ -57,11 +57,16 @@
 	return s.withTracking(router)
 }
 
+// injected sends the answer of a handler of another package whole as well.
 func (s *Server) injected(h http.Handler) http.HandlerFunc {
 	if h == nil {
 		return s.notFound
 	}
-	return h.ServeHTTP
+	return func(w http.ResponseWriter, r *http.Request) {
+		held := &heldAnswer{header: w.Header(), status: http.StatusOK}
+		h.ServeHTTP(held, r)
+		s.writeBody(w, held.status, held.body.Bytes())
+	}
 }
 
 func (s *Server) notFound(w http.ResponseWriter, r *http.Request) {
--- a/node/httpapi/server.go
+++ b/node/httpapi/server.go
@@ -21,8 +21,9 @@
 const (
 	maxHeaderBytes    = 16 << 10
 	readHeaderTimeout = 5 * time.Second
-	readBodyTimeout   = 15 * time.Second
-	idleTimeout       = 60 * time.Second
+	// readTimeout bounds the arrival of a request with its body.
+	readTimeout = 15 * time.Second
+	idleTimeout = 60 * time.Second
 	// writeMargin is the time to write an answer after the longest call.
 	writeMargin = 15 * time.Second
 	// DefaultQuiet covers a request that is on its way when the load balancer
@@ -85,6 +86,7 @@
 		Handler:           s.Handler(),
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
 		WriteTimeout:      max(time.Duration(cfg.Limits.MaxDeadline), maxChangeWait, callTimeout) + writeMargin,
 		ErrorLog:          cfg.Logger.StandardLog(log.StandardLogOptions{ForceLevel: log.WarnLevel}),
