Measure objectives with multi-window burn rates

Operators need to see how fast each kind of task spends its error budget. Good and bad events are counted in a ring of 30 s buckets over 6 h, 17 KiB for each objective, and merged over nodes. Alerts need a short and a long window (5 min and 1 h at 14.4, 30 min and 6 h at 6). Reports are written as a table, JSON or one HTML page with inline SVG.

Tests compare windows, alerts and plotted points with hand-computed figures.

--- /dev/null
+++ b/core/burn/recorder.go
@@ -0,0 +1,161 @@
+package burn
+
+import (
+	"slices"
+	"time"
+
+	"github.com/basilferry/basilferry/core/domain"
+)
+
+// BucketWidth is the resolution of all windows. A window includes the bucket
+// that is being filled, so it covers up to one width less than its length.
+const BucketWidth = 30 * time.Second
+
+// span is the longest window.
+const span = 6 * time.Hour
+
+// ringSize is the number of buckets of one objective. At 24 bytes a bucket an
+// objective takes 17 KiB.
+const ringSize = int64(span / BucketWidth)
+
+// Bucket counts the events of one BucketWidth.
+type Bucket struct {
+	// Index is the Unix time of the bucket's start divided by BucketWidth.
+	Index int64  `json:"index"`
+	Good  uint64 `json:"good"`
+	Bad   uint64 `json:"bad"`
+}
+
+// indexOf returns the bucket of a time.
+func indexOf(now time.Time) int64 { return now.Unix() / int64(BucketWidth/time.Second) }
+
+// ring holds the newest buckets of one objective; a bucket is at the place
+// Index modulo ringSize.
+type ring [ringSize]Bucket
+
+func (r *ring) record(now time.Time, v Verdict) {
+	index := indexOf(now)
+	if index < 0 {
+		// An unset time has no place in the ring.
+		return
+	}
+	b := &r[index%ringSize]
+	if b.Index > index {
+		// The clock was set back by more than the longest window.
+		return
+	}
+	if b.Index < index {
+		*b = Bucket{Index: index}
+	}
+	if v == Good {
+		b.Good++
+	} else {
+		b.Bad++
+	}
+}
+
+// within returns the buckets of the longest window that ends at now, in order.
+func (r *ring) within(now time.Time) []Bucket {
+	last := indexOf(now)
+	var list []Bucket
+	for _, b := range r {
+		if b.Index > last-ringSize && b.Index <= last && b.Good+b.Bad > 0 {
+			list = append(list, b)
+		}
+	}
+	slices.SortFunc(list, func(a, b Bucket) int { return int(a.Index - b.Index) })
+	return list
+}
+
+// Recorder counts the events of one node in bounded memory. It is not safe for
+// concurrent use.
+type Recorder struct {
+	objectives []Objective
+	rings      map[domain.Kind]*ring
+}
+
+// NewRecorder returns a Recorder of at most one objective for each kind.
+func NewRecorder(objectives []Objective) *Recorder {
+	r := &Recorder{objectives: slices.Clone(objectives), rings: make(map[domain.Kind]*ring)}
+	for _, o := range objectives {
+		r.rings[o.Kind] = &ring{}
+	}
+	return r
+}
+
+// Observe judges an outcome and counts it. Kinds without an objective are not
+// counted.
+func (r *Recorder) Observe(now time.Time, kind domain.Kind, state domain.OutcomeState, took time.Duration) {
+	for _, o := range r.objectives {
+		if o.Kind == kind {
+			r.Record(now, kind, o.Judge(state, took))
+		}
+	}
+}
+
+// Record counts one event.
+func (r *Recorder) Record(now time.Time, kind domain.Kind, v Verdict) {
+	if ring, ok := r.rings[kind]; ok && v != Ignored {
+		ring.record(now, v)
+	}
+}
+
+// Series holds the counts of one objective, oldest bucket first. Empty buckets
+// are left out.
+type Series struct {
+	Objective Objective `json:"objective"`
+	Buckets   []Bucket  `json:"buckets"`
+}
+
+// Snapshot holds the counts of the longest window that ends at At.
+type Snapshot struct {
+	At     time.Time `json:"at"`
+	Series []Series  `json:"series"`
+}
+
+// Snapshot returns a copy of the counts, ordered as the objectives.
+func (r *Recorder) Snapshot(now time.Time) Snapshot {
+	s := Snapshot{At: now}
+	for _, o := range r.objectives {
+		s.Series = append(s.Series, Series{Objective: o, Buckets: r.rings[o.Kind].within(now)})
+	}
+	return s
+}
+
+// Merge adds the counts of several nodes up. The result has the latest time.
+// Of each kind the objective that comes first is kept.
+func Merge(snapshots ...Snapshot) Snapshot {
+	var merged Snapshot
+	for _, s := range snapshots {
+		if s.At.After(merged.At) {
+			merged.At = s.At
+		}
+		for _, series := range s.Series {
+			merged.add(series)
+		}
+	}
+	return merged
+}
+
+func (s *Snapshot) add(series Series) {
+	at := slices.IndexFunc(s.Series, func(own Series) bool { return own.Objective.Kind == series.Objective.Kind })
+	if at < 0 {
+		series.Buckets = slices.Clone(series.Buckets)
+		s.Series = append(s.Series, series)
+		return
+	}
+	s.Series[at].Buckets = addBuckets(s.Series[at].Buckets, series.Buckets)
+}
+
+func addBuckets(own, other []Bucket) []Bucket {
+	for _, b := range other {
+		at, found := slices.BinarySearchFunc(own, b, func(x, y Bucket) int { return int(x.Index - y.Index) })
+		if !found {
+			own = slices.Insert(own, at, b)
+			continue
+		}
+		own[at].Good += b.Good
+		own[at].Bad += b.Bad
+	}
+	return own
+}
--- /dev/null
+++ b/node/burnreport/html.go
@@ -0,0 +1,120 @@
+package burnreport
+
+import (
+	_ "embed"
+	"fmt"
+	"html/template"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/basilferry/basilferry/core/burn"
+)
+
+//go:embed page.html
+var pageText string
+
+var page = template.Must(template.New("page").Parse(pageText))
+
+// Size of a plot in SVG units, without its margins.
+const (
+	plotWidth  = 720
+	plotHeight = 120
+	// minScale keeps the alert thresholds in the plot.
+	minScale = 16.0
+)
+
+type pageView struct {
+	At         string
+	Objectives []objectiveView
+}
+
+type objectiveView struct {
+	Kind, Goal, Share, Alerts string
+	Firing                    bool
+	Windows                   []windowView
+	Plot                      plotView
+}
+
+type windowView struct{ Length, Rate string }
+
+// plotView is a line over the points of a report. Coordinates grow to the right
+// and down.
+type plotView struct {
+	Width, Height int
+	Line          string
+	Thresholds    []thresholdView
+	From, To, Top string
+}
+
+type thresholdView struct {
+	Y    string
+	Text string
+}
+
+// HTML writes one page with inline style and SVG plots.
+func HTML(w io.Writer, r burn.Report) error {
+	view := pageView{At: r.At.UTC().Format(time.RFC3339)}
+	for _, o := range r.Objectives {
+		view.Objectives = append(view.Objectives, viewOf(o))
+	}
+	return page.Execute(w, view)
+}
+
+func viewOf(o burn.ObjectiveReport) objectiveView {
+	v := objectiveView{
+		Kind:   string(o.Objective.Kind),
+		Goal:   goal(o.Objective),
+		Share:  share(o),
+		Alerts: alerts(o),
+		Plot:   plot(o),
+	}
+	for _, a := range o.Alerts {
+		v.Firing = v.Firing || a.Firing
+	}
+	for _, w := range o.Windows {
+		v.Windows = append(v.Windows, windowView{Length: short(w.Length), Rate: rate(w)})
+	}
+	return v
+}
+
+// short writes a whole number of hours or minutes.
+func short(d time.Duration) string {
+	if d%time.Hour == 0 {
+		return fmt.Sprintf("%d h", d/time.Hour)
+	}
+	return fmt.Sprintf("%d min", d/time.Minute)
+}
+
+func plot(o burn.ObjectiveReport) plotView {
+	top := minScale
+	for _, p := range o.Points {
+		top = max(top, p.Rate)
+	}
+	v := plotView{Width: plotWidth, Height: plotHeight, Line: line(o.Points, top), Top: fmt.Sprintf("%.0f", top)}
+	for _, a := range o.Alerts {
+		text := fmt.Sprintf("%s %g", a.Severity, a.Threshold)
+		v.Thresholds = append(v.Thresholds, thresholdView{Y: number(height(a.Threshold, top)), Text: text})
+	}
+	if len(o.Points) > 0 {
+		v.From = clock(o.Points[0].Start)
+		v.To = clock(o.Points[len(o.Points)-1].Start)
+	}
+	return v
+}
+
+// line returns the points of an SVG polyline.
+func line(points []burn.Point, top float64) string {
+	var sb strings.Builder
+	step := float64(plotWidth) / float64(max(len(points)-1, 1))
+	for i, p := range points {
+		fmt.Fprintf(&sb, "%s,%s ", number(float64(i)*step), number(height(p.Rate, top)))
+	}
+	return strings.TrimSpace(sb.String())
+}
+
+func height(rate, top float64) float64 { return plotHeight * (1 - rate/top) }
+
+func number(f float64) string { return fmt.Sprintf("%.1f", f) }
+
+func clock(t time.Time) string { return t.UTC().Format("15:04") + " UTC" }
