Add the net/rpc transport between nodes and a first router

Nodes had message types but no way to exchange them. Package peer adds the server, client, pinger and client pool over net/rpc with framed gob messages; package router adds the forwarding of requests to shard owners. The router has no tests yet.

--- /dev/null
+++ b/node/peer/errors.go
@@ -0,0 +1,83 @@
+package peer
+
+import (
+	"encoding/json"
+	"errors"
+	"net/rpc"
+	"strings"
+
+	"github.com/basilferry/basilferry/core/domain"
+)
+
+// errorPrefix marks an error text that holds a domain.Error in JSON, because
+// net/rpc carries errors as strings only.
+const errorPrefix = "basilferry-error:"
+
+// notSentError is the error of a call that was surely never sent.
+type notSentError struct{ cause *domain.Error }
+
+func (e *notSentError) Error() string { return e.cause.Error() }
+func (e *notSentError) Unwrap() error { return e.cause }
+
+// noAnswerError is the error of a call that may have been carried out.
+type noAnswerError struct{ cause *domain.Error }
+
+func (e *noAnswerError) Error() string { return e.cause.Error() }
+func (e *noAnswerError) Unwrap() error { return e.cause }
+
+// NotSent reports whether err tells that the call was surely never carried
+// out, because no complete message left this node. Only then may the same
+// call be made again elsewhere, or its request be reported as "not run".
+func NotSent(err error) bool {
+	var typed *notSentError
+	return errors.As(err, &typed)
+}
+
+// NoAnswer reports whether err tells that the call was sent, or may have been,
+// and that no valid answer came. Any other error was answered by the peer.
+func NoAnswer(err error) bool {
+	var typed *noAnswerError
+	return errors.As(err, &typed)
+}
+
+func notSent(message string) error {
+	return &notSentError{&domain.Error{
+		Kind:    domain.KindUnavailable,
+		Message: message,
+		Remedy:  "send the call again, or to another node",
+	}}
+}
+
+func noAnswer(message string) error {
+	return &noAnswerError{&domain.Error{
+		Kind:    domain.KindOutcomeUnknown,
+		Message: message,
+		Remedy:  "look the request up by its id",
+	}}
+}
+
+// encodeError makes an error that net/rpc can carry. It returns nil for nil.
+func encodeError(err error) error {
+	if err == nil {
+		return nil
+	}
+	text, marshalErr := json.Marshal(domain.AsError(err))
+	if marshalErr != nil {
+		return err
+	}
+	return errors.New(errorPrefix + string(text))
+}
+
+// decodeError returns the *domain.Error behind an error that a peer answered.
+// A text of another form becomes one of KindInternal.
+func decodeError(err rpc.ServerError) error {
+	text, found := strings.CutPrefix(string(err), errorPrefix)
+	if !found {
+		return domain.AsError(err)
+	}
+	decoded := new(domain.Error)
+	if json.Unmarshal([]byte(text), decoded) != nil {
+		return domain.AsError(err)
+	}
+	return decoded
+}
--- /dev/null
+++ b/node/peer/frame.go
@@ -0,0 +1,168 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/basilferry/basilferry/core/domain"
+)
+
+const (
+	// MaxMessageBytes bounds one message: a payload or answer of at most
+	// domain.MaxPayloadBytes and its description, or the records of a
+	// ConfigReply.
+	MaxMessageBytes = 4 * domain.MaxPayloadBytes
+	// headerBytes is the size of a frame header: a big-endian 32-bit number
+	// whose lower 31 bits are the length of the frame.
+	headerBytes = 4
+	// newStream is the bit of the header that tells that the frame starts a
+	// new gob stream.
+	newStream = 1 << 31
+	// keptBufferBytes bounds the buffer that is kept between messages, so that
+	// one large message does not hold memory for the life of the connection.
+	keptBufferBytes = 64 << 10
+)
+
+// errMessageFormat is returned for a frame that does not follow the protocol.
+var errMessageFormat = errors.New("a message does not follow the frame format")
+
+// unsendableError tells that a message could not be encoded or is too large.
+// Nothing was written then, and the connection stays usable.
+type unsendableError struct{ cause *domain.Error }
+
+func (e *unsendableError) Error() string { return e.cause.Error() }
+func (e *unsendableError) Unwrap() error { return e.cause }
+
+// frameWriter writes messages as frames. It is not safe for concurrent use.
+type frameWriter struct {
+	w   io.Writer
+	buf bytes.Buffer
+	enc *gob.Encoder
+	// restart tells that the next frame starts a new gob stream.
+	restart bool
+}
+
+func newFrameWriter(w io.Writer) *frameWriter {
+	f := &frameWriter{w: w}
+	f.reset()
+	return f
+}
+
+// reset starts a new gob stream: the encoder may believe that it has sent type
+// descriptions that were in a frame that was never written.
+func (f *frameWriter) reset() {
+	f.buf = bytes.Buffer{}
+	f.enc = gob.NewEncoder(&f.buf)
+	f.restart = true
+}
+
+// write sends the values as one frame.
+func (f *frameWriter) write(values ...any) error {
+	if err := f.encode(values); err != nil {
+		f.reset()
+		return err
+	}
+	frame := f.buf.Bytes()
+	header := uint32(len(frame) - headerBytes)
+	if f.restart {
+		header |= newStream
+	}
+	binary.BigEndian.PutUint32(frame, header)
+	_, err := f.w.Write(frame)
+	f.restart = false
+	if f.buf.Cap() > keptBufferBytes {
+		f.buf = bytes.Buffer{}
+	}
+	return err
+}
+
+func (f *frameWriter) encode(values []any) error {
+	f.buf.Reset()
+	f.buf.Write(make([]byte, headerBytes))
+	for _, v := range values {
+		if err := f.enc.Encode(v); err != nil {
+			return &unsendableError{&domain.Error{
+				Kind:    domain.KindInternal,
+				Message: "a message cannot be encoded: " + err.Error(),
+				Remedy:  "report this as a defect",
+			}}
+		}
+	}
+	if size := f.buf.Len() - headerBytes; size > MaxMessageBytes {
+		return &unsendableError{&domain.Error{
+			Kind:    domain.KindTooLarge,
+			Message: fmt.Sprintf("a message between nodes has %d bytes, the limit is %d", size, MaxMessageBytes),
+			Remedy:  "send a reference to the data in place of the data",
+		}}
+	}
+	return nil
+}
+
+// frameReader reads the messages that a frameWriter wrote. It is not safe for
+// concurrent use.
+type frameReader struct {
+	r   *bufio.Reader
+	buf bytes.Buffer
+	dec *gob.Decoder
+	// broken is the first decoding error; the gob stream is not usable after it.
+	broken error
+}
+
+func newFrameReader(r io.Reader) *frameReader {
+	return &frameReader{r: bufio.NewReader(r)}
+}
+
+// next reads the next complete frame. It returns io.EOF only between frames.
+func (f *frameReader) next() error {
+	if f.broken != nil {
+		return f.broken
+	}
+	var raw [headerBytes]byte
+	if _, err := io.ReadFull(f.r, raw[:]); err != nil {
+		return err
+	}
+	header := binary.BigEndian.Uint32(raw[:])
+	size := int64(header &^ newStream)
+	if size > MaxMessageBytes {
+		return errMessageFormat
+	}
+	if err := f.fill(size); err != nil {
+		return err
+	}
+	if header&newStream != 0 {
+		f.dec = gob.NewDecoder(&f.buf)
+	}
+	if f.dec == nil {
+		return errMessageFormat
+	}
+	return nil
+}
+
+// fill reads the frame's content. The buffer grows with the bytes that arrive,
+// not with the length that the header claims.
+func (f *frameReader) fill(size int64) error {
+	if f.buf.Cap() > keptBufferBytes {
+		f.buf = bytes.Buffer{}
+	}
+	f.buf.Reset()
+	_, err := io.CopyN(&f.buf, f.r, size)
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// decode decodes the next value of the frame; a nil v skips it.
+func (f *frameReader) decode(v any) error {
+	err := f.dec.Decode(v)
+	if err != nil {
+		f.broken = fmt.Errorf("a message cannot be decoded: %w", err)
+		return f.broken
+	}
+	return nil
+}
--- /dev/null
+++ b/node/peer/hello.go
@@ -0,0 +1,113 @@
+package peer
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"github.com/basilferry/basilferry/core/domain"
+)
+
+const (
+	// ProtocolVersion is the version of the messages and of their framing.
+	ProtocolVersion uint16 = 1
+	// HelloTimeout bounds the hello on the side of the server.
+	HelloTimeout = 500 * time.Millisecond
+
+	helloMagic = "BFP1"
+	helloBytes = len(helloMagic) + 2 + sha256.Size
+	replyBytes = 3
+)
+
+// helloStatus is the server's verdict on a hello.
+type helloStatus byte
+
+const (
+	helloAccepted helloStatus = iota
+	helloWrongVersion
+	helloWrongToken
+	helloTooMany
+)
+
+// tokenDigest is the SHA-256 digest of the peer token. The hello carries the
+// digest, because it has a fixed size whatever the token is.
+type tokenDigest [sha256.Size]byte
+
+func digestOf(token string) tokenDigest { return sha256.Sum256([]byte(token)) }
+
+// sendHello opens a connection on the side of the client and returns the
+// reason if the server refuses it.
+func sendHello(c net.Conn, d tokenDigest) error {
+	hello := make([]byte, 0, helloBytes)
+	hello = append(hello, helloMagic...)
+	hello = binary.BigEndian.AppendUint16(hello, ProtocolVersion)
+	hello = append(hello, d[:]...)
+	if _, err := c.Write(hello); err != nil {
+		return err
+	}
+	var reply [replyBytes]byte
+	if _, err := io.ReadFull(c, reply[:]); err != nil {
+		return fmt.Errorf("the peer does not answer the hello: %w", err)
+	}
+	return helloError(helloStatus(reply[0]), binary.BigEndian.Uint16(reply[1:]))
+}
+
+func helloError(s helloStatus, version uint16) error {
+	switch s {
+	case helloAccepted:
+		return nil
+	case helloWrongVersion:
+		return &domain.Error{
+			Kind:    domain.KindBadRequest,
+			Message: fmt.Sprintf("the peer speaks protocol version %d, this node speaks %d", version, ProtocolVersion),
+			Remedy:  "run the same release on all nodes",
+		}
+	case helloWrongToken:
+		return &domain.Error{
+			Kind:    domain.KindUnauthorized,
+			Message: "the peer refuses the peer token",
+			Remedy:  "set the same security.peer_token on all nodes",
+		}
+	case helloTooMany:
+		return &domain.Error{
+			Kind:    domain.KindUnavailable,
+			Message: "the peer has too many connections",
+			Remedy:  "check for nodes that dial without end, then try again",
+		}
+	}
+	return &domain.Error{
+		Kind:    domain.KindBadRequest,
+		Message: fmt.Sprintf("the peer answers the hello with unknown status %d", s),
+		Remedy:  "check the peer address in the settings",
+	}
+}
+
+// checkHello reads a hello on the side of the server.
+func checkHello(c net.Conn, want tokenDigest) (helloStatus, error) {
+	var hello [helloBytes]byte
+	if _, err := io.ReadFull(c, hello[:]); err != nil {
+		return 0, err
+	}
+	if string(hello[:len(helloMagic)]) != helloMagic {
+		return 0, errMessageFormat
+	}
+	rest := hello[len(helloMagic):]
+	if binary.BigEndian.Uint16(rest) != ProtocolVersion {
+		return helloWrongVersion, nil
+	}
+	if subtle.ConstantTimeCompare(rest[2:], want[:]) != 1 {
+		return helloWrongToken, nil
+	}
+	return helloAccepted, nil
+}
+
+func answerHello(c net.Conn, s helloStatus) error {
+	reply := [replyBytes]byte{byte(s)}
+	binary.BigEndian.PutUint16(reply[1:], ProtocolVersion)
+	_, err := c.Write(reply[:])
+	return err
+}
--- /dev/null
+++ b/node/peer/peertest/relay.go
@@ -0,0 +1,155 @@
+// Package peertest has a TCP relay for tests of connections that fail.
+package peertest
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+// Relay forwards TCP connections to a target. It can stop forwarding on the
+// connections that exist, without closing them, while new connections work.
+type Relay struct {
+	listener net.Listener
+	target   string
+	running  sync.WaitGroup
+	bytes    atomic.Int64
+	accepted atomic.Int64
+
+	mutex sync.Mutex
+	links []*link
+}
+
+// link is one relayed connection.
+type link struct {
+	near, far net.Conn
+	// toTarget and toClient are closed when the direction is frozen.
+	toTarget, toClient chan struct{}
+	ended              chan struct{}
+}
+
+// NewRelay starts a relay to target ("ip:port") on 127.0.0.1.
+func NewRelay(target string) (*Relay, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	r := &Relay{listener: l, target: target}
+	r.running.Go(r.accept)
+	return r, nil
+}
+
+// Address is where the relay listens.
+func (r *Relay) Address() string { return r.listener.Addr().String() }
+
+// Bytes returns the number of bytes that were forwarded in both directions.
+func (r *Relay) Bytes() int64 { return r.bytes.Load() }
+
+// Accepted returns the number of connections that were made.
+func (r *Relay) Accepted() int64 { return r.accepted.Load() }
+
+func (r *Relay) accept() {
+	for {
+		near, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		far, err := net.Dial("tcp", r.target)
+		if err != nil {
+			near.Close()
+			continue
+		}
+		r.accepted.Add(1)
+		r.relay(near, far)
+	}
+}
+
+func (r *Relay) relay(near, far net.Conn) {
+	l := &link{
+		near: near, far: far,
+		toTarget: make(chan struct{}),
+		toClient: make(chan struct{}),
+		ended:    make(chan struct{}),
+	}
+	r.mutex.Lock()
+	r.links = append(r.links, l)
+	r.mutex.Unlock()
+	r.running.Go(func() { r.copy(l, far, near, l.toTarget) })
+	r.running.Go(func() { r.copy(l, near, far, l.toClient) })
+}
+
+// copy forwards one direction until it fails or is frozen.
+func (r *Relay) copy(l *link, to, from net.Conn, frozen <-chan struct{}) {
+	buf := make([]byte, 64<<10)
+	for {
+		n, err := from.Read(buf)
+		select {
+		case <-frozen:
+			<-l.ended
+			return
+		default:
+		}
+		if n > 0 {
+			r.bytes.Add(int64(n))
+			_, err2 := to.Write(buf[:n])
+			if err == nil {
+				err = err2
+			}
+		}
+		if err != nil {
+			to.Close()
+			from.Close()
+			return
+		}
+	}
+}
+
+// Freeze stops both directions of all existing connections.
+func (r *Relay) Freeze() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, l := range r.links {
+		freeze(l.toTarget)
+		freeze(l.toClient)
+	}
+}
+
+// FreezeAnswers stops the direction from the target to the client.
+func (r *Relay) FreezeAnswers() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, l := range r.links {
+		freeze(l.toClient)
+	}
+}
+
+func freeze(c chan struct{}) {
+	select {
+	case <-c:
+	default:
+		close(c)
+	}
+}
+
+// Cut closes all existing connections.
+func (r *Relay) Cut() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, l := range r.links {
+		l.close()
+	}
+	r.links = nil
+}
+
+func (l *link) close() {
+	close(l.ended)
+	l.near.Close()
+	l.far.Close()
+}
+
+// Close ends the relay and all its connections.
+func (r *Relay) Close() {
+	r.listener.Close()
+	r.Cut()
+	r.running.Wait()
+}
--- /dev/null
+++ b/node/peer/pinger.go
@@ -0,0 +1,96 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/basilferry/basilferry/core/domain"
+)
+
+const (
+	// OwnDomainInterval is the time between two pings to a node of the own
+	// failure domain.
+	OwnDomainInterval = 250 * time.Millisecond
+	// OtherDomainInterval is the time between two pings to a node of another
+	// failure domain.
+	OtherDomainInterval = time.Second
+	// OtherDomainNodes is the number of nodes of other failure domains that a
+	// node pings.
+	OtherDomainNodes = 2
+)
+
+// Target is a node to ping.
+type Target struct {
+	Node   domain.NodeID
+	Client Caller
+}
+
+// PingResult is the result of one ping. Err is nil exactly if Reply is valid.
+type PingResult struct {
+	Node  domain.NodeID
+	Reply PingReply
+	Err   error
+	// RoundTrip is the time from the ping to its reply or failure.
+	RoundTrip time.Duration
+}
+
+// Pinger pings each node of the own failure domain every OwnDomainInterval,
+// and OtherDomainNodes nodes of other domains every OtherDomainInterval.
+type Pinger struct {
+	// Own are the other nodes of the own failure domain.
+	Own []Target
+	// Other are nodes of other failure domains; those after the first
+	// OtherDomainNodes are ignored.
+	Other []Target
+	// Args returns what this node tells of itself.
+	Args func() PingArgs
+	// Result receives each result. It is called from several goroutines and
+	// must return soon, because the next ping to the node waits for it.
+	Result func(PingResult)
+}
+
+// Run pings until ctx ends.
+func (p *Pinger) Run(ctx context.Context) {
+	var running sync.WaitGroup
+	other := p.Other[:min(len(p.Other), OtherDomainNodes)]
+	p.runAll(ctx, &running, p.Own, OwnDomainInterval)
+	p.runAll(ctx, &running, other, OtherDomainInterval)
+	running.Wait()
+}
+
+// runAll starts the pings to the targets, evenly spread over the interval.
+func (p *Pinger) runAll(ctx context.Context, running *sync.WaitGroup, targets []Target, interval time.Duration) {
+	for i, t := range targets {
+		first := interval * time.Duration(i) / time.Duration(len(targets))
+		running.Go(func() { p.run(ctx, t, first, interval) })
+	}
+}
+
+func (p *Pinger) run(ctx context.Context, t Target, first, interval time.Duration) {
+	timer := time.NewTimer(first)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		start := time.Now()
+		p.ping(ctx, t)
+		timer.Reset(max(0, interval-time.Since(start)))
+	}
+}
+
+func (p *Pinger) ping(ctx context.Context, t Target) {
+	start := time.Now()
+	// Longer than a dial and a ping together, so that it is the client that
+	// notices an unanswered ping and closes the connection.
+	limited, cancel := context.WithTimeout(ctx, 2*PingTimeout)
+	defer cancel()
+	reply, err := t.Client.Ping(limited, p.Args())
+	if ctx.Err() != nil {
+		return
+	}
+	p.Result(PingResult{Node: t.Node, Reply: reply, Err: err, RoundTrip: time.Since(start)})
+}
--- /dev/null
+++ b/node/router/delegate.go
@@ -0,0 +1,47 @@
+package router
+
+import (
+	"context"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/shard"
+	"github.com/basilferry/basilferry/node/service"
+)
+
+// Delegate implements service.Delegator. It retries only while the target has
+// surely not taken the task; a lost answer is returned as an error, and the
+// shard that delegates then repeats the call.
+func (r *Router) Delegate(ctx context.Context, target domain.ShardID, req shard.Submitted) (domain.Outcome, error) {
+	req.Delegated = true
+	budget := req.Budget
+	if budget <= 0 {
+		budget = service.CallTimeout
+	}
+	answer, cancelAnswer := context.WithTimeout(ctx, budget+answerGrace)
+	defer cancelAnswer()
+	send, cancelSend := context.WithTimeout(answer, budget)
+	defer cancelSend()
+	retry := newRetry()
+	for {
+		left := remaining(send)
+		if req.Task.Kind == domain.KindUrgent {
+			req.Budget = left
+		}
+		out, err := r.forward(answer, target, req, left)
+		if !notTaken(err) {
+			return out, err
+		}
+		if !retry.wait(send) {
+			return domain.Outcome{}, errNotDelegated(req.Task.ID, target, err)
+		}
+	}
+}
+
+func errNotDelegated(id domain.RequestID, target domain.ShardID, cause error) error {
+	return &domain.Error{
+		Kind:      domain.KindUnavailable,
+		Message:   "shard " + target.String() + " did not take the task: " + domain.AsError(cause).Message,
+		Remedy:    "delegate it again, or to another shard",
+		RequestID: id.String(),
+	}
+}
--- /dev/null
+++ b/node/router/hop.go
@@ -0,0 +1,151 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/shard"
+	"github.com/basilferry/basilferry/node/peer"
+	"github.com/basilferry/basilferry/node/service"
+)
+
+// errNoOwner is the error of a call to a shard without a known owner. Its kind
+// tells that nothing was started.
+func errNoOwner(id domain.ShardID) error {
+	return &domain.Error{
+		Kind:    domain.KindStaleEpoch,
+		Message: "no live owner of shard " + id.String() + " is known",
+		Remedy:  "try again in a second",
+	}
+}
+
+// ownerClient returns the client of the node that owns the shard.
+func (r *Router) ownerClient(id domain.ShardID) (peer.Caller, error) {
+	node, ok := r.Peers.Owner(id)
+	if !ok || node == r.Node.ID {
+		return nil, errNoOwner(id)
+	}
+	return r.Clients.Client(node)
+}
+
+// notTaken reports whether err tells that the call was surely not carried out
+// and that the owner should be looked up again: it was never sent, or the node
+// answered that it does not own the shard.
+func notTaken(err error) bool {
+	return peer.NotSent(err) || !peer.NoAnswer(err) && domain.KindOf(err) == domain.KindStaleEpoch
+}
+
+// forward hands a request to the owner of the shard, once.
+func (r *Router) forward(ctx context.Context, id domain.ShardID, req shard.Submitted, budget time.Duration) (domain.Outcome, error) {
+	if r.owned(id) {
+		return r.submitHere(ctx, id, req)
+	}
+	client, err := r.ownerClient(id)
+	if err != nil {
+		return domain.Outcome{}, err
+	}
+	reply, err := client.Forward(ctx, peer.ForwardArgs{
+		Shard:      id,
+		Task:       req.Task,
+		Budget:     budget,
+		Delegated:  req.Delegated,
+		Attempt:    req.Attempt,
+		Checkpoint: req.Checkpoint,
+	})
+	return reply.Outcome, err
+}
+
+// submitHere hands a request to a shard of this node. An outcome with another
+// id is never passed on.
+func (r *Router) submitHere(ctx context.Context, id domain.ShardID, req shard.Submitted) (domain.Outcome, error) {
+	out, err := r.Shards.Submit(ctx, id, req)
+	return sameID(req.Task.ID, out, err)
+}
+
+func sameID(id domain.RequestID, out domain.Outcome, err error) (domain.Outcome, error) {
+	if err != nil {
+		return domain.Outcome{}, err
+	}
+	if out.ID != id {
+		return domain.Outcome{}, &domain.Error{
+			Kind:      domain.KindInternal,
+			Message:   "the shard answered for request " + out.ID.String(),
+			Remedy:    "report this as a defect",
+			RequestID: id.String(),
+		}
+	}
+	return out, nil
+}
+
+// query asks the owner of a request about it, once.
+func (r *Router) query(ctx context.Context, id domain.RequestID) (domain.Outcome, error) {
+	if r.owned(id.Shard) {
+		out, err := r.Shards.Lookup(ctx, id)
+		return sameID(id, out, err)
+	}
+	client, err := r.ownerClient(id.Shard)
+	if err != nil {
+		return domain.Outcome{}, err
+	}
+	reply, err := client.Lookup(ctx, peer.IDArgs{ID: id, Budget: remaining(ctx)})
+	return reply.Outcome, err
+}
+
+// cancelAt asks the owner of a request to stop it, once.
+func (r *Router) cancelAt(ctx context.Context, id domain.RequestID) (domain.Outcome, error) {
+	if r.owned(id.Shard) {
+		out, err := r.Shards.Cancel(ctx, id)
+		return sameID(id, out, err)
+	}
+	client, err := r.ownerClient(id.Shard)
+	if err != nil {
+		return domain.Outcome{}, err
+	}
+	reply, err := client.Cancel(ctx, peer.IDArgs{ID: id, Budget: remaining(ctx)})
+	return reply.Outcome, err
+}
+
+// remaining returns the time until the deadline of ctx, at least 0, and
+// service.CallTimeout if there is none.
+func remaining(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return service.CallTimeout
+	}
+	return max(0, time.Until(deadline))
+}
+
+// retry spaces the tries of one request and bounds their number.
+type retry struct {
+	backoff backoff.ExponentialBackOff
+	tries   int
+}
+
+func newRetry() *retry {
+	return &retry{backoff: backoff.ExponentialBackOff{
+		InitialInterval:     minRetryDelay,
+		RandomizationFactor: backoff.DefaultRandomizationFactor,
+		Multiplier:          2,
+		MaxInterval:         maxRetryDelay,
+	}}
+}
+
+// wait waits until the next try is due. It reports false if ctx ended or the
+// tries are used up.
+func (t *retry) wait(ctx context.Context) bool {
+	t.tries++
+	if t.tries >= maxTries {
+		return false
+	}
+	timer := time.NewTimer(t.backoff.NextBackOff())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/node/router/query.go
@@ -0,0 +1,110 @@
+package router
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/explain"
+	"github.com/basilferry/basilferry/node/peer"
+	"github.com/basilferry/basilferry/node/service"
+)
+
+// KeyID implements service.Requests.
+func (r *Router) KeyID(key string) domain.RequestID { return r.Ring.KeyID(key) }
+
+// Lookup implements service.Requests.
+func (r *Router) Lookup(ctx context.Context, id domain.RequestID) (domain.Outcome, error) {
+	return r.ask(ctx, id, r.query)
+}
+
+// Cancel implements service.Requests. A cancellation without an answer is
+// repeated, because a second one changes nothing.
+func (r *Router) Cancel(ctx context.Context, id domain.RequestID) (domain.Outcome, error) {
+	return r.ask(ctx, id, r.cancelAt)
+}
+
+// ask repeats a call that does no harm when it is repeated until the owner
+// answers or service.CallTimeout has passed.
+func (r *Router) ask(ctx context.Context, id domain.RequestID,
+	once func(context.Context, domain.RequestID) (domain.Outcome, error),
+) (domain.Outcome, error) {
+	if err := r.checkID(id); err != nil {
+		return domain.Outcome{}, err
+	}
+	if !r.queries.enter() {
+		return domain.Outcome{}, errOverloaded(id)
+	}
+	defer r.queries.leave()
+	ctx, cancel := context.WithTimeout(ctx, service.CallTimeout)
+	defer cancel()
+	retry := newRetry()
+	for {
+		out, err := once(ctx, id)
+		if !notTaken(err) && !peer.NoAnswer(err) {
+			return out, err
+		}
+		if !retry.wait(ctx) {
+			return unknownNoOwner(id, err), nil
+		}
+	}
+}
+
+// Explain implements service.Requests.
+func (r *Router) Explain(ctx context.Context, id domain.RequestID) ([]explain.Entry, error) {
+	if err := r.checkID(id); err != nil {
+		return nil, err
+	}
+	if r.owned(id.Shard) {
+		return r.Shards.Explain(id), nil
+	}
+	client, err := r.ownerClient(id.Shard)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, service.CallTimeout)
+	defer cancel()
+	reply, err := client.Explain(ctx, peer.IDArgs{ID: id, Budget: remaining(ctx)})
+	return reply.Entries, err
+}
+
+// DrawIDs implements service.Requests. If no shard of the own failure domain
+// is ready, the ids come from another one.
+func (r *Router) DrawIDs(ctx context.Context, n int) ([]domain.RequestID, error) {
+	if n < 1 || n > maxDraw {
+		return nil, errDrawCount(n)
+	}
+	ctx, cancel := context.WithTimeout(ctx, service.CallTimeout)
+	defer cancel()
+	err := errNoShard()
+	retry := newRetry()
+	for {
+		for _, c := range r.candidates() {
+			var drawn idRange
+			drawn, err = r.draw(ctx, c, n)
+			if err == nil {
+				return drawn.list(c.shard), nil
+			}
+		}
+		if !retry.wait(ctx) {
+			return nil, domain.AsError(err)
+		}
+	}
+}
+
+func errDrawCount(n int) error {
+	return &domain.Error{
+		Kind:    domain.KindBadRequest,
+		Message: fmt.Sprintf("%d ids were asked for", n),
+		Remedy:  fmt.Sprintf("ask for 1 to %d ids", maxDraw),
+	}
+}
+
+// list returns the ids of the range.
+func (r idRange) list(shard domain.ShardID) []domain.RequestID {
+	ids := make([]domain.RequestID, r.left)
+	for i := range ids {
+		ids[i] = domain.RequestID{Shard: shard, Epoch: r.epoch, Seq: r.next + uint64(i)}
+	}
+	return ids
+}
