--- /dev/null
+++ b/node/router/fake_test.go
@@ -0,0 +1,265 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/basilferry/basilferry/core/configlog"
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/explain"
+	"github.com/basilferry/basilferry/core/shard"
+	"github.com/basilferry/basilferry/node/peer"
+	"github.com/basilferry/basilferry/node/peer/peertest"
+	"github.com/basilferry/basilferry/node/service"
+	"github.com/basilferry/basilferry/node/settings"
+)
+
+// longTime bounds what should take far less, also on a busy machine.
+const longTime = 30 * time.Second
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// cluster is a number of nodes in this process that call each other over TCP.
+// Its fields are what all nodes know in common.
+type cluster struct {
+	nodes  map[domain.NodeID]*testNode
+	relays map[domain.NodeID]*peertest.Relay
+
+	mutex    sync.Mutex
+	owners   map[domain.ShardID]domain.NodeID
+	runs     map[domain.RequestID]int
+	outcomes map[domain.RequestID]domain.Outcome
+	next     uint64
+	logUp    bool
+}
+
+// testNode is one node; it implements Shards, Peers and Config with the
+// cluster's state.
+type testNode struct {
+	*Router
+	c    *cluster
+	self settings.Node
+	pool *peer.Pool
+	// submit replaces the default of running the task at once.
+	submit      func(ctx context.Context, req shard.Submitted) (domain.Outcome, error)
+	provisional []domain.FailureDomain
+	version     domain.Version
+	propose     func() (configlog.Decision, error)
+}
+
+// The cluster of all tests: two nodes in domain a, one in domain b, two shards
+// per domain, b1 owns both of b.
+var testOwners = map[domain.ShardID]domain.NodeID{
+	{Domain: "a", Index: 0}: "a1", {Domain: "a", Index: 1}: "a2",
+	{Domain: "b", Index: 0}: "b1", {Domain: "b", Index: 1}: "b1",
+}
+
+func shardOf(d domain.FailureDomain, i int) domain.ShardID {
+	return domain.ShardID{Domain: d, Index: i}
+}
+
+func newCluster(t testing.TB, relayed bool) *cluster {
+	t.Helper()
+	c := &cluster{
+		nodes: make(map[domain.NodeID]*testNode), relays: make(map[domain.NodeID]*peertest.Relay),
+		owners: make(map[domain.ShardID]domain.NodeID), runs: make(map[domain.RequestID]int),
+		outcomes: make(map[domain.RequestID]domain.Outcome), logUp: true,
+	}
+	for s, n := range testOwners {
+		c.owners[s] = n
+	}
+	addresses := make(map[domain.NodeID]string)
+	listeners := make(map[domain.NodeID]net.Listener)
+	for _, id := range []domain.NodeID{"a1", "a2", "b1"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		listeners[id], addresses[id] = l, l.Addr().String()
+		if relayed {
+			c.relays[id], err = peertest.NewRelay(addresses[id])
+			assert.NilError(t, err)
+			addresses[id] = c.relays[id].Address()
+			t.Cleanup(c.relays[id].Close)
+		}
+	}
+	for id, l := range listeners {
+		c.start(t, id, l, addresses)
+	}
+	return c
+}
+
+func (c *cluster) start(t testing.TB, id domain.NodeID, l net.Listener, addresses map[domain.NodeID]string) {
+	n := &testNode{c: c, pool: peer.NewPool(addresses, "token"), version: 1}
+	n.self = settings.Node{ID: id, Domain: domain.FailureDomain(id[:1])}
+	n.Router = New(Options{
+		Node:    n.self,
+		Cluster: settings.Cluster{Domains: []domain.FailureDomain{"a", "b"}, ShardsPerDomain: 2},
+		Shards:  n, Peers: peersOf{n}, Config: configOf{n}, Ring: keyRing{}, Clients: n.pool,
+	})
+	s, err := peer.NewServer(n.Router.Handler(), "token")
+	assert.NilError(t, err)
+	go s.Serve(l)
+	c.nodes[id] = n
+	t.Cleanup(func() {
+		n.pool.Close()
+		n.Router.Close()
+		s.Close()
+	})
+}
+
+func (c *cluster) move(s domain.ShardID, to domain.NodeID) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.owners[s] = to
+}
+
+func (c *cluster) owner(s domain.ShardID) domain.NodeID {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.owners[s]
+}
+
+// run records that the task ran and returns its outcome.
+func (c *cluster) run(task domain.Task) domain.Outcome {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.runs[task.ID]++
+	out := domain.Outcome{ID: task.ID, State: domain.OutcomeRan, Answer: answerTo(task.Payload)}
+	c.outcomes[task.ID] = out
+	return out
+}
+
+func answerTo(payload []byte) []byte { return append([]byte("answer to "), payload...) }
+
+// assertRunsAtMostOnce guards against a request that was sent to two owners.
+func (c *cluster) assertRunsAtMostOnce(t *testing.T) {
+	t.Helper()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for id, n := range c.runs {
+		assert.Equal(t, n, 1, "request %s", id)
+	}
+}
+
+var errStale = &domain.Error{Kind: domain.KindStaleEpoch, Message: "not the owner", Remedy: "ask the owner"}
+
+func (n *testNode) check(s domain.ShardID) error {
+	if n.c.owner(s) != n.self.ID {
+		return errStale
+	}
+	return nil
+}
+
+func (n *testNode) Owned() []service.OwnedShard {
+	n.c.mutex.Lock()
+	defer n.c.mutex.Unlock()
+	var list []service.OwnedShard
+	for s, owner := range n.c.owners {
+		if owner == n.self.ID {
+			list = append(list, service.OwnedShard{Shard: s, Epoch: 1, Ready: true, FreeSlots: 8})
+		}
+	}
+	slices.SortFunc(list, func(a, b service.OwnedShard) int { return a.Shard.Index - b.Shard.Index })
+	return list
+}
+
+func (n *testNode) Draw(s domain.ShardID, count int) (domain.Epoch, uint64, error) {
+	n.c.mutex.Lock()
+	defer n.c.mutex.Unlock()
+	first := n.c.next + 1
+	n.c.next += uint64(count)
+	if n.c.owners[s] != n.self.ID {
+		return 0, 0, errStale
+	}
+	return 1, first, nil
+}
+
+func (n *testNode) Submit(ctx context.Context, s domain.ShardID, req shard.Submitted) (domain.Outcome, error) {
+	if err := n.check(s); err != nil {
+		return domain.Outcome{}, err
+	}
+	if n.submit != nil {
+		return n.submit(ctx, req)
+	}
+	return n.c.run(req.Task), nil
+}
+
+func (n *testNode) Lookup(_ context.Context, id domain.RequestID) (domain.Outcome, error) {
+	if err := n.check(id.Shard); err != nil {
+		return domain.Outcome{}, err
+	}
+	n.c.mutex.Lock()
+	defer n.c.mutex.Unlock()
+	if out, ok := n.c.outcomes[id]; ok {
+		return out, nil
+	}
+	return domain.Outcome{ID: id, State: domain.OutcomeNotRun}, nil
+}
+
+func (n *testNode) Cancel(ctx context.Context, id domain.RequestID) (domain.Outcome, error) {
+	return n.Lookup(ctx, id)
+}
+
+func (n *testNode) Explain(domain.RequestID) []explain.Entry {
+	return []explain.Entry{{Node: string(n.self.ID)}}
+}
+
+func (n *testNode) Workers() []service.WorkerStatus {
+	return []service.WorkerStatus{{ID: domain.WorkerID("worker-" + n.self.ID)}}
+}
+
+type peersOf struct{ n *testNode }
+
+func (p peersOf) Owner(s domain.ShardID) (domain.NodeID, bool) {
+	node := p.n.c.owner(s)
+	return node, node != ""
+}
+func (p peersOf) LiveInDomain() []domain.NodeID { return nil }
+func (p peersOf) Isolated() bool                { return false }
+func (p peersOf) LogUp() bool                   { return p.n.c.logUp }
+func (p peersOf) ReachableShards() []domain.ShardID {
+	if p.n.self.Domain == "b" {
+		return []domain.ShardID{shardOf("a", 0), shardOf("a", 1)}
+	}
+	return []domain.ShardID{shardOf("b", 0), shardOf("b", 1)}
+}
+func (p peersOf) Status() []service.NodeStatus {
+	return []service.NodeStatus{{ID: "a1", Domain: "a"}, {ID: "a2", Domain: "a"}, {ID: "b1", Domain: "b"}}
+}
+
+type configOf struct{ n *testNode }
+
+func (c configOf) Current() domain.Configuration       { return domain.Configuration{Version: c.n.version} }
+func (c configOf) History(int) []configlog.Decision    { return nil }
+func (c configOf) Provisional() []domain.FailureDomain { return c.n.provisional }
+func (c configOf) Propose(context.Context, configlog.Change) (configlog.Decision, error) {
+	return c.n.propose()
+}
+func (c configOf) AddProvisional(d domain.FailureDomain, _, _ string) {
+	c.n.provisional = append(c.n.provisional, d)
+}
+
+// keyRing maps a key "domain/index/number" to its shard.
+type keyRing struct{}
+
+func (keyRing) KeyID(key string) domain.RequestID {
+	var d string
+	var id domain.RequestID
+	fmt.Sscanf(key, "%1s/%d/%d", &d, &id.Shard.Index, &id.Seq)
+	id.Shard.Domain = domain.FailureDomain(d)
+	return id
+}
+
+func urgent(deadline time.Duration, payload string) domain.Task {
+	return domain.Task{
+		Kind: domain.KindUrgent, Class: "credit-check", Team: "loans", Deadline: deadline,
+		Resources: domain.Resources{CPUMilli: 100, MemoryMiB: 64}, Payload: []byte(payload),
+	}
+}
