--- a/core/journal/entry.go
+++ b/core/journal/entry.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"time"
 
 	"github.com/basilferry/basilferry/core/domain"
 	"github.com/basilferry/basilferry/core/platform"
@@ -67,20 +68,25 @@
 	ID domain.RequestID `json:"id"`
 }
 
-// Entry is one entry of a domain's stream. Exactly one field other than Shard
-// and Epoch is set. An entry other than a claim takes effect only if Epoch is
+// Entry is one entry of a domain's stream. Exactly one pointer field is
+// set. An entry other than a claim takes effect only if Epoch is
 // the epoch in force for Shard at that place of the stream: an owner that has
 // been replaced cannot write any more.
 type Entry struct {
-	Shard   domain.ShardID `json:"shard"`
-	Epoch   domain.Epoch   `json:"epoch,omitempty"`
-	Claim   *Claim         `json:"claim,omitempty"`
-	Release *Release       `json:"release,omitempty"`
-	Intent  *Intent        `json:"intent,omitempty"`
-	Job     *Job           `json:"job,omitempty"`
-	Ended   *Ended         `json:"ended,omitempty"`
-	Moved   *Moved         `json:"moved,omitempty"`
-	Arrived *Arrived       `json:"arrived,omitempty"`
+	Shard domain.ShardID `json:"shard"`
+	Epoch domain.Epoch   `json:"epoch,omitempty"`
+	// FirstAt is set in a snapshot: the time of the record that the entry
+	// repeats. A repeat has no effect on an id that has a record, because
+	// entries may be appended between the snapshot's making and its append.
+	FirstAt time.Time `json:"first_at,omitzero"`
+
+	Claim   *Claim   `json:"claim,omitempty"`
+	Release *Release `json:"release,omitempty"`
+	Intent  *Intent  `json:"intent,omitempty"`
+	Job     *Job     `json:"job,omitempty"`
+	Ended   *Ended   `json:"ended,omitempty"`
+	Moved   *Moved   `json:"moved,omitempty"`
+	Arrived *Arrived `json:"arrived,omitempty"`
 }
 
 // Batch is the data of one log record: entries committed together.
--- a/core/journal/journal_test.go
+++ b/core/journal/journal_test.go
@@ -100,6 +100,25 @@
 	assert.Equal(t, len(s.Intents)+len(s.Ended), 0)
 }
 
+// Guards against a snapshot that brings back a job which ended while the
+// snapshot was on its way, and against one that keeps old intents for ever.
+func TestSnapshotIsNoNews(t *testing.T) {
+	job := domain.RequestID{Shard: testShard, Epoch: 1, Seq: 1}
+	old := domain.RequestID{Shard: testShard, Epoch: 1, Seq: 2}
+	d := NewDomain()
+	s := apply(t, d,
+		record(t, 1, claim("n1", 0)),
+		record(t, 2, Entry{Epoch: 1, Job: &Job{Task: domain.Task{ID: job}}}),
+		record(t, 3, Entry{Epoch: 1, Intent: &Intent{ID: old}}))
+	snapshot := record(t, 5, s.Snapshot()...)
+	snapshot.AppendedAt = testTime.Add(KeyRetention / 2)
+	last := record(t, 6, Entry{Epoch: 1, Arrived: &Arrived{ID: job}})
+	last.AppendedAt = testTime.Add(KeyRetention + expireEvery)
+	s = apply(t, d, record(t, 4, Entry{Epoch: 1, Ended: &Ended{Outcome: domain.Outcome{ID: job}}}), snapshot, last)
+	assert.Equal(t, len(s.Jobs), 0)
+	assert.Equal(t, len(s.Intents), 0)
+}
+
 // Guards against a snapshot that loses or changes what is live.
 func TestSnapshotRestoresState(t *testing.T) {
 	job := domain.RequestID{Shard: testShard, Epoch: 1, Seq: 1}
--- a/core/journal/shard.go
+++ b/core/journal/shard.go
@@ -11,6 +11,9 @@
 // end was not logged, after its intent was logged.
 const KeyRetention = time.Hour
 
+// repeatedJob marks the repeat of an entry that does not expire by its age.
+var repeatedJob = time.Unix(1, 0).UTC()
+
 // KnownIntent is an intent together with the time of its record.
 type KnownIntent struct {
 	Intent
@@ -78,26 +81,26 @@
 // have expired. They are valid under the epoch in force.
 func (s *Shard) Snapshot() []Entry {
 	var out []Entry
-	add := func(e Entry) {
-		e.Shard, e.Epoch = s.ID, s.Epoch
+	add := func(at time.Time, e Entry) {
+		e.Shard, e.Epoch, e.FirstAt = s.ID, s.Epoch, at
 		out = append(out, e)
 	}
 	if s.Epoch != 0 {
-		add(Entry{Claim: &Claim{Shard: s.ID, Node: s.Owner, Previous: s.Epoch, Kept: s.Epoch}})
+		add(time.Time{}, Entry{Claim: &Claim{Shard: s.ID, Node: s.Owner, Previous: s.Epoch, Kept: s.Epoch}})
 	}
 	for _, j := range s.Jobs {
-		add(Entry{Job: &j})
+		add(repeatedJob, Entry{Job: &j})
 	}
 	for _, i := range s.Intents {
-		add(Entry{Intent: &i.Intent})
+		add(i.LoggedAt, Entry{Intent: &i.Intent})
 	}
 	for _, e := range s.Ended {
-		add(Entry{Ended: &e.Ended})
+		add(e.LoggedAt, Entry{Ended: &e.Ended})
 	}
 	for _, m := range s.Moved {
-		add(Entry{Moved: &m.Moved})
+		add(repeatedJob, Entry{Moved: &m.Moved})
 		if m.Arrived {
-			add(Entry{Arrived: &Arrived{ID: m.ID}})
+			add(repeatedJob, Entry{Arrived: &Arrived{ID: m.ID}})
 		}
 	}
 	return out
@@ -112,6 +115,12 @@
 	if e.Epoch != s.Epoch || s.Released {
 		return
 	}
+	if !e.FirstAt.IsZero() {
+		if (e.Job != nil && s.knows(e.Job.Task.ID)) || (e.Moved != nil && s.knows(e.Moved.ID)) {
+			return
+		}
+		at = e.FirstAt
+	}
 	switch {
 	case e.Release != nil:
 		s.Released = true
@@ -130,6 +139,14 @@
 	}
 }
 
+// knows reports whether there is a record of what became of a job.
+func (s *Shard) knows(id domain.RequestID) bool {
+	_, job := s.Jobs[id]
+	_, ended := s.Ended[id]
+	_, moved := s.Moved[id]
+	return job || ended || moved
+}
+
 func (s *Shard) claim(offset platform.Offset, c Claim) {
 	if c.Kept != 0 {
 		s.keep(c)
