--- a/core/shard/start.go
+++ b/core/shard/start.go
@@ -172,8 +172,11 @@
 		return
 	}
 	if err.Kind == domain.KindBadRequest {
-		m.finishNotRun(r, err.Message)
-		return
+		r.failures++
+		if r.urgent() || r.failures >= maxTaskFailures {
+			m.finishNotRun(r, err.Message)
+			return
+		}
 	}
 	if err.Kind == domain.KindNoCapacity {
 		r.avoid = avoidAlso(r.avoid, w.id)
