--- a/node/engine/config.go
+++ b/node/engine/config.go
@@ -69,7 +69,10 @@
 	Ring   *ring.Ring
 	Log    platform.Log
 	// Dial returns a client for the worker at "ip:port".
-	Dial       func(address string) platform.Worker
+	Dial func(address string) platform.Worker
+	// NotSent tells that an error of a worker call means that the command
+	// surely did not reach the worker; it is false for nil.
+	NotSent    func(error) bool
 	NewMachine NewMachine
 	NewFold    func() Fold
 	Delegator  service.Delegator
--- a/node/engine/engine.go
+++ b/node/engine/engine.go
@@ -240,6 +240,7 @@
 		calls:     &e.work,
 		clients:   newClients(e.config.Dial),
 		delegator: e.config.Delegator,
+		notSent:   e.config.NotSent,
 		commit:    e.committer.add,
 		now:       e.config.now,
 		fenced:    &r.fenced,
@@ -299,8 +300,8 @@
 }
 
 // Lookup implements service.Shards.
-func (e *Engine) Lookup(ctx context.Context, id domain.RequestID) (domain.Outcome, error) {
-	r, err := e.runner(id.Shard)
+func (e *Engine) Lookup(ctx context.Context, at domain.ShardID, id domain.RequestID) (domain.Outcome, error) {
+	r, err := e.runner(at)
 	if err != nil {
 		return domain.Outcome{}, err
 	}
@@ -308,8 +309,8 @@
 }
 
 // Cancel implements service.Shards.
-func (e *Engine) Cancel(ctx context.Context, id domain.RequestID) (domain.Outcome, error) {
-	r, err := e.runner(id.Shard)
+func (e *Engine) Cancel(ctx context.Context, at domain.ShardID, id domain.RequestID) (domain.Outcome, error) {
+	r, err := e.runner(at)
 	if err != nil {
 		return domain.Outcome{}, err
 	}
--- a/node/engine/executor.go
+++ b/node/engine/executor.go
@@ -19,8 +19,10 @@
 type executor struct {
 	// ctx ends with the engine, not with the runner: a call in flight when the
 	// shard is given up is not cut off at the worker.
-	ctx       context.Context
-	calls     *sync.WaitGroup
+	ctx   context.Context
+	calls *sync.WaitGroup
+	// notSent tells that a worker call surely did not reach the worker.
+	notSent   func(error) bool
 	clients   *clients
 	delegator service.Delegator
 	commit    func(entries []journal.Entry, live func() bool, done func(*domain.Error))
@@ -114,7 +116,9 @@
 	}
 	x.spawn(func() {
 		done.Status, done.Err = withTimeout(x.ctx, limit, func(ctx context.Context) (platform.TaskStatus, error) {
-			return call(ctx, ef.Request)
+			status, err := call(ctx, ef.Request)
+			done.NotSent = x.notSent(err)
+			return status, err
 		})
 		x.post(done)
 	})
@@ -187,6 +191,21 @@
 	})
 }
 
+// redirect asks the shard that a request was moved to. done is called once.
+func (x *executor) redirect(ef shard.Redirect, done func(domain.Outcome, *domain.Error)) {
+	ask := x.delegator.LookupAt
+	if ef.Cancel {
+		ask = x.delegator.CancelAt
+	}
+	x.calls.Add(1)
+	go func() {
+		defer x.calls.Done()
+		done(withTimeout(x.ctx, service.CallTimeout, func(ctx context.Context) (domain.Outcome, error) {
+			return ask(ctx, ef.Target, ef.ID)
+		}))
+	}()
+}
+
 func (x *executor) callDelegate(ef shard.Delegate, limit time.Duration) (domain.Outcome, *domain.Error) {
 	return withTimeout(x.ctx, limit, func(ctx context.Context) (domain.Outcome, error) {
 		return x.delegator.Delegate(ctx, ef.Target, ef.Request)
--- a/node/engine/runner.go
+++ b/node/engine/runner.go
@@ -251,6 +251,8 @@
 	switch ef := effect.(type) {
 	case shard.Reply:
 		r.reply(ef)
+	case shard.Redirect:
+		r.redirect(ef)
 	case shard.Explain:
 		r.config.Reasons.Record(ef.ID, ef.Reason)
 	case shard.StepDown:
@@ -277,7 +279,28 @@
 		return
 	}
 	delete(r.waiting, ef.Call)
-	req.reply <- result{outcome: ef.Outcome}
+	req.reply <- resultOf(ef.Outcome)
+}
+
+// resultOf tells an outcome from a call that the machine has not taken.
+func resultOf(o domain.Outcome) result {
+	if o.State == "" && o.Err != nil {
+		return result{err: o.Err}
+	}
+	return result{outcome: o}
+}
+
+// redirect answers a call with what the shard says that the request was moved
+// to.
+func (r *runner) redirect(ef shard.Redirect) {
+	req, ok := r.waiting[ef.Call]
+	if !ok {
+		return
+	}
+	delete(r.waiting, ef.Call)
+	r.exec.redirect(ef, func(o domain.Outcome, err *domain.Error) {
+		req.reply <- result{outcome: o, err: err}
+	})
 }
 
 // serve steps a caller's request, or refuses it before anything was started.
--- a/node/peer/message.go
+++ b/node/peer/message.go
@@ -61,6 +61,9 @@
 // IDArgs names a request.
 type IDArgs struct {
 	ID domain.RequestID
+	// Shard is the shard that the request was moved to; nil if it is still
+	// with the shard that its id names.
+	Shard *domain.ShardID
 	// Budget is the call's time-out.
 	Budget time.Duration
 }
--- a/node/router/fake_test.go
+++ b/node/router/fake_test.go
@@ -191,8 +191,8 @@
 	return n.c.run(req.Task), nil
 }
 
-func (n *testNode) Lookup(_ context.Context, id domain.RequestID) (domain.Outcome, error) {
-	if err := n.check(id.Shard); err != nil {
+func (n *testNode) Lookup(_ context.Context, at domain.ShardID, id domain.RequestID) (domain.Outcome, error) {
+	if err := n.check(at); err != nil {
 		return domain.Outcome{}, err
 	}
 	n.c.mutex.Lock()
@@ -203,8 +203,8 @@
 	return domain.Outcome{ID: id, State: domain.OutcomeNotRun}, nil
 }
 
-func (n *testNode) Cancel(ctx context.Context, id domain.RequestID) (domain.Outcome, error) {
-	return n.Lookup(ctx, id)
+func (n *testNode) Cancel(ctx context.Context, at domain.ShardID, id domain.RequestID) (domain.Outcome, error) {
+	return n.Lookup(ctx, at, id)
 }
 
 func (n *testNode) Explain(domain.RequestID) []explain.Entry {
--- a/node/router/handler.go
+++ b/node/router/handler.go
@@ -131,7 +131,7 @@
 
 // ask puts a question to a shard of this node.
 func (h handler) ask(args peer.IDArgs,
-	once func(context.Context, domain.RequestID) (domain.Outcome, error),
+	once func(context.Context, domain.ShardID, domain.RequestID) (domain.Outcome, error),
 ) (peer.OutcomeReply, error) {
 	if !h.r.queries.enter() {
 		return peer.OutcomeReply{}, errOverloaded(args.ID)
@@ -143,7 +143,11 @@
 	}
 	ctx, cancel := context.WithTimeout(h.r.ctx, limit)
 	defer cancel()
-	out, err := once(ctx, args.ID)
+	at := args.ID.Shard
+	if args.Shard != nil {
+		at = *args.Shard
+	}
+	out, err := once(ctx, at, args.ID)
 	out, err = sameID(args.ID, out, err)
 	return sealed(out, err)
 }
--- a/node/router/hop.go
+++ b/node/router/hop.go
@@ -82,29 +82,39 @@
 
 // query asks the owner of a request about it, once.
 func (r *Router) query(ctx context.Context, id domain.RequestID) (domain.Outcome, error) {
-	if r.owned(id.Shard) {
-		out, err := r.Shards.Lookup(ctx, id)
+	return r.LookupAt(ctx, id.Shard, id)
+}
+
+// cancelOnce asks the owner of a request to stop it, once.
+func (r *Router) cancelOnce(ctx context.Context, id domain.RequestID) (domain.Outcome, error) {
+	return r.CancelAt(ctx, id.Shard, id)
+}
+
+// LookupAt implements service.Delegator.
+func (r *Router) LookupAt(ctx context.Context, at domain.ShardID, id domain.RequestID) (domain.Outcome, error) {
+	if r.owned(at) {
+		out, err := r.Shards.Lookup(ctx, at, id)
 		return sameID(id, out, err)
 	}
-	client, err := r.ownerClient(id.Shard)
+	client, err := r.ownerClient(at)
 	if err != nil {
 		return domain.Outcome{}, err
 	}
-	reply, err := client.Lookup(ctx, peer.IDArgs{ID: id, Budget: remaining(ctx)})
+	reply, err := client.Lookup(ctx, peer.IDArgs{ID: id, Shard: &at, Budget: remaining(ctx)})
 	return reply.Outcome, err
 }
 
-// cancelAt asks the owner of a request to stop it, once.
-func (r *Router) cancelAt(ctx context.Context, id domain.RequestID) (domain.Outcome, error) {
-	if r.owned(id.Shard) {
-		out, err := r.Shards.Cancel(ctx, id)
+// CancelAt implements service.Delegator.
+func (r *Router) CancelAt(ctx context.Context, at domain.ShardID, id domain.RequestID) (domain.Outcome, error) {
+	if r.owned(at) {
+		out, err := r.Shards.Cancel(ctx, at, id)
 		return sameID(id, out, err)
 	}
-	client, err := r.ownerClient(id.Shard)
+	client, err := r.ownerClient(at)
 	if err != nil {
 		return domain.Outcome{}, err
 	}
-	reply, err := client.Cancel(ctx, peer.IDArgs{ID: id, Budget: remaining(ctx)})
+	reply, err := client.Cancel(ctx, peer.IDArgs{ID: id, Shard: &at, Budget: remaining(ctx)})
 	return reply.Outcome, err
 }
 
--- a/node/router/query.go
+++ b/node/router/query.go
@@ -21,7 +21,7 @@
 // Cancel implements service.Requests. A cancellation without an answer is
 // repeated, because a second one changes nothing.
 func (r *Router) Cancel(ctx context.Context, id domain.RequestID) (domain.Outcome, error) {
-	return r.ask(ctx, id, r.cancelAt)
+	return r.ask(ctx, id, r.cancelOnce)
 }
 
 // ask repeats a call that does no harm when it is repeated until the owner
--- a/node/service/shards.go
+++ b/node/service/shards.go
@@ -31,8 +31,10 @@
 	// Submit hands a task to its shard and waits for the reply. If ctx ends
 	// first the outcome is OutcomeUnknown; the task goes on.
 	Submit(ctx context.Context, id domain.ShardID, req shard.Submitted) (domain.Outcome, error)
-	Lookup(ctx context.Context, id domain.RequestID) (domain.Outcome, error)
-	Cancel(ctx context.Context, id domain.RequestID) (domain.Outcome, error)
+	// Lookup and Cancel ask a shard about a request of its own or one that was
+	// moved to it.
+	Lookup(ctx context.Context, at domain.ShardID, id domain.RequestID) (domain.Outcome, error)
+	Cancel(ctx context.Context, at domain.ShardID, id domain.RequestID) (domain.Outcome, error)
 	Explain(id domain.RequestID) []explain.Entry
 	Workers() []WorkerStatus
 }
@@ -74,6 +76,10 @@
 // Delegator carries a task to the owner of a shard in another domain.
 type Delegator interface {
 	Delegate(ctx context.Context, target domain.ShardID, req shard.Submitted) (domain.Outcome, error)
+	// LookupAt and CancelAt ask the owner of the shard that a request was moved
+	// to.
+	LookupAt(ctx context.Context, at domain.ShardID, id domain.RequestID) (domain.Outcome, error)
+	CancelAt(ctx context.Context, at domain.ShardID, id domain.RequestID) (domain.Outcome, error)
 }
 
 // CallTimeout bounds a call between nodes that has no deadline of its own.
