Add loggers, rate-limited faults and metrics in Prometheus text

Each component gets a logger with its name as prefix; configured secrets are replaced in every line. Faults that can occur many times a second have a rate limit each, and the lines left out are counted. Metrics go through a tally scope to a reporter that serves the Prometheus text format with net/http only: tally's own package needs a client library that is not among the project's libraries. The memory for series and faults is bounded.

The HTTP API reports faults and metrics through it, and a test compares the served metrics with docs/metrics.md.

--- a/node/httpapi/middleware.go
+++ b/node/httpapi/middleware.go
@@ -36,7 +36,7 @@
 				panic(value)
 			}
 			if value != nil {
-				s.cfg.Logger.Error("Handler panicked", "path", r.URL.Path, "panic", value, "stack", string(debug.Stack()))
+				s.cfg.Faults.Warn("panic", "Handler panicked", "path", r.URL.Path, "panic", value, "stack", string(debug.Stack()))
 				s.writeError(w, defect("internal fault"))
 			}
 		}()
--- a/node/httpapi/server.go
+++ b/node/httpapi/server.go
@@ -3,18 +3,17 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
-	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/basilferry/basilferry/core/domain"
 	"github.com/basilferry/basilferry/node/service"
 	"github.com/basilferry/basilferry/node/settings"
+	"github.com/basilferry/basilferry/node/telemetry"
 )
 
 // Limits of connections.
@@ -46,8 +45,8 @@
 	Ready func() *domain.Error
 	// Scope takes the metrics of docs/metrics.md; nil for none.
 	Scope tally.Scope
-	// Logger takes faults; nil for none.
-	Logger *log.Logger
+	// Faults takes faults of connections and defects; nil for none.
+	Faults *telemetry.Faults
 	// Quiet is how long Shutdown waits for a further request before it closes
 	// the listeners; zero for DefaultQuiet.
 	Quiet time.Duration
@@ -70,9 +69,6 @@
 	if cfg.Scope == nil {
 		cfg.Scope = tally.NoopScope
 	}
-	if cfg.Logger == nil {
-		cfg.Logger = log.New(io.Discard)
-	}
 	if cfg.Quiet == 0 {
 		cfg.Quiet = DefaultQuiet
 	}
@@ -89,7 +85,7 @@
 		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
 		WriteTimeout:      max(time.Duration(cfg.Limits.MaxDeadline), maxChangeWait, callTimeout) + writeMargin,
-		ErrorLog:          cfg.Logger.StandardLog(log.StandardLogOptions{ForceLevel: log.WarnLevel}),
+		ErrorLog:          cfg.Faults.StandardLog("http connection"),
 	}
 	return s
 }
--- a/node/httpapi/server_test.go
+++ b/node/httpapi/server_test.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -22,6 +24,7 @@
 	"github.com/basilferry/basilferry/core/explain"
 	"github.com/basilferry/basilferry/node/service"
 	"github.com/basilferry/basilferry/node/settings"
+	"github.com/basilferry/basilferry/node/telemetry"
 )
 
 var testID = domain.RequestID{Shard: domain.ShardID{Domain: "volos", Index: 1}, Epoch: 3, Seq: 9}
@@ -261,6 +264,29 @@
 	assert.Equal(t, call(s, "POST", "/v1/requests", urgentBody).Code, 200)
 }
 
+// Guards against metrics that docs/metrics.md does not list, or that do not
+// reach /metrics whole.
+func TestMetricsPage(t *testing.T) {
+	reporter := telemetry.NewReporter()
+	scope, closer := telemetry.NewScope(reporter)
+	s := testServer(&fakeService{}, func(c *Config) {
+		c.Scope = scope
+		c.Metrics = reporter
+	})
+	call(s, "GET", "/v1/nodes", "")
+	call(s, "BREW", "/x", "")
+	assert.NilError(t, closer.Close())
+	w := call(s, "GET", "/metrics", "")
+	assert.NilError(t, Verify(w.Header(), w.Body.Bytes()))
+	assert.Assert(t, cmp.Contains(w.Body.String(), `basilferry_http_requests_total{method="GET",route="/v1/nodes",status="200"} 1`))
+	assert.Assert(t, cmp.Contains(w.Body.String(), `basilferry_http_requests_total{method="other",route="none",status="404"} 1`))
+	page, err := os.ReadFile("../../docs/metrics.md")
+	assert.NilError(t, err)
+	for _, m := range regexp.MustCompile(`# TYPE (\w+)`).FindAllStringSubmatch(w.Body.String(), -1) {
+		assert.Assert(t, cmp.Contains(string(page), "`"+m[1]+"`"))
+	}
+}
+
 // Guards against a defect that ends the process or goes uncounted.
 func TestPanic(t *testing.T) {
 	scope := tally.NewTestScope("", nil)
