--- a/core/journal/domain.go
+++ b/core/journal/domain.go
@@ -46,25 +46,25 @@
 // before, repeats of an append and records of another form change nothing; the
 // error tells of a malformed record.
 func (d *Domain) ApplyRecord(rec platform.Record) error {
-	if rec.Offset <= d.last {
-		return nil
-	}
-	if d.first == 0 {
-		d.first = rec.Offset
-	}
-	d.last = rec.Offset
-	if d.repeated(rec.ID) {
+	if rec.Offset <= d.last || d.repeated(rec.ID) {
 		return nil
 	}
 	entries, err := Decode(rec)
 	if err != nil {
 		return err
 	}
-	d.apply(rec.Offset, rec.AppendedAt, entries)
+	d.Apply(rec.Offset, rec.AppendedAt, entries)
 	return nil
 }
 
-func (d *Domain) apply(offset platform.Offset, at time.Time, entries []Entry) {
+// Apply applies the entries of the next record of the stream, which is at
+// offset and was appended at the log service's time at. The caller drops
+// repeated records.
+func (d *Domain) Apply(offset platform.Offset, at time.Time, entries []Entry) {
+	if d.first == 0 {
+		d.first = offset
+	}
+	d.last = max(d.last, offset)
 	for _, e := range entries {
 		d.Shard(e.Shard).apply(offset, at, e)
 	}
--- a/node/engine/config.go
+++ b/node/engine/config.go
@@ -71,7 +71,8 @@
 	// Dial returns a client for the worker at "ip:port".
 	Dial func(address string) platform.Worker
 	// NotSent tells that an error of a worker call means that the command
-	// surely did not reach the worker; it is false for nil.
+	// surely did not reach the worker; it is false for nil. Without it every
+	// failed call may have reached the worker.
 	NotSent    func(error) bool
 	NewMachine NewMachine
 	NewFold    func() Fold
--- a/node/engine/engine.go
+++ b/node/engine/engine.go
@@ -41,6 +41,9 @@
 // New returns an engine that is not started yet.
 func New(c Config) *Engine {
 	ctx, cancel := context.WithCancel(context.Background())
+	if c.NotSent == nil {
+		c.NotSent = func(error) bool { return false }
+	}
 	e := &Engine{
 		config:  c,
 		ctx:     ctx,
--- a/node/engine/fakes_test.go
+++ b/node/engine/fakes_test.go
@@ -152,7 +152,7 @@
 	return &fakeFold{owners: map[domain.ShardID]membership.Ownership{}, live: map[domain.ShardID][]journal.Entry{}}
 }
 
-func (f *fakeFold) Apply(offset platform.Offset, entries []journal.Entry) {
+func (f *fakeFold) Apply(offset platform.Offset, _ time.Time, entries []journal.Entry) {
 	for _, e := range entries {
 		o := f.owners[e.Shard]
 		switch {
--- a/node/engine/follower.go
+++ b/node/engine/follower.go
@@ -203,7 +203,7 @@
 		f.logger.Error("engine: a log record is skipped", "offset", rec.Offset, "err", err)
 		return
 	}
-	f.fold.Apply(rec.Offset, entries)
+	f.fold.Apply(rec.Offset, rec.AppendedAt, entries)
 	if !issued {
 		return
 	}
--- a/node/engine/machine.go
+++ b/node/engine/machine.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"time"
+
 	"github.com/basilferry/basilferry/core/domain"
 	"github.com/basilferry/basilferry/core/journal"
 	"github.com/basilferry/basilferry/core/membership"
@@ -55,7 +57,9 @@
 // id that has ended or moved, or with a lower attempt than recorded, must have
 // no effect, because snapshots are appended after they were taken.
 type Fold interface {
-	Apply(offset platform.Offset, entries []journal.Entry)
+	// Apply applies the entries of the record at offset; at is the log service's
+	// time of the append.
+	Apply(offset platform.Offset, at time.Time, entries []journal.Entry)
 	Ownership(id domain.ShardID) membership.Ownership
 	// Journal returns a copy of the shard's part.
 	Journal(id domain.ShardID) Journal
