Add configsync: the configuration of a node in step with the config stream

Cause: configuration must reach each node also while the log service is down, and must never go back. Change: node/configsync follows the stream, takes the highest version from peers at start and while the log is down, keeps and appends provisional take-outs, and appends the configuration again before its record expires. The fold is an interface until core/configlog has it.

--- /dev/null
+++ b/node/configsync/fakes_test.go
@@ -0,0 +1,187 @@
+package configsync
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/basilferry/basilferry/core/configlog"
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/platform"
+	"github.com/basilferry/basilferry/node/peer"
+)
+
+const retention = time.Hour
+
+// memLog is the config stream in memory.
+type memLog struct {
+	mu      sync.Mutex
+	records []platform.Record
+	down    bool
+	// appendsDown fails appends only.
+	appendsDown bool
+	loseAnswers int
+	// changed is closed at the next change.
+	changed chan struct{}
+}
+
+func newMemLog() *memLog { return &memLog{changed: make(chan struct{})} }
+
+func (l *memLog) notify() {
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+func (l *memLog) Append(_ context.Context, _ platform.Stream, rec platform.Record) (platform.Offset, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down || l.appendsDown {
+		return 0, errors.New("log is down")
+	}
+	rec.Offset = platform.Offset(len(l.records) + 1)
+	rec.AppendedAt = time.Now()
+	l.records = append(l.records, rec)
+	l.notify()
+	if l.loseAnswers > 0 {
+		l.loseAnswers--
+		return 0, errors.New("answer lost")
+	}
+	return rec.Offset, nil
+}
+
+func (l *memLog) Read(ctx context.Context, _ platform.Stream, from platform.Offset, limit int, poll time.Duration) (platform.ReadReply, error) {
+	end := time.Now().Add(poll)
+	for {
+		l.mu.Lock()
+		changed := l.changed
+		next, down := platform.Offset(len(l.records)+1), l.down
+		records := slices.Clone(l.records[min(from, next)-1:])
+		l.mu.Unlock()
+		if down || ctx.Err() != nil {
+			return platform.ReadReply{}, errors.New("log is down")
+		}
+		if len(records) > 0 || !time.Now().Before(end) {
+			records = records[:min(limit, len(records))]
+			return platform.ReadReply{Records: records, First: 1, Next: next, Retention: retention}, nil
+		}
+		wait(ctx, time.Until(end), changed)
+	}
+}
+
+func (l *memLog) set(change func(*memLog)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	change(l)
+	l.notify()
+}
+
+func (l *memLog) len() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.records)
+}
+
+// fakeState accepts a change whose base is in force and knows take-outs only.
+type fakeState struct {
+	current domain.Configuration
+	history []configlog.Decision
+}
+
+func (s *fakeState) Current() domain.Configuration { return s.current }
+
+func (s *fakeState) History(int) []configlog.Decision { return s.history }
+
+func (s *fakeState) Adopt(c domain.Configuration) bool {
+	if c.Version <= s.current.Version {
+		return false
+	}
+	s.current = c
+	return true
+}
+
+func (s *fakeState) Apply(rec platform.Record) configlog.Decision {
+	if domain.Version(rec.Offset) <= s.current.Version || rec.Type != configlog.ChangeType {
+		return configlog.Decision{}
+	}
+	d := configlog.Decision{Version: domain.Version(rec.Offset), RecordID: rec.ID}
+	if err := json.Unmarshal(rec.Data, &d.Change); err != nil {
+		panic(err)
+	}
+	d.Accepted = d.Change.Base == s.current.Version
+	if d.Accepted {
+		s.current = applied(s.current, d)
+	}
+	s.history = append([]configlog.Decision{d}, s.history...)
+	return d
+}
+
+func applied(c domain.Configuration, d configlog.Decision) domain.Configuration {
+	c.Version = d.Version
+	c.TakeOuts = slices.Clone(c.TakeOuts)
+	if out := d.Change.TakeOut; out != nil {
+		c.TakeOuts = append(c.TakeOuts, domain.TakeOut{Domain: *out, Since: d.Version})
+	}
+	if back := d.Change.BringBack; back != nil {
+		c.TakeOuts = slices.DeleteFunc(c.TakeOuts, func(t domain.TakeOut) bool { return t.Domain == *back })
+	}
+	return c
+}
+
+func encode(kind string) func(string, any) (platform.Record, error) {
+	return func(id string, v any) (platform.Record, error) {
+		data, err := json.Marshal(v)
+		return platform.Record{ID: id, Type: kind, Data: data}, err
+	}
+}
+
+// group is nodes that can fetch from each other.
+type group map[domain.NodeID]*Sync
+
+// start adds a node whose peers are all nodes that were there before.
+func (g group) start(t *testing.T, l *memLog, id domain.NodeID, delay time.Duration) *Sync {
+	t.Helper()
+	var peers []domain.NodeID
+	for n := range g {
+		peers = append(peers, n)
+	}
+	change, snapshot := encode(configlog.ChangeType), encode(configlog.SnapshotType)
+	s := New(Config{
+		Node: id, Log: l, State: &fakeState{}, SnapshotDelay: delay, Logger: log.New(io.Discard),
+		Codec: Codec{
+			Change:   func(id string, c configlog.Change) (platform.Record, error) { return change(id, c) },
+			Snapshot: func(id string, c domain.Configuration) (platform.Record, error) { return snapshot(id, c) },
+		},
+		Peers: func() []domain.NodeID { return peers },
+		Fetch: func(_ context.Context, from domain.NodeID, after domain.Version) (peer.ConfigReply, error) {
+			return g[from].Reply(peer.ConfigArgs{After: after}), nil
+		},
+	})
+	s.Start(t.Context())
+	g[id] = s
+	return s
+}
+
+func (g group) stop() {
+	for _, s := range g {
+		s.Stop()
+	}
+}
+
+// ping gives each node what the others know.
+func (g group) ping() {
+	for id, s := range g {
+		args := peer.PingArgs{From: id, ConfigVersion: s.Current().Version, ProvisionalTakeOuts: s.Provisional()}
+		for other, o := range g {
+			if other != id {
+				o.Heard(args)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/node/configsync/follow.go
@@ -0,0 +1,153 @@
+package configsync
+
+import (
+	"context"
+	"time"
+
+	"github.com/basilferry/basilferry/core/configlog"
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/platform"
+)
+
+// follow reads the config stream until ctx ends.
+func (s *Sync) follow(ctx context.Context) {
+	poll := time.Duration(0)
+	for ctx.Err() == nil {
+		switch s.readOnce(ctx, poll) {
+		case readGood:
+			poll = pollWait
+		case readInterrupted:
+			poll = 0
+		case readFailed:
+			poll = 0
+			wait(ctx, retryDelay, nil)
+		}
+	}
+}
+
+// readEnd tells how a read ended.
+type readEnd int
+
+const (
+	readGood readEnd = iota
+	readFailed
+	// readInterrupted: catchUp asks for a fresh read.
+	readInterrupted
+)
+
+// readOnce issues one read and applies it.
+func (s *Sync) readOnce(ctx context.Context, poll time.Duration) readEnd {
+	readCtx, cancel := context.WithTimeout(ctx, poll+readTimeout)
+	defer cancel()
+	from, number := s.beginRead()
+	if poll > 0 {
+		stop := make(chan struct{})
+		defer close(stop)
+		s.work.Go(func() { s.interrupt(stop, cancel) })
+	}
+	reply, err := s.config.Log.Read(readCtx, configlog.Stream, from, readLimit, poll)
+	if err != nil {
+		if readCtx.Err() == context.Canceled {
+			return readInterrupted
+		}
+		s.setReadsUp(false)
+		return readFailed
+	}
+	s.take(reply, number)
+	return readGood
+}
+
+// interrupt cancels a read that waits for records when a fresh one is wanted.
+func (s *Sync) interrupt(stop <-chan struct{}, cancel context.CancelFunc) {
+	select {
+	case <-s.kick:
+		cancel()
+	case <-stop:
+	}
+}
+
+func (s *Sync) beginRead() (from platform.Offset, number uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	return s.next, s.reads
+}
+
+func (s *Sync) setReadsUp(up bool) {
+	s.mu.Lock()
+	s.readsUp = up
+	s.mu.Unlock()
+	signal(s.relay)
+	signal(s.settle)
+}
+
+// take applies a read.
+func (s *Sync) take(reply platform.ReadReply, number uint64) {
+	s.mu.Lock()
+	before, wasUp := s.state.Current().Version, s.readsUp
+	s.readsUp = true
+	s.retention = reply.Retention
+	s.next = max(s.next, reply.First)
+	for _, rec := range reply.Records {
+		if rec.Offset >= s.next {
+			s.apply(rec)
+		}
+	}
+	if s.next >= reply.Next {
+		s.endRead = number
+	}
+	dropped := s.dropSettled()
+	changed := dropped || s.state.Current().Version != before
+	close(s.changed)
+	s.changed = make(chan struct{})
+	s.mu.Unlock()
+	if !wasUp {
+		signal(s.settle)
+	}
+	if changed {
+		s.notifyChanged()
+	}
+}
+
+// apply takes the next record of the stream, from the log or from a peer. s.mu
+// is held.
+func (s *Sync) apply(rec platform.Record) {
+	s.next = rec.Offset + 1
+	d := s.state.Apply(rec)
+	s.records = append(s.records, rec)
+	if len(s.records) > 2*keptRecords {
+		s.records = append([]platform.Record(nil), s.records[len(s.records)-keptRecords:]...)
+	}
+	// A change that is accepted and a snapshot both carry the configuration.
+	if domain.Version(rec.Offset) == s.state.Current().Version || rec.Type == configlog.SnapshotType {
+		s.carried = rec.AppendedAt
+	}
+	if p := s.proposals[rec.ID]; p != nil && d.RecordID == rec.ID {
+		delete(s.proposals, rec.ID)
+		p.decision = d
+		close(p.decided)
+	}
+	s.dropSettled()
+}
+
+// catchUp returns once a read that was issued after the call has reached the
+// end of the stream, or with false when ctx ends.
+func (s *Sync) catchUp(ctx context.Context) bool {
+	s.mu.Lock()
+	after := s.reads
+	s.mu.Unlock()
+	signal(s.kick)
+	for {
+		s.mu.Lock()
+		reached, changed := s.endRead > after, s.changed
+		s.mu.Unlock()
+		if reached {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
--- /dev/null
+++ b/node/configsync/propose.go
@@ -0,0 +1,110 @@
+package configsync
+
+import (
+	"context"
+
+	"github.com/google/uuid"
+
+	"github.com/basilferry/basilferry/core/configlog"
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/platform"
+)
+
+// proposal is a change whose record has not been read yet.
+type proposal struct {
+	decided chan struct{}
+	// decision is valid once decided is closed.
+	decision configlog.Decision
+}
+
+// Propose implements service.Config. It returns an error of kind
+// KindUnavailable if the log service is down and nothing was appended, and of
+// kind KindOutcomeUnknown if ctx ended before the decision was known; the change
+// may then still be decided.
+func (s *Sync) Propose(ctx context.Context, change configlog.Change) (configlog.Decision, error) {
+	if !s.LogUp() {
+		return configlog.Decision{}, &domain.Error{
+			Kind:    domain.KindUnavailable,
+			Message: "the log service does not answer, so no change can be decided",
+			Remedy:  "try again once it answers; a take-out can be made provisionally meanwhile",
+		}
+	}
+	id := uuid.NewString()
+	rec, err := s.config.Codec.Change(id, change)
+	if err != nil {
+		return configlog.Decision{}, domain.AsError(err)
+	}
+	p := s.expect(id)
+	for ctx.Err() == nil {
+		if s.appendDecided(ctx, rec, p) {
+			return p.decision, nil
+		}
+		wait(ctx, retryDelay, p.decided)
+	}
+	s.forget(id)
+	return configlog.Decision{}, &domain.Error{
+		Kind:    domain.KindOutcomeUnknown,
+		Message: "the decision about the change was not read in time",
+		Remedy:  "look for record " + id + " in the configuration history",
+	}
+}
+
+func (s *Sync) expect(id string) *proposal {
+	p := &proposal{decided: make(chan struct{})}
+	s.mu.Lock()
+	s.proposals[id] = p
+	s.mu.Unlock()
+	return p
+}
+
+func (s *Sync) forget(id string) {
+	s.mu.Lock()
+	delete(s.proposals, id)
+	s.mu.Unlock()
+}
+
+// appendDecided appends the record and waits for its decision. After an append
+// without an answer it reads the stream to its end before it returns false, so
+// that the record is not appended again without need. A second copy has an old
+// base and is rejected by all readers.
+func (s *Sync) appendDecided(ctx context.Context, rec platform.Record, p *proposal) bool {
+	if p.done() {
+		return true
+	}
+	callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	result := make(chan error, 1)
+	go func() {
+		_, err := s.config.Log.Append(callCtx, configlog.Stream, rec)
+		result <- err
+	}()
+	select {
+	case err := <-result:
+		if err == nil {
+			return p.wait(ctx)
+		}
+	case <-p.decided:
+		return true
+	case <-callCtx.Done():
+	}
+	s.catchUp(ctx)
+	return p.done()
+}
+
+func (p *proposal) done() bool {
+	select {
+	case <-p.decided:
+		return true
+	default:
+		return false
+	}
+}
+
+func (p *proposal) wait(ctx context.Context) bool {
+	select {
+	case <-p.decided:
+		return true
+	case <-ctx.Done():
+		return p.done()
+	}
+}
--- /dev/null
+++ b/node/configsync/provisional.go
@@ -0,0 +1,122 @@
+package configsync
+
+import (
+	"context"
+	"slices"
+
+	"github.com/basilferry/basilferry/core/configlog"
+	"github.com/basilferry/basilferry/core/domain"
+)
+
+// provisional is a take-out that is not in the log yet.
+type provisional struct {
+	domain           domain.FailureDomain
+	operator, reason string
+	// base is the version in force on the node that made or relayed it.
+	base domain.Version
+}
+
+// Provisional implements service.Config.
+func (s *Sync) Provisional() []domain.FailureDomain {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	domains := make([]domain.FailureDomain, 0, len(s.provisional))
+	for _, p := range s.provisional {
+		domains = append(domains, p.domain)
+	}
+	slices.Sort(domains)
+	return domains
+}
+
+// AddProvisional implements service.Config.
+func (s *Sync) AddProvisional(d domain.FailureDomain, operator, reason string) {
+	s.mu.Lock()
+	base := s.state.Current().Version
+	added := s.addProvisional(provisional{domain: d, operator: operator, reason: reason, base: base})
+	s.mu.Unlock()
+	if added {
+		s.config.Logger.Warn("configsync: provisional take-out", "domain", d, "operator", operator, "reason", reason)
+		signal(s.settle)
+		s.notifyChanged()
+	}
+}
+
+// addProvisional reports whether the take-out is new. s.mu is held.
+func (s *Sync) addProvisional(p provisional) bool {
+	known := slices.ContainsFunc(s.provisional, func(o provisional) bool { return o.domain == p.domain })
+	if known || s.settled(p) {
+		return false
+	}
+	s.provisional = append(s.provisional, p)
+	return true
+}
+
+// settled reports whether a provisional take-out is overtaken: the domain is
+// taken out, or a change of the same domain was accepted after its base. As for
+// any change, the one with the older base loses. s.mu is held.
+func (s *Sync) settled(p provisional) bool {
+	if s.state.Current().TakenOut(p.domain) {
+		return true
+	}
+	return slices.ContainsFunc(s.state.History(keptRecords), func(d configlog.Decision) bool {
+		return d.Accepted && d.Version > p.base && (names(d.Change.TakeOut, p.domain) || names(d.Change.BringBack, p.domain))
+	})
+}
+
+func names(field *domain.FailureDomain, d domain.FailureDomain) bool {
+	return field != nil && *field == d
+}
+
+// dropSettled removes the take-outs that are overtaken and reports whether
+// there were any. s.mu is held.
+func (s *Sync) dropSettled() bool {
+	before := len(s.provisional)
+	s.provisional = slices.DeleteFunc(s.provisional, s.settled)
+	return len(s.provisional) < before
+}
+
+// runProvisional appends provisional take-outs once the log service answers,
+// those of other nodes too: the node that made one may be gone. Several nodes
+// may try at once; all but one are rejected and find the domain taken out.
+func (s *Sync) runProvisional(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait(ctx, settleInterval, s.settle)
+		for _, p := range s.pendingProvisional(ctx) {
+			s.proposeTakeOut(ctx, p)
+		}
+	}
+}
+
+// pendingProvisional returns the take-outs to append now. The stream is read to
+// its end first, because the take-out may be in it already.
+func (s *Sync) pendingProvisional(ctx context.Context) []provisional {
+	s.mu.Lock()
+	idle := len(s.provisional) == 0 || !s.readsUp
+	s.mu.Unlock()
+	if idle {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	if !s.catchUp(ctx) {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.provisional)
+}
+
+func (s *Sync) proposeTakeOut(ctx context.Context, p provisional) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	s.mu.Lock()
+	done, base := s.settled(p), s.state.Current().Version
+	s.mu.Unlock()
+	if done {
+		return
+	}
+	d, err := s.Propose(ctx, configlog.Change{Base: base, Operator: p.operator, Reason: p.reason, TakeOut: &p.domain})
+	if err != nil || !d.Accepted {
+		s.config.Logger.Info("configsync: provisional take-out is not in force yet", "domain", p.domain, "err", err)
+	}
+}
--- /dev/null
+++ b/node/configsync/relay.go
@@ -0,0 +1,113 @@
+package configsync
+
+import (
+	"context"
+	"sync"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/platform"
+	"github.com/basilferry/basilferry/node/peer"
+)
+
+// relayOperator names the operator of a take-out whose maker is not known.
+const relayOperator = "relayed"
+
+// Heard takes what a ping or its answer says of another node's configuration.
+func (s *Sync) Heard(from peer.PingArgs) {
+	s.mu.Lock()
+	if from.ConfigVersion > max(s.newest.version, s.state.Current().Version) {
+		s.newest = sighting{node: from.From, version: from.ConfigVersion}
+		signal(s.relay)
+	}
+	added := false
+	for _, d := range from.ProvisionalTakeOuts {
+		p := provisional{
+			domain: d, operator: relayOperator, base: from.ConfigVersion,
+			reason: "provisional take-out reported by node " + string(from.From),
+		}
+		added = s.addProvisional(p) || added
+	}
+	s.mu.Unlock()
+	if added {
+		signal(s.settle)
+		s.notifyChanged()
+	}
+}
+
+// runRelay takes newer versions from other nodes while the log is down.
+func (s *Sync) runRelay(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait(ctx, relayInterval, s.relay)
+		if from, ok := s.source(); ok {
+			s.fetch(ctx, from)
+		}
+	}
+}
+
+// source returns the node to ask, if any.
+func (s *Sync) source() (domain.NodeID, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	seen := s.newest
+	if s.readsUp || seen.version <= s.state.Current().Version {
+		return "", false
+	}
+	// Another node may take its place if this one does not answer.
+	s.newest = sighting{}
+	return seen.node, true
+}
+
+// fetchAll asks all peers at once and takes the highest version.
+func (s *Sync) fetchAll(ctx context.Context) {
+	var calls sync.WaitGroup
+	for _, n := range s.config.Peers() {
+		calls.Go(func() { s.fetch(ctx, n) })
+	}
+	calls.Wait()
+}
+
+func (s *Sync) fetch(ctx context.Context, from domain.NodeID) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	reply, err := s.config.Fetch(ctx, from, s.Current().Version)
+	if err != nil {
+		s.config.Logger.Debug("configsync: no configuration from node", "node", from, "err", err)
+		return
+	}
+	s.adopt(reply)
+}
+
+// adopt takes a peer's configuration if its version is higher. The records are
+// applied where they follow on the last one, so that the decisions are known;
+// otherwise the configuration is taken as it is.
+func (s *Sync) adopt(reply peer.ConfigReply) {
+	s.mu.Lock()
+	before := s.state.Current().Version
+	for _, rec := range reply.Records {
+		if rec.Offset == s.next {
+			s.apply(rec)
+		}
+	}
+	if reply.Configuration.Version > s.state.Current().Version {
+		s.state.Adopt(reply.Configuration)
+	}
+	dropped := s.dropSettled()
+	changed := dropped || s.state.Current().Version != before
+	s.mu.Unlock()
+	if changed {
+		s.notifyChanged()
+	}
+}
+
+// Reply answers another node's request for the records after a version.
+func (s *Sync) Reply(args peer.ConfigArgs) peer.ConfigReply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reply := peer.ConfigReply{Configuration: s.state.Current()}
+	for _, rec := range s.records {
+		if rec.Offset > platform.Offset(args.After) {
+			reply.Records = append(reply.Records, rec)
+		}
+	}
+	return reply
+}
--- /dev/null
+++ b/node/configsync/snapshot.go
@@ -0,0 +1,53 @@
+package configsync
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/basilferry/basilferry/core/configlog"
+	"github.com/basilferry/basilferry/core/domain"
+)
+
+// snapshotCheckInterval is how often the age of the configuration is checked.
+const snapshotCheckInterval = time.Second
+
+// runSnapshots appends the configuration in force again before its record
+// expires.
+func (s *Sync) runSnapshots(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait(ctx, snapshotCheckInterval, nil)
+		if c, due := s.snapshotDue(time.Now()); due {
+			s.appendSnapshot(ctx, c)
+		}
+	}
+}
+
+// snapshotDue reports whether two thirds of the retention have passed since the
+// configuration was last appended, and the delay of this node.
+func (s *Sync) snapshotDue(now time.Time) (domain.Configuration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.state.Current()
+	// Before the end of the stream was reached, a snapshot may still come.
+	if c.Version == 0 || !s.readsUp || s.endRead == 0 || s.retention == 0 {
+		return c, false
+	}
+	return c, now.Sub(s.carried) >= s.retention*2/3+s.config.SnapshotDelay
+}
+
+func (s *Sync) appendSnapshot(ctx context.Context, c domain.Configuration) {
+	rec, err := s.config.Codec.Snapshot(uuid.NewString(), c)
+	if err != nil {
+		s.config.Logger.Error("configsync: the configuration cannot be encoded", "version", c.Version, "err", err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	if _, err := s.config.Log.Append(ctx, configlog.Stream, rec); err != nil {
+		s.config.Logger.Warn("configsync: snapshot is not confirmed", "err", err)
+		return
+	}
+	s.catchUp(ctx)
+}
--- /dev/null
+++ b/node/configsync/sync.go
@@ -0,0 +1,127 @@
+package configsync
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/basilferry/basilferry/core/configlog"
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/platform"
+	"github.com/basilferry/basilferry/node/service"
+)
+
+// Sync is the configuration as this node knows it. It implements
+// service.Config.
+type Sync struct {
+	config Config
+	cancel context.CancelFunc
+	work   sync.WaitGroup
+	kick   chan struct{}
+	relay  chan struct{}
+	settle chan struct{}
+
+	mu    sync.Mutex
+	state State
+	// next is the offset of the next record to apply.
+	next platform.Offset
+	// records are the latest ones that were applied, for other nodes.
+	records []platform.Record
+	// carried is when the record that carries the configuration in force was
+	// appended, by the log's clock; zero if it is not known.
+	carried time.Time
+	// reads counts reads, endRead is the number of the latest one that reached
+	// the end of the stream.
+	reads, endRead uint64
+	readsUp        bool
+	retention      time.Duration
+	changed        chan struct{}
+	proposals      map[string]*proposal
+	provisional    []provisional
+	newest         sighting
+}
+
+// sighting is a higher version that another node has reported.
+type sighting struct {
+	node    domain.NodeID
+	version domain.Version
+}
+
+var _ service.Config = (*Sync)(nil)
+
+// New returns a Sync that is not started yet.
+func New(c Config) *Sync {
+	return &Sync{
+		config:    c,
+		state:     c.State,
+		next:      1,
+		kick:      make(chan struct{}, 1),
+		relay:     make(chan struct{}, 1),
+		settle:    make(chan struct{}, 1),
+		changed:   make(chan struct{}),
+		proposals: make(map[string]*proposal),
+	}
+}
+
+// Start takes the highest version from the peers, for at most fetchTimeout or
+// until ctx ends, and then follows the stream.
+func (s *Sync) Start(ctx context.Context) {
+	s.fetchAll(ctx)
+	runCtx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	for _, loop := range []func(context.Context){s.follow, s.runRelay, s.runProvisional, s.runSnapshots} {
+		s.work.Go(func() { loop(runCtx) })
+	}
+}
+
+// Stop ends all goroutines.
+func (s *Sync) Stop() {
+	s.cancel()
+	s.work.Wait()
+}
+
+// Current implements service.Config.
+func (s *Sync) Current() domain.Configuration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.Current()
+}
+
+// History implements service.Config.
+func (s *Sync) History(limit int) []configlog.Decision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.History(limit)
+}
+
+// LogUp reports whether the latest read of the config stream was answered.
+func (s *Sync) LogUp() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.readsUp
+}
+
+func (s *Sync) notifyChanged() {
+	if s.config.Changed != nil {
+		s.config.Changed()
+	}
+}
+
+// signal wakes a loop that waits on c.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// wait returns on a signal, after d, or when ctx ends.
+func wait(ctx context.Context, d time.Duration, c <-chan struct{}) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-c:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/node/configsync/sync_test.go
@@ -0,0 +1,154 @@
+package configsync
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/basilferry/basilferry/core/configlog"
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/platform"
+	"github.com/basilferry/basilferry/node/peer"
+)
+
+var volos domain.FailureDomain = "volos"
+
+// inBubble runs a test with virtual time and node n1.
+func inBubble(t *testing.T, test func(t *testing.T, l *memLog, g group, s *Sync)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		l, g := newMemLog(), group{}
+		defer g.stop()
+		s := g.start(t, l, "n1", 0)
+		time.Sleep(time.Second)
+		test(t, l, g, s)
+	})
+}
+
+func propose(t *testing.T, s *Sync, c configlog.Change) configlog.Decision {
+	t.Helper()
+	d, err := s.Propose(t.Context(), c)
+	assert.NilError(t, err)
+	return d
+}
+
+// Guards against a change that is appended twice, or reported as lost, because
+// the answer to its append was lost.
+func TestProposeWithLostAnswer(t *testing.T) {
+	inBubble(t, func(t *testing.T, l *memLog, g group, s *Sync) {
+		l.set(func(l *memLog) { l.loseAnswers = 1 })
+		d := propose(t, s, configlog.Change{TakeOut: &volos})
+		assert.Assert(t, d.Accepted && d.Version == 1)
+		assert.Equal(t, l.len(), 1)
+		assert.Assert(t, s.Current().TakenOut(volos))
+		assert.Assert(t, !propose(t, s, configlog.Change{BringBack: &volos}).Accepted)
+	})
+}
+
+// Guards against a change that is refused although it may take effect, and
+// against one that is sent while the log is known to be down.
+func TestProposeWhileLogFails(t *testing.T) {
+	inBubble(t, func(t *testing.T, l *memLog, g group, s *Sync) {
+		l.set(func(l *memLog) { l.appendsDown = true })
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := s.Propose(ctx, configlog.Change{TakeOut: &volos})
+		assert.Equal(t, domain.KindOf(err), domain.KindOutcomeUnknown)
+		l.set(func(l *memLog) { l.down = true })
+		time.Sleep(retryDelay)
+		_, err = s.Propose(t.Context(), configlog.Change{TakeOut: &volos})
+		assert.Equal(t, domain.KindOf(err), domain.KindUnavailable)
+	})
+}
+
+// Guards against a node that starts without a configuration, or falls back to a
+// lower one, while the log is down.
+func TestRestartWhileLogIsDown(t *testing.T) {
+	inBubble(t, func(t *testing.T, l *memLog, g group, s *Sync) {
+		propose(t, s, configlog.Change{TakeOut: &volos})
+		l.set(func(l *memLog) { l.down = true })
+		old := g.start(t, l, "n2", 0)
+		old.adopt(peer.ConfigReply{Configuration: domain.Configuration{Version: 5}})
+		restarted := g.start(t, l, "n3", 0)
+		assert.Equal(t, restarted.Current().Version, domain.Version(5))
+		restarted.adopt(s.Reply(peer.ConfigArgs{}))
+		assert.Equal(t, restarted.Current().Version, domain.Version(5))
+		l.set(func(l *memLog) { l.down = false })
+		time.Sleep(time.Second)
+		assert.Equal(t, restarted.Current().Version, domain.Version(5))
+	})
+}
+
+// Guards against a change that does not reach a node which is cut off from the
+// log, and against a history that differs there.
+func TestRelayWhileLogIsDown(t *testing.T) {
+	inBubble(t, func(t *testing.T, l *memLog, g group, s *Sync) {
+		cut := newMemLog()
+		other := g.start(t, cut, "n2", 0)
+		time.Sleep(time.Second)
+		cut.set(func(l *memLog) { l.down = true })
+		time.Sleep(time.Second)
+		propose(t, s, configlog.Change{TakeOut: &volos})
+		propose(t, s, configlog.Change{BringBack: &volos})
+		propose(t, s, configlog.Change{Base: 1, BringBack: &volos})
+		g.ping()
+		time.Sleep(2 * relayInterval)
+		assert.DeepEqual(t, other.Current(), s.Current())
+		assert.DeepEqual(t, other.History(10), s.History(10))
+	})
+}
+
+// Guards against a provisional take-out that is lost with the node that made it
+// or that is appended more than once with effect.
+func TestProvisionalTakeOut(t *testing.T) {
+	inBubble(t, func(t *testing.T, l *memLog, g group, s *Sync) {
+		other := g.start(t, l, "n2", 0)
+		l.set(func(l *memLog) { l.down = true })
+		time.Sleep(time.Second)
+		s.AddProvisional(volos, "ann", "fire")
+		s.AddProvisional(volos, "ann", "fire")
+		g.ping()
+		assert.DeepEqual(t, other.Provisional(), []domain.FailureDomain{volos})
+		assert.Assert(t, !other.Current().TakenOut(volos))
+		l.set(func(l *memLog) { l.down = false })
+		time.Sleep(3 * time.Second)
+		for _, n := range g {
+			assert.Equal(t, len(n.Provisional()), 0)
+			assert.Equal(t, len(n.Current().TakeOuts), 1)
+		}
+		// A node that has not heard of the end of the take-out still reports it.
+		propose(t, s, configlog.Change{Base: s.Current().Version, BringBack: &volos})
+		s.Heard(peer.PingArgs{From: "n3", ProvisionalTakeOuts: []domain.FailureDomain{volos}})
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, len(s.Provisional()), 0)
+		assert.Assert(t, !s.Current().TakenOut(volos))
+	})
+}
+
+// Guards against a configuration whose record expires, and against one snapshot
+// per node.
+func TestSnapshot(t *testing.T) {
+	inBubble(t, func(t *testing.T, l *memLog, g group, s *Sync) {
+		g.start(t, l, "n2", 10*time.Second)
+		propose(t, s, configlog.Change{TakeOut: &volos})
+		time.Sleep(retention*2/3 - 5*time.Second)
+		assert.Equal(t, l.len(), 1)
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, l.len(), 2)
+		assert.Equal(t, l.records[1].Type, configlog.SnapshotType)
+		time.Sleep(retention * 2 / 3)
+		assert.Equal(t, l.len(), 3)
+	})
+}
+
+// Guards against records kept for other nodes without bound.
+func TestKeptRecords(t *testing.T) {
+	s := New(Config{State: &fakeState{}})
+	for i := range 5 * keptRecords {
+		s.apply(platform.Record{Offset: platform.Offset(i + 1)})
+	}
+	assert.Assert(t, len(s.records) >= keptRecords && len(s.records) <= 2*keptRecords)
+}
