Start to assemble a node with fx

Listeners open first and close last. A planned stop drains the HTTP API, hands the shards over, and then closes the listeners.

--- /dev/null
+++ b/node/app/doc.go
@@ -0,0 +1,3 @@
+// Package app assembles an entry node from its parts with uber/fx, and starts
+// and stops them in order.
+package app
--- /dev/null
+++ b/node/app/feed.go
@@ -0,0 +1,132 @@
+package app
+
+import (
+	"context"
+	"reflect"
+	"slices"
+	"time"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/membership"
+	"github.com/basilferry/basilferry/core/shard"
+	"github.com/basilferry/basilferry/node/peer"
+)
+
+const (
+	// vmListInterval separates reads of the VM list, which itself lags by
+	// seconds.
+	vmListInterval = 500 * time.Millisecond
+	vmListTimeout  = 2 * time.Second
+	// configInterval is how often the machines' view of configuration and
+	// isolation is refreshed; it is part of the 3 s for a take-out.
+	configInterval = 100 * time.Millisecond
+)
+
+// every calls f at once and then in the given interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func(context.Context)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		f(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// feedWorkers gives the VM list to the engine. When the list cannot be read
+// the last one stays in use.
+func (n *node) feedWorkers(ctx context.Context) {
+	failing := false
+	every(ctx, vmListInterval, func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, vmListTimeout)
+		defer cancel()
+		vms, err := n.platform.VMs.List(ctx, n.settings.Node.Domain)
+		if err == nil {
+			n.engine.SetWorkers(vms)
+		}
+		if (err != nil) != failing {
+			failing = err != nil
+			n.logger.Warn("VM list changed state", "failing", failing, "err", err)
+		}
+	})
+}
+
+// feedConfig gives the configuration in force to the engine when it changes.
+func (n *node) feedConfig(ctx context.Context) {
+	var last shard.Configured
+	first := true
+	every(ctx, configInterval, func(context.Context) {
+		c := n.configured()
+		if !first && reflect.DeepEqual(c, last) {
+			return
+		}
+		first, last = false, c
+		n.engine.Configure(c)
+	})
+}
+
+// configured is the configuration in force with the provisional take-outs.
+func (n *node) configured() shard.Configured {
+	c := n.config.Current()
+	c.TakeOuts = slices.Clone(c.TakeOuts)
+	for _, d := range n.config.Provisional() {
+		if !c.TakenOut(d) {
+			c.TakeOuts = append(c.TakeOuts, domain.TakeOut{Domain: d, Since: c.Version})
+		}
+	}
+	var targets []domain.ShardID
+	for _, id := range n.members.ReachableShards() {
+		if !c.TakenOut(id.Domain) {
+			targets = append(targets, id)
+		}
+	}
+	return shard.Configured{Configuration: c, Isolated: n.members.Isolated(), Targets: targets}
+}
+
+// pingOwn pings the other nodes of the own failure domain.
+func (n *node) pingOwn(ctx context.Context) {
+	pinger := peer.Pinger{Args: n.router.PingArgs, Result: n.pinged}
+	for _, id := range n.members.NearPeers() {
+		client, err := n.pool.Client(id)
+		if err != nil {
+			n.logger.Error("peer has no client", "peer", id, "err", err)
+			continue
+		}
+		pinger.Own = append(pinger.Own, peer.Target{Node: id, Client: client})
+	}
+	pinger.Run(ctx)
+}
+
+// pingFar pings the nodes of other failure domains that the membership names,
+// which change with the ownership of shards.
+func (n *node) pingFar(ctx context.Context) {
+	every(ctx, membership.FarPingInterval, func(ctx context.Context) {
+		for _, id := range n.members.FarPeers() {
+			n.pingOne(ctx, id)
+		}
+	})
+}
+
+func (n *node) pingOne(ctx context.Context, id domain.NodeID) {
+	client, err := n.pool.Client(id)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, membership.FarPingInterval/2)
+	defer cancel()
+	start := time.Now()
+	reply, err := client.Ping(ctx, n.router.PingArgs())
+	n.pinged(peer.PingResult{Node: id, Reply: reply, Err: err, RoundTrip: time.Since(start)})
+}
+
+// pinged takes the result of a ping.
+func (n *node) pinged(r peer.PingResult) {
+	if r.Err != nil {
+		return
+	}
+	n.members.Answered(r.Reply)
+	n.router.Observe(r.Reply)
+	n.config.Heard(r.Reply)
+}
--- /dev/null
+++ b/node/app/lifecycle.go
@@ -0,0 +1,116 @@
+package app
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/basilferry/basilferry/core/domain"
+)
+
+const (
+	startTimeout = 15 * time.Second
+	// stopMargin is the time for closing listeners and connections after the
+	// node has stopped serving.
+	stopMargin = 5 * time.Second
+)
+
+// loops are the goroutines of a node that end together.
+type loops struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+func (l *loops) start() { l.ctx, l.cancel = context.WithCancel(context.Background()) }
+
+func (l *loops) run(f func(context.Context)) {
+	l.wg.Go(func() { f(l.ctx) })
+}
+
+func (l *loops) stop() {
+	l.cancel()
+	l.wg.Wait()
+}
+
+// start opens the listeners first, so that a wrong address is an error of the
+// start, and then the parts from the log upwards.
+func (n *node) start(context.Context) error {
+	if err := n.listen(); err != nil {
+		return err
+	}
+	n.loops.start()
+	n.loops.run(func(context.Context) { n.serve("peer", func() error { return n.peers.Serve(n.peerListener) }) })
+	n.engine.Start()
+	n.loops.run(n.config.Run)
+	n.loops.run(n.claimer.Run)
+	n.loops.run(n.pingOwn)
+	n.loops.run(n.pingFar)
+	n.loops.run(n.feedWorkers)
+	n.loops.run(n.feedConfig)
+	n.loops.run(func(context.Context) { n.serve("http", func() error { return n.http.Serve(n.httpListener) }) })
+	n.logger.Info("started", "id", n.settings.Node.ID, "http", n.httpListener.Addr(), "peer", n.peerListener.Addr())
+	return nil
+}
+
+func (n *node) listen() error {
+	var err error
+	if n.peerListener, err = listenOn(n.settings.Node.PeerAddress); err != nil {
+		return err
+	}
+	if n.httpListener, err = listenOn(n.settings.Node.HTTPAddress); err != nil {
+		n.peerListener.Close()
+		return err
+	}
+	return nil
+}
+
+func listenOn(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, &domain.Error{
+			Kind:    domain.KindUnavailable,
+			Message: fmt.Sprintf("cannot listen on %s: %v", address, err),
+			Remedy:  "free the address or set another one in the settings",
+		}
+	}
+	return l, nil
+}
+
+func (n *node) serve(name string, serve func() error) {
+	if err := serve(); err != nil {
+		n.logger.Error("listener failed", "listener", name, "err", err)
+	}
+}
+
+// stop is a planned stop. Shards are handed over while both listeners still
+// serve, so that callers and peers are answered or forwarded; the listeners are
+// closed last. If ctx ends first the rest is cut off.
+func (n *node) stop(ctx context.Context) error {
+	n.logger.Info("stopping")
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(n.settings.Limits.StopTimeout))
+	defer cancel()
+	n.http.Drain()
+	handOver := n.engine.Stop(ctx)
+	quiet := n.http.Shutdown(ctx)
+	n.shutdownPeers(ctx)
+	n.router.Close()
+	n.loops.stop()
+	n.pool.Close()
+	if err := n.metrics.closer.Close(); err != nil {
+		n.logger.Warn("metrics were not closed", "err", err)
+	}
+	n.logger.Info("stopped")
+	if handOver != nil {
+		return fmt.Errorf("hand over shards: %w", handOver)
+	}
+	return quiet
+}
+
+func (n *node) shutdownPeers(ctx context.Context) {
+	if n.peers.Shutdown(ctx) != nil {
+		n.peers.Close()
+	}
+}
--- /dev/null
+++ b/node/app/node.go
@@ -0,0 +1,284 @@
+package app
+
+import (
+	"context"
+	"io"
+	"net"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/basilferry/basilferry/core/configlog"
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/explain"
+	"github.com/basilferry/basilferry/core/membership"
+	"github.com/basilferry/basilferry/core/platform"
+	"github.com/basilferry/basilferry/core/policy"
+	"github.com/basilferry/basilferry/core/ring"
+	"github.com/basilferry/basilferry/node/configsync"
+	"github.com/basilferry/basilferry/node/engine"
+	"github.com/basilferry/basilferry/node/httpapi"
+	"github.com/basilferry/basilferry/node/peer"
+	"github.com/basilferry/basilferry/node/router"
+	"github.com/basilferry/basilferry/node/settings"
+	"github.com/basilferry/basilferry/node/telemetry"
+)
+
+// Bounds of the store of decision reasons of one node.
+const (
+	maxReasons      = 200_000
+	maxReasonsBytes = 32 << 20
+)
+
+// snapshotSpread separates the nodes' snapshots of the configuration, so that
+// one of them appends it and the others see it.
+const snapshotSpread = 5 * time.Second
+
+// Platform is how a node reaches the platform's services.
+type Platform struct {
+	Log  platform.Log
+	VMs  platform.VMList
+	Dial func(address string) platform.Worker
+	// NotSent tells that an error of a worker call means that the command
+	// surely did not reach the worker.
+	NotSent func(error) bool
+}
+
+// New returns the application of one entry node. Log lines go to out. Start it
+// with fx.App.Start; Stop is a planned stop.
+func New(s settings.Settings, p Platform, out io.Writer) *fx.App {
+	return fx.New(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.StartTimeout(startTimeout),
+		fx.StopTimeout(time.Duration(s.Limits.StopTimeout)+stopMargin),
+		fx.Supply(s, p),
+		fx.Provide(
+			func() (*telemetry.Logs, error) { return newLogs(s, out) },
+			newMetrics,
+			newRing,
+			newMembers,
+			newEngine,
+			newConfig,
+			newPool,
+			newRouter,
+			newBurn,
+			newHTTP,
+			newPeerServer,
+			newNode,
+		),
+		fx.Invoke(register),
+	)
+}
+
+func newLogs(s settings.Settings, out io.Writer) (*telemetry.Logs, error) {
+	return telemetry.NewLogs(out, s.Log, s.Security.OperatorToken, s.Security.PeerToken)
+}
+
+// metrics are the metrics of the process.
+type metrics struct {
+	reporter *telemetry.Reporter
+	scope    tally.Scope
+	closer   io.Closer
+}
+
+func newMetrics(s settings.Settings) metrics {
+	reporter := telemetry.NewReporter()
+	scope, closer := telemetry.NewScope(reporter)
+	tagged := scope.Tagged(map[string]string{"node": string(s.Node.ID), "failure_domain": string(s.Node.Domain)})
+	return metrics{reporter: reporter, scope: tagged, closer: closer}
+}
+
+func newRing(s settings.Settings) (*ring.Ring, error) {
+	return ring.New(s.Cluster.Domains, s.Cluster.ShardsPerDomain)
+}
+
+// clock is the origin of the node's Instants.
+type clock struct{ start time.Time }
+
+func newMembers(s settings.Settings) (*engine.Members, clock) {
+	start := time.Now()
+	cfg := membership.Config{Self: s.Node.ID, Domains: s.Cluster.Domains}
+	addresses := map[domain.NodeID]string{}
+	for _, n := range s.Cluster.Nodes {
+		cfg.Nodes = append(cfg.Nodes, membership.Node{ID: n.ID, Domain: n.Domain})
+		addresses[n.ID] = n.PeerAddress
+	}
+	return engine.NewMembers(cfg, addresses, start), clock{start: start}
+}
+
+func newEngine(
+	s settings.Settings, p Platform, r *ring.Ring, m *engine.Members, c clock, logs *telemetry.Logs,
+) (*engine.Engine, *lateDelegator) {
+	late := &lateDelegator{}
+	e := engine.New(engine.Config{
+		Node:       s.Node.ID,
+		Domain:     s.Node.Domain,
+		Ring:       r,
+		Log:        p.Log,
+		Dial:       p.Dial,
+		NotSent:    p.NotSent,
+		NewMachine: newMachine,
+		NewFold:    newFold,
+		Delegator:  late,
+		Reasons:    reasons{node: s.Node.ID, store: explain.NewStore(maxReasons, maxReasonsBytes)},
+		Logger:     logs.Component("engine"),
+		Observe:    m.Observe,
+		Start:      c.start,
+	})
+	return e, late
+}
+
+// initialConfiguration is version 0: the preset ordinary, nothing taken out.
+func initialConfiguration() domain.Configuration {
+	return domain.Configuration{Preset: policy.DefaultPresets()[0]}
+}
+
+func newConfig(s settings.Settings, p Platform, pool *peer.Pool, m *engine.Members, logs *telemetry.Logs) *configsync.Sync {
+	index := 0
+	for i, n := range s.Cluster.Nodes {
+		if n.ID == s.Node.ID {
+			index = i
+		}
+	}
+	return configsync.New(configsync.Config{
+		Node:          s.Node.ID,
+		Log:           p.Log,
+		State:         configlog.New(initialConfiguration()),
+		Codec:         configsync.Codec{Change: configlog.EncodeChange, Snapshot: configlog.EncodeSnapshot},
+		Peers:         func() []domain.NodeID { return livePeers(s.Node.ID, m) },
+		Fetch:         fetchConfig(pool),
+		SnapshotDelay: time.Duration(index) * snapshotSpread,
+		Logger:        logs.Component("config"),
+	})
+}
+
+func livePeers(self domain.NodeID, m *engine.Members) []domain.NodeID {
+	var live []domain.NodeID
+	for _, n := range m.Status() {
+		if n.Live && n.ID != self {
+			live = append(live, n.ID)
+		}
+	}
+	return live
+}
+
+func fetchConfig(pool *peer.Pool) func(context.Context, domain.NodeID, domain.Version) (peer.ConfigReply, error) {
+	return func(ctx context.Context, from domain.NodeID, after domain.Version) (peer.ConfigReply, error) {
+		client, err := pool.Client(from)
+		if err != nil {
+			return peer.ConfigReply{}, err
+		}
+		return client.Config(ctx, peer.ConfigArgs{After: after})
+	}
+}
+
+func newPool(s settings.Settings) *peer.Pool {
+	addresses := map[domain.NodeID]string{}
+	for _, n := range s.Cluster.Nodes {
+		if n.ID != s.Node.ID {
+			addresses[n.ID] = n.PeerAddress
+		}
+	}
+	return peer.NewPool(addresses, s.Security.PeerToken)
+}
+
+func newRouter(
+	s settings.Settings, e *engine.Engine, late *lateDelegator, m *engine.Members,
+	c *configsync.Sync, r *ring.Ring, pool *peer.Pool,
+) *router.Router {
+	rt := router.New(router.Options{
+		Node:    s.Node,
+		Cluster: s.Cluster,
+		Limits:  s.Limits,
+		Shards:  e,
+		Peers:   m,
+		Config:  c,
+		Ring:    r,
+		Clients: pool,
+		Records: func(after domain.Version) []platform.Record {
+			return c.Reply(peer.ConfigArgs{After: after}).Records
+		},
+		Pinged:   c.Heard,
+		Stopping: e.Stopping,
+	})
+	late.to = rt
+	return rt
+}
+
+func newPeerServer(s settings.Settings, rt *router.Router) (*peer.Server, error) {
+	return peer.NewServer(rt.Handler(), s.Security.PeerToken)
+}
+
+func newHTTP(s settings.Settings, rt *router.Router, b *burnRecorder, m metrics, logs *telemetry.Logs) *httpapi.Server {
+	return httpapi.New(httpapi.Config{
+		Requests:      observed{Requests: rt, burn: b},
+		Operations:    rt,
+		Limits:        s.Limits,
+		OperatorToken: s.Security.OperatorToken,
+		Burn:          b.handler(),
+		Metrics:       m.reporter,
+		Scope:         m.scope,
+		Logger:        logs.Component("http"),
+	})
+}
+
+// node is all that is started and stopped.
+type node struct {
+	settings settings.Settings
+	platform Platform
+	logger   *log.Logger
+	members  *engine.Members
+	engine   *engine.Engine
+	config   *configsync.Sync
+	router   *router.Router
+	pool     *peer.Pool
+	peers    *peer.Server
+	http     *httpapi.Server
+	metrics  metrics
+	claimer  *engine.Claimer
+
+	httpListener net.Listener
+	peerListener net.Listener
+	loops        loops
+}
+
+type nodeParams struct {
+	fx.In
+
+	Settings settings.Settings
+	Platform Platform
+	Logs     *telemetry.Logs
+	Members  *engine.Members
+	Engine   *engine.Engine
+	Config   *configsync.Sync
+	Router   *router.Router
+	Pool     *peer.Pool
+	Peers    *peer.Server
+	HTTP     *httpapi.Server
+	Metrics  metrics
+}
+
+func newNode(p nodeParams) *node {
+	version := func() domain.Version { return p.Config.Current().Version }
+	return &node{
+		settings: p.Settings,
+		platform: p.Platform,
+		logger:   p.Logs.Component("node"),
+		members:  p.Members,
+		engine:   p.Engine,
+		config:   p.Config,
+		router:   p.Router,
+		pool:     p.Pool,
+		peers:    p.Peers,
+		http:     p.HTTP,
+		metrics:  p.Metrics,
+		claimer:  engine.NewClaimer(p.Engine, p.Members, version, p.Logs.Component("engine")),
+	}
+}
+
+func register(lc fx.Lifecycle, n *node) {
+	lc.Append(fx.Hook{OnStart: n.start, OnStop: n.stop})
+}
--- /dev/null
+++ b/node/app/observe.go
@@ -0,0 +1,58 @@
+package app
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/basilferry/basilferry/core/burn"
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/node/burnreport"
+	"github.com/basilferry/basilferry/node/service"
+	"github.com/basilferry/basilferry/node/settings"
+)
+
+// burnRecorder counts the outcomes that this node has told its callers.
+type burnRecorder struct {
+	mu       sync.Mutex
+	recorder *burn.Recorder
+}
+
+func newBurn(s settings.Settings) *burnRecorder {
+	var objectives []burn.Objective
+	for _, g := range s.Goals {
+		objectives = append(objectives, burn.Objective{Kind: g.Kind, Target: g.Target, Latency: time.Duration(g.Latency)})
+	}
+	return &burnRecorder{recorder: burn.NewRecorder(objectives)}
+}
+
+func (b *burnRecorder) observe(kind domain.Kind, state domain.OutcomeState, took time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.recorder.Observe(time.Now(), kind, state, took)
+}
+
+func (b *burnRecorder) report() burn.Report {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return burn.Evaluate(b.recorder.Snapshot(time.Now()))
+}
+
+func (b *burnRecorder) handler() http.Handler { return burnreport.Handler(b.report) }
+
+// observed measures the requests of callers.
+type observed struct {
+	service.Requests
+	burn *burnRecorder
+}
+
+// Submit implements service.Requests.
+func (o observed) Submit(ctx context.Context, req service.SubmitRequest) (domain.Outcome, error) {
+	start := time.Now()
+	out, err := o.Requests.Submit(ctx, req)
+	if out.State != "" {
+		o.burn.observe(req.Task.Kind, out.State, time.Since(start))
+	}
+	return out, err
+}
