--- a/node/burnreport/report_test.go
+++ b/node/burnreport/report_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/basilferry/basilferry/core/burn"
 	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/node/settings"
 )
 
 func sample() burn.Report {
@@ -42,6 +43,15 @@
 	assert.Equal(t, get("?format=pdf").Code, 400)
 }
 
+// Guards against objectives that differ from the settings or are shown with
+// rounding errors.
+func TestObjectives(t *testing.T) {
+	got := Objectives([]settings.Goal{{Kind: domain.KindBatch, Target: 0.99990, Latency: settings.Duration(time.Minute)}})
+	assert.DeepEqual(t, got, []burn.Objective{{Kind: domain.KindBatch, Target: 0.9999, Latency: time.Minute}})
+	assert.Equal(t, goal(got[0]), "99.99% within 1m0s")
+	assert.Equal(t, goal(burn.Objective{Target: 0.57}), "57%")
+}
+
 // Guards against a page that loads something else, and against a plot that is
 // not valid SVG or leaves its frame.
 func TestPage(t *testing.T) {
--- a/node/burnreport/table.go
+++ b/node/burnreport/table.go
@@ -28,7 +28,8 @@
 }
 
 func goal(o burn.Objective) string {
-	text := fmt.Sprintf("%g%%", 100*o.Target)
+	// Six digits leave out the binary rounding of targets such as 0.9999.
+	text := fmt.Sprintf("%.6g%%", 100*o.Target)
 	if o.Latency > 0 {
 		text += " within " + o.Latency.String()
 	}
