--- /dev/null
+++ b/node/app/embedded.go
@@ -0,0 +1,167 @@
+package app
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"go.uber.org/fx"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/platform"
+	"github.com/basilferry/basilferry/node/load"
+	"github.com/basilferry/basilferry/node/settings"
+	"github.com/basilferry/basilferry/platform/logservice"
+	"github.com/basilferry/basilferry/platform/vmlist"
+	"github.com/basilferry/basilferry/platform/worker"
+)
+
+const (
+	// embeddedDeadline is the deadline of the urgent requests of the embedded
+	// load.
+	embeddedDeadline = 2 * time.Second
+	// embeddedSettle is the time for the nodes to claim their shards.
+	embeddedSettle = 15 * time.Second
+	embeddedPoll   = 50 * time.Millisecond
+	// embeddedBatchWait bounds the wait for batch tasks after the last request.
+	embeddedBatchWait = time.Minute
+	// embeddedVMListLag is the lag of the simulated VM list.
+	embeddedVMListLag = 2 * time.Second
+)
+
+// Embedded runs the platform's stand-ins and all entry nodes of the settings in
+// this process.
+type Embedded struct {
+	settings settings.Settings
+	log      *logservice.Log
+	vms      *vmlist.List
+	workers  map[string]*worker.Worker
+	nodes    []*fx.App
+}
+
+// NewEmbedded makes the stand-ins and nodes; it starts nothing. Log lines go
+// to logs.
+func NewEmbedded(s settings.Settings, logs io.Writer) *Embedded {
+	e := &Embedded{
+		settings: s,
+		log:      logservice.New(logservice.Options{Seed: s.Embedded.Seed}),
+		workers:  map[string]*worker.Worker{},
+	}
+	e.vms = vmlist.New(vmlist.Options{Lag: embeddedVMListLag}, e.makeWorkers()...)
+	for _, n := range s.Cluster.Nodes {
+		own := s
+		own.Node = settings.Node{ID: n.ID, Domain: n.Domain, HTTPAddress: n.HTTPAddress, PeerAddress: n.PeerAddress}
+		e.nodes = append(e.nodes, New(own, e.platform(), logs))
+	}
+	return e
+}
+
+// makeWorkers makes the workers of all failure domains and returns their VMs.
+func (e *Embedded) makeWorkers() []platform.VM {
+	var vms []platform.VM
+	for _, d := range e.settings.Cluster.Domains {
+		for i := range e.settings.Embedded.WorkersPerDomain {
+			vm := platform.VM{
+				ID:     domain.WorkerID(fmt.Sprintf("%s-w%02d", d, i+1)),
+				Domain: d,
+				Rack:   fmt.Sprintf("%s-r%d", d, i/e.settings.Embedded.WorkersPerRack+1),
+				State:  platform.VMLive,
+			}
+			vm.Address = string(vm.ID)
+			e.workers[vm.Address] = worker.New(worker.Config{
+				ID:       vm.ID,
+				Domain:   d,
+				Rack:     vm.Rack,
+				Capacity: e.settings.Embedded.Worker,
+			})
+			vms = append(vms, vm)
+		}
+	}
+	return vms
+}
+
+func (e *Embedded) platform() Platform {
+	return Platform{
+		Log:     e.log,
+		VMs:     e.vms,
+		Dial:    func(address string) platform.Worker { return e.workers[address] },
+		NotSent: func(error) bool { return false },
+	}
+}
+
+// Start starts the nodes and waits until every shard takes requests.
+func (e *Embedded) Start(ctx context.Context) error {
+	for _, n := range e.nodes {
+		if err := n.Start(ctx); err != nil {
+			return err
+		}
+	}
+	return e.awaitReady(ctx)
+}
+
+// awaitReady asks each node for ids until all shards can give some.
+func (e *Embedded) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, embeddedSettle)
+	defer cancel()
+	caller := load.NewCaller(1)
+	defer caller.Close()
+	for _, n := range e.settings.Cluster.Nodes {
+		for caller.Ready(ctx, "http://"+n.HTTPAddress) != nil {
+			if ctx.Err() != nil {
+				return &domain.Error{
+					Kind:    domain.KindUnavailable,
+					Message: fmt.Sprintf("node %s takes no requests after %s", n.ID, embeddedSettle),
+					Remedy:  "read the log lines of the node",
+				}
+			}
+			time.Sleep(embeddedPoll)
+		}
+	}
+	return nil
+}
+
+// Load sends the load of the settings and returns what the callers saw.
+func (e *Embedded) Load(ctx context.Context) load.Report {
+	m := e.settings.Embedded
+	var nodes []string
+	for _, n := range e.settings.Cluster.Nodes {
+		nodes = append(nodes, "http://"+n.HTTPAddress)
+	}
+	return load.Run(ctx, load.Config{
+		Nodes: nodes,
+		Mix: load.Mix{
+			UrgentPerSecond: m.UrgentPerSecond,
+			Deadline:        embeddedDeadline,
+			BatchTasks:      m.BatchTasks,
+			Watches:         m.Watches,
+			Duration:        time.Duration(m.Duration),
+			Seed:            m.Seed,
+		},
+		Expected:  worker.ExpectedAnswer,
+		BatchWait: embeddedBatchWait,
+	})
+}
+
+// Stop stops the nodes one by one in a planned way.
+func (e *Embedded) Stop(ctx context.Context) error {
+	var first error
+	for _, n := range e.nodes {
+		if err := n.Stop(ctx); err != nil && first == nil {
+			first = err
+		}
+	}
+	for _, w := range e.workers {
+		w.Close()
+	}
+	return first
+}
+
+// History returns the runs that the workers recorded.
+func (e *Embedded) History() []worker.Interval {
+	var all []worker.Interval
+	for _, w := range e.workers {
+		all = append(all, w.History()...)
+	}
+	return all
+}
--- a/node/app/lifecycle.go
+++ b/node/app/lifecycle.go
@@ -44,7 +44,7 @@
 	n.loops.start()
 	n.loops.run(func(context.Context) { n.serve("peer", func() error { return n.peers.Serve(n.peerListener) }) })
 	n.engine.Start()
-	n.loops.run(n.config.Run)
+	n.config.Start(n.loops.ctx)
 	n.loops.run(n.claimer.Run)
 	n.loops.run(n.pingOwn)
 	n.loops.run(n.pingFar)
@@ -97,6 +97,7 @@
 	quiet := n.http.Shutdown(ctx)
 	n.shutdownPeers(ctx)
 	n.router.Close()
+	n.config.Stop()
 	n.loops.stop()
 	n.pool.Close()
 	if err := n.metrics.closer.Close(); err != nil {
--- a/node/app/node.go
+++ b/node/app/node.go
@@ -221,7 +221,7 @@
 		Burn:          b.handler(),
 		Metrics:       m.reporter,
 		Scope:         m.scope,
-		Logger:        logs.Component("http"),
+		Faults:        telemetry.NewFaults(logs.Component("http"), time.Now, telemetry.DefaultFaultInterval),
 	})
 }
 
--- a/node/app/observe.go
+++ b/node/app/observe.go
@@ -20,11 +20,7 @@
 }
 
 func newBurn(s settings.Settings) *burnRecorder {
-	var objectives []burn.Objective
-	for _, g := range s.Goals {
-		objectives = append(objectives, burn.Objective{Kind: g.Kind, Target: g.Target, Latency: time.Duration(g.Latency)})
-	}
-	return &burnRecorder{recorder: burn.NewRecorder(objectives)}
+	return &burnRecorder{recorder: burn.NewRecorder(burnreport.Objectives(s.Goals))}
 }
 
 func (b *burnRecorder) observe(kind domain.Kind, state domain.OutcomeState, took time.Duration) {
--- a/node/cmd/basilferryd/main.go
+++ b/node/cmd/basilferryd/main.go
@@ -1,4 +1,103 @@
-// Command basilferryd is the entry node daemon.
+// Command basilferryd is the entry node daemon. With --embedded it runs the
+// platform's stand-ins, all entry nodes of the settings and a load in one
+// process, and prints a report.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/basilferry/basilferry/core/platform"
+	"github.com/basilferry/basilferry/node/app"
+	"github.com/basilferry/basilferry/node/logclient"
+	"github.com/basilferry/basilferry/node/settings"
+	"github.com/basilferry/basilferry/node/vmclient"
+	"github.com/basilferry/basilferry/node/workerclient"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := command().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "basilferryd:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "basilferryd",
+		Usage: "run an entry node",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "settings file, JSON with comments", Required: true},
+			&cli.BoolFlag{Name: "embedded", Usage: "run stand-ins, all nodes and a load in this process"},
+			&cli.BoolFlag{Name: "logs", Usage: "with --embedded, print the nodes' log lines to standard error"},
+			&cli.BoolFlag{Name: "stay", Usage: "with --embedded, go on serving after the load until interrupted"},
+		},
+		Action: run,
+	}
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	s, err := settings.Load(c.String("settings"))
+	if err != nil {
+		return err
+	}
+	if c.Bool("embedded") {
+		return runEmbedded(ctx, s, logOutput(c.Bool("logs")), c.Bool("stay"))
+	}
+	return runNode(ctx, s)
+}
+
+func logOutput(shown bool) io.Writer {
+	if shown {
+		return os.Stderr
+	}
+	return io.Discard
+}
+
+// runNode serves until ctx ends and then stops in a planned way.
+func runNode(ctx context.Context, s settings.Settings) error {
+	node := app.New(s, app.Platform{
+		Log:     logclient.New(s.Platform.LogURL),
+		VMs:     vmclient.New(s.Platform.VMListURL),
+		Dial:    func(address string) platform.Worker { return workerclient.New(address) },
+		NotSent: workerclient.NotSent,
+	}, os.Stderr)
+	if err := node.Start(ctx); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return node.Stop(context.Background())
+}
+
+func runEmbedded(ctx context.Context, s settings.Settings, logs io.Writer, stay bool) error {
+	if s.Embedded == nil {
+		return fmt.Errorf("the settings have no embedded section; use one of the files in samples")
+	}
+	e := app.NewEmbedded(s, logs)
+	fmt.Printf("starting %d nodes and %d workers in %d failure domains\n",
+		len(s.Cluster.Nodes), s.Embedded.WorkersPerDomain*len(s.Cluster.Domains), len(s.Cluster.Domains))
+	if err := e.Start(ctx); err != nil {
+		return err
+	}
+	fmt.Printf("sending requests; send your own with\n  basilferry --node http://%s submit ...\n", s.Cluster.Nodes[0].HTTPAddress)
+	report := e.Load(ctx)
+	if stay {
+		fmt.Println("load sent; serving until interrupted")
+		<-ctx.Done()
+	}
+	if err := e.Stop(context.Background()); err != nil {
+		return err
+	}
+	if err := report.Write(os.Stdout); err != nil {
+		return err
+	}
+	return app.AuditHistory(e.History(), s.Embedded.Worker).Write(os.Stdout)
+}
