Find the owner of a shard in a failure domain that a node does not ping

Change: the router asks a node of the shard's own domain and keeps the answer for 500 ms. Larger pings were ruled out: telling all owners in each ping grows with the number of shards of the whole system.

--- a/node/peer/calls.go
+++ b/node/peer/calls.go
@@ -14,6 +14,7 @@
 	Config(ctx context.Context, args ConfigArgs) (ConfigReply, error)
 	Explain(ctx context.Context, args IDArgs) (ExplainReply, error)
 	Workers(ctx context.Context) (WorkersReply, error)
+	Owners(ctx context.Context) (OwnersReply, error)
 	Status(ctx context.Context) (StatusReply, error)
 }
 
@@ -95,6 +96,11 @@
 	return invoke[WorkersReply](ctx, c, "Workers", Empty{})
 }
 
+// Owners implements Caller.
+func (c *Client) Owners(ctx context.Context) (OwnersReply, error) {
+	return invoke[OwnersReply](ctx, c, "Owners", Empty{})
+}
+
 // Status implements Caller.
 func (c *Client) Status(ctx context.Context) (StatusReply, error) {
 	return invoke[StatusReply](ctx, c, "Status", Empty{})
--- a/node/peer/fake_test.go
+++ b/node/peer/fake_test.go
@@ -33,6 +33,7 @@
 func (h *fakeHandler) Forward(args ForwardArgs) (OutcomeReply, error) { return h.forward(args) }
 func (h *fakeHandler) Config(args ConfigArgs) (ConfigReply, error)    { return h.config(args) }
 func (h *fakeHandler) Lookup(IDArgs) (OutcomeReply, error)            { return OutcomeReply{}, errNone }
+func (h *fakeHandler) Owners() (OwnersReply, error)                   { return OwnersReply{}, nil }
 func (h *fakeHandler) Status() (StatusReply, error)                   { return StatusReply{}, nil }
 
 var errNone = &domain.Error{Kind: domain.KindNotFound, Message: "none", Remedy: "look elsewhere", RequestID: "a-0-1-1"}
--- a/node/peer/message.go
+++ b/node/peer/message.go
@@ -108,6 +108,18 @@
 	Status service.NodeStatus
 }
 
+// ShardOwner tells which live node owns a shard.
+type ShardOwner struct {
+	Shard domain.ShardID
+	Node  domain.NodeID
+}
+
+// OwnersReply holds the owners of the shards of the failure domain of the node
+// that answers; shards without a live owner are left out.
+type OwnersReply struct {
+	Owners []ShardOwner
+}
+
 // Empty is the argument or reply of calls that need none.
 type Empty struct{}
 
@@ -123,5 +135,6 @@
 	Config(args ConfigArgs) (ConfigReply, error)
 	Explain(args IDArgs) (ExplainReply, error)
 	Workers() (WorkersReply, error)
+	Owners() (OwnersReply, error)
 	Status() (StatusReply, error)
 }
--- a/node/peer/methods.go
+++ b/node/peer/methods.go
@@ -64,6 +64,12 @@
 	return answer(reply, r, err)
 }
 
+// Owners is Handler.Owners.
+func (m *methods) Owners(_ Empty, reply *OwnersReply) error {
+	r, err := m.h.Owners()
+	return answer(reply, r, err)
+}
+
 // Status is Handler.Status.
 func (m *methods) Status(_ Empty, reply *StatusReply) error {
 	r, err := m.h.Status()
--- a/node/router/hop.go
+++ b/node/router/hop.go
@@ -23,8 +23,8 @@
 }
 
 // ownerClient returns the client of the node that owns the shard.
-func (r *Router) ownerClient(id domain.ShardID) (peer.Caller, error) {
-	node, ok := r.Peers.Owner(id)
+func (r *Router) ownerClient(ctx context.Context, id domain.ShardID) (peer.Caller, error) {
+	node, ok := r.owner(ctx, id)
 	if !ok || node == r.Node.ID {
 		return nil, errNoOwner(id)
 	}
@@ -43,7 +43,7 @@
 	if r.owned(id) {
 		return r.submitHere(ctx, id, req)
 	}
-	client, err := r.ownerClient(id)
+	client, err := r.ownerClient(ctx, id)
 	if err != nil {
 		return domain.Outcome{}, err
 	}
@@ -96,7 +96,7 @@
 		out, err := r.Shards.Lookup(ctx, at, id)
 		return sameID(id, out, err)
 	}
-	client, err := r.ownerClient(at)
+	client, err := r.ownerClient(ctx, at)
 	if err != nil {
 		return domain.Outcome{}, err
 	}
@@ -110,7 +110,7 @@
 		out, err := r.Shards.Cancel(ctx, at, id)
 		return sameID(id, out, err)
 	}
-	client, err := r.ownerClient(at)
+	client, err := r.ownerClient(ctx, at)
 	if err != nil {
 		return domain.Outcome{}, err
 	}
--- /dev/null
+++ b/node/router/owners.go
@@ -0,0 +1,126 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/node/peer"
+	"github.com/basilferry/basilferry/node/settings"
+)
+
+const (
+	// ownerCacheAge is how long the answer of another failure domain about an
+	// owner is used. It is below the second after which a dead owner is
+	// noticed in its own domain.
+	ownerCacheAge = 500 * time.Millisecond
+	// ownerCallTimeout bounds one question about the owners of a domain.
+	ownerCallTimeout = 500 * time.Millisecond
+)
+
+// remoteOwners finds the owners of shards of other failure domains. A node
+// pings only two nodes of other domains, so it asks a node of the shard's own
+// domain when a request belongs there. Concurrent questions about the same
+// domain share one call.
+type remoteOwners struct {
+	clients Clients
+	now     func() time.Time
+	nodes   map[domain.FailureDomain][]domain.NodeID
+	domains map[domain.FailureDomain]*domainOwners
+}
+
+// domainOwners is what was last answered about one failure domain.
+type domainOwners struct {
+	mu     sync.Mutex
+	owners map[domain.ShardID]domain.NodeID
+	at     time.Time
+	// next is the node that is asked first.
+	next int
+}
+
+func newRemoteOwners(c settings.Cluster, clients Clients) *remoteOwners {
+	r := &remoteOwners{
+		clients: clients,
+		now:     time.Now,
+		nodes:   map[domain.FailureDomain][]domain.NodeID{},
+		domains: map[domain.FailureDomain]*domainOwners{},
+	}
+	for _, n := range c.Nodes {
+		r.nodes[n.Domain] = append(r.nodes[n.Domain], n.ID)
+	}
+	for _, d := range c.Domains {
+		r.domains[d] = &domainOwners{}
+	}
+	return r
+}
+
+// find returns the owner of a shard, as a node of its failure domain knows it.
+func (r *remoteOwners) find(ctx context.Context, id domain.ShardID) (domain.NodeID, bool) {
+	d, known := r.domains[id.Domain]
+	if !known {
+		return "", false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if r.now().Sub(d.at) >= ownerCacheAge {
+		r.ask(ctx, id.Domain, d)
+	}
+	owner, ok := d.owners[id]
+	return owner, ok
+}
+
+// ask asks the nodes of the domain in turn until one answers.
+func (r *remoteOwners) ask(ctx context.Context, name domain.FailureDomain, d *domainOwners) {
+	nodes := r.nodes[name]
+	d.owners = nil
+	for range nodes {
+		node := nodes[d.next%len(nodes)]
+		reply, err := r.askOne(ctx, node)
+		if err == nil {
+			d.owners = ownersOf(reply)
+			d.at = r.now()
+			return
+		}
+		d.next++
+	}
+}
+
+func (r *remoteOwners) askOne(ctx context.Context, node domain.NodeID) (peer.OwnersReply, error) {
+	client, err := r.clients.Client(node)
+	if err != nil {
+		return peer.OwnersReply{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, ownerCallTimeout)
+	defer cancel()
+	return client.Owners(ctx)
+}
+
+func ownersOf(reply peer.OwnersReply) map[domain.ShardID]domain.NodeID {
+	owners := make(map[domain.ShardID]domain.NodeID, len(reply.Owners))
+	for _, o := range reply.Owners {
+		owners[o.Shard] = o.Node
+	}
+	return owners
+}
+
+// owner returns the live owner of a shard.
+func (r *Router) owner(ctx context.Context, id domain.ShardID) (domain.NodeID, bool) {
+	if node, ok := r.Peers.Owner(id); ok || id.Domain == r.Node.Domain {
+		return node, ok
+	}
+	return r.remote.find(ctx, id)
+}
+
+// Owners implements peer.Handler.
+func (h handler) Owners() (peer.OwnersReply, error) {
+	r := h.r
+	var reply peer.OwnersReply
+	for i := range r.Cluster.ShardsPerDomain {
+		id := domain.ShardID{Domain: r.Node.Domain, Index: i}
+		if node, ok := r.Peers.Owner(id); ok {
+			reply.Owners = append(reply.Owners, peer.ShardOwner{Shard: id, Node: node})
+		}
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/node/router/owners_test.go
@@ -0,0 +1,55 @@
+package router
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/node/peer"
+	"github.com/basilferry/basilferry/node/settings"
+)
+
+// ownersClients answers Owners for one node and fails for the others.
+type ownersClients struct {
+	peer.Caller
+	live  domain.NodeID
+	asked []domain.NodeID
+}
+
+func (c *ownersClients) Client(id domain.NodeID) (peer.Caller, error) {
+	c.asked = append(c.asked, id)
+	if id != c.live {
+		return nil, &domain.Error{Kind: domain.KindUnavailable}
+	}
+	return c, nil
+}
+
+func (c *ownersClients) Owners(context.Context) (peer.OwnersReply, error) {
+	return peer.OwnersReply{Owners: []peer.ShardOwner{{Shard: shardOf("b", 1), Node: "b3"}}}, nil
+}
+
+// Guards against a retry through a node of another failure domain that does not
+// reach the owner, because the node does not ping it, and against asking again
+// for each request.
+func TestRemoteOwnerIsFound(t *testing.T) {
+	clients := &ownersClients{live: "b2"}
+	r := newRemoteOwners(settings.Cluster{
+		Domains: []domain.FailureDomain{"a", "b"},
+		Nodes:   []settings.NodeAddress{{ID: "a1", Domain: "a"}, {ID: "b1", Domain: "b"}, {ID: "b2", Domain: "b"}},
+	}, clients)
+	now := time.Now()
+	r.now = func() time.Time { return now }
+	for range 3 {
+		node, ok := r.find(t.Context(), shardOf("b", 1))
+		assert.Assert(t, ok)
+		assert.Equal(t, node, domain.NodeID("b3"))
+	}
+	_, ok := r.find(t.Context(), shardOf("b", 0))
+	assert.Assert(t, !ok)
+	assert.DeepEqual(t, clients.asked, []domain.NodeID{"b1", "b2"})
+	_, ok = r.find(t.Context(), shardOf("nowhere", 0))
+	assert.Assert(t, !ok)
+}
--- a/node/router/query.go
+++ b/node/router/query.go
@@ -58,7 +58,7 @@
 	if r.owned(id.Shard) {
 		return r.Shards.Explain(id), nil
 	}
-	client, err := r.ownerClient(id.Shard)
+	client, err := r.ownerClient(ctx, id.Shard)
 	if err != nil {
 		return nil, err
 	}
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -23,6 +23,7 @@
 	queries limiter
 	loads   *loadTable
 	ids     *idStock
+	remote  *remoteOwners
 	// ctx ends with Close.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -52,6 +53,7 @@
 	}
 	r.loads = newLoadTable(o.Node.Domain, o.Cluster.ShardsPerDomain)
 	r.ids = newIDStock()
+	r.remote = newRemoteOwners(o.Cluster, o.Clients)
 	return r
 }
 
