Handle refused and large appends, list addresses and the worker list in the engine

Cause: a record that the log refuses held up all later ones; a part of a large append could fail unnoticed; a machine that started before the VM list was read got an empty list, which looks like complete evidence; a lookup needs no attach but had no address. Result: go test -race -count=10 on node/engine and node/configsync passes.

--- a/core/membership/event.go
+++ b/core/membership/event.go
@@ -48,6 +48,9 @@
 	// every shard of the domain.
 	AtEnd  bool
 	Owners []Ownership
+	// Holdings are those of this node once it has applied the read; valid with
+	// AtEnd.
+	Holdings []Holding
 }
 
 // Tick lets time-outs be noticed.
--- a/core/membership/state.go
+++ b/core/membership/state.go
@@ -125,6 +125,8 @@
 	for _, o := range ev.Owners {
 		s.record(now, o)
 	}
+	s.self.Holdings = ev.Holdings
+	s.note(now, s.config.Self, ev.Holdings)
 }
 
 func (s *State) record(now Instant, o Ownership) {
--- a/node/configsync/fakes_test.go
+++ b/node/configsync/fakes_test.go
@@ -28,6 +28,8 @@
 	// appendsDown fails appends only.
 	appendsDown bool
 	loseAnswers int
+	// readLatency delays records on their way to readers.
+	readLatency time.Duration
 	// changed is closed at the next change.
 	changed chan struct{}
 }
@@ -60,7 +62,7 @@
 	end := time.Now().Add(poll)
 	for {
 		l.mu.Lock()
-		changed := l.changed
+		changed, delay := l.changed, l.readLatency
 		next, down := platform.Offset(len(l.records)+1), l.down
 		records := slices.Clone(l.records[min(from, next)-1:])
 		l.mu.Unlock()
@@ -68,6 +70,9 @@
 			return platform.ReadReply{}, errors.New("log is down")
 		}
 		if len(records) > 0 || !time.Now().Before(end) {
+			if len(records) > 0 {
+				wait(ctx, delay, nil)
+			}
 			records = records[:min(limit, len(records))]
 			return platform.ReadReply{Records: records, First: 1, Next: next, Retention: retention}, nil
 		}
--- a/node/configsync/sync_test.go
+++ b/node/configsync/sync_test.go
@@ -39,7 +39,7 @@
 // the answer to its append was lost.
 func TestProposeWithLostAnswer(t *testing.T) {
 	inBubble(t, func(t *testing.T, l *memLog, g group, s *Sync) {
-		l.set(func(l *memLog) { l.loseAnswers = 1 })
+		l.set(func(l *memLog) { l.loseAnswers, l.readLatency = 1, 2*retryDelay })
 		d := propose(t, s, configlog.Change{TakeOut: &volos})
 		assert.Assert(t, d.Accepted && d.Version == 1)
 		assert.Equal(t, l.len(), 1)
--- a/node/engine/client.go
+++ b/node/engine/client.go
@@ -20,12 +20,22 @@
 type clients struct {
 	dial func(address string) platform.Worker
 	byID map[domain.WorkerID]client
+	// listed are the addresses in the VM list.
+	listed map[domain.WorkerID]string
 }
 
 func newClients(dial func(string) platform.Worker) *clients {
 	return &clients{dial: dial, byID: make(map[domain.WorkerID]client)}
 }
 
+// list takes the addresses of the VM list.
+func (c *clients) list(vms []platform.VM) {
+	c.listed = make(map[domain.WorkerID]string, len(vms))
+	for _, vm := range vms {
+		c.listed[vm.ID] = vm.Address
+	}
+}
+
 // at returns the client of a worker, and dials again if the address changed.
 func (c *clients) at(id domain.WorkerID, address string) platform.Worker {
 	if known, ok := c.byID[id]; ok && known.address == address {
@@ -36,10 +46,27 @@
 	return w
 }
 
-// of returns the client of a worker that was attached before.
+// of returns the client of a worker that was attached before or is in the VM
+// list.
 func (c *clients) of(id domain.WorkerID) (platform.Worker, bool) {
-	known, ok := c.byID[id]
-	return known.worker, ok
+	if known, ok := c.byID[id]; ok {
+		return known.worker, true
+	}
+	address, ok := c.listed[id]
+	if !ok {
+		return nil, false
+	}
+	return c.at(id, address), true
+}
+
+// noClient answers a command to a worker without an address. It must not look
+// like the worker's own answer, which is evidence of what ran there.
+func noClient(id domain.WorkerID) *domain.Error {
+	return &domain.Error{
+		Kind:    domain.KindOutcomeUnknown,
+		Message: "worker " + string(id) + " was never attached and is not in the VM list",
+		Remedy:  "wait until the VM list has the worker",
+	}
 }
 
 // callError maps the error of a worker call. A call without an answer may have
--- a/node/engine/committer.go
+++ b/node/engine/committer.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/google/uuid"
 
 	"github.com/basilferry/basilferry/core/domain"
@@ -22,9 +23,10 @@
 	// changed is told when the log starts or stops answering appends.
 	changed func(up bool)
 	wake    chan struct{}
+	logger  *log.Logger
 
 	mu      sync.Mutex
-	pending []*item
+	pending []item
 	// outstanding holds the batches that the follower has not read yet.
 	outstanding map[string]*batch
 	up          bool
@@ -35,6 +37,7 @@
 		log:         c.Log,
 		stream:      journal.StreamOf(c.Domain),
 		changed:     changed,
+		logger:      c.Logger,
 		wake:        make(chan struct{}, 1),
 		outstanding: make(map[string]*batch),
 		up:          true,
@@ -45,15 +48,11 @@
 // follower has read the entries, or with an error after AppendTimeout. Entries
 // with a nil done are retried until they are appended or live reports false.
 func (c *committer) add(entries []journal.Entry, live func() bool, done func(*domain.Error)) {
-	items := split(entries)
-	last := items[len(items)-1]
-	last.done = done
+	r := &appendRequest{done: done, live: live}
+	items := split(r, entries)
 	c.mu.Lock()
-	for _, it := range items {
-		it.live = live
-	}
 	if done != nil {
-		last.timer = time.AfterFunc(AppendTimeout, func() { c.expire(items) })
+		r.timer = time.AfterFunc(AppendTimeout, func() { c.expire(r) })
 	}
 	c.pending = append(c.pending, items...)
 	c.mu.Unlock()
@@ -67,21 +66,17 @@
 	}
 }
 
-// expire reports an error for items that were not appended in time. Those that
-// were never sent are not sent any more.
-func (c *committer) expire(items []*item) {
-	last := items[len(items)-1]
+// expire reports an error for a request that was not appended in time. Entries
+// that were never sent are not sent any more.
+func (c *committer) expire(r *appendRequest) {
 	c.mu.Lock()
-	if last.settled {
-		c.mu.Unlock()
+	done := r.settle()
+	c.mu.Unlock()
+	if done == nil {
 		return
 	}
-	for _, it := range items {
-		it.settled = true
-	}
-	c.mu.Unlock()
 	c.setUp(false)
-	last.done(&domain.Error{
+	done(&domain.Error{
 		Kind:    domain.KindUnavailable,
 		Message: "the log service did not answer an append within " + AppendTimeout.String(),
 		Remedy:  "check the log service; the record may still be appended",
@@ -107,11 +102,13 @@
 	close(b.seen)
 	var done []func(*domain.Error)
 	for _, it := range b.items {
-		if !it.settled && it.done != nil {
-			done = append(done, it.done)
-			it.timer.Stop()
+		it.request.open--
+		if it.request.open > 0 {
+			continue
+		}
+		if f := it.request.settle(); f != nil {
+			done = append(done, f)
 		}
-		it.settled = true
 	}
 	c.mu.Unlock()
 	for _, f := range done {
@@ -183,20 +180,21 @@
 	total := item{}
 	taken := 0
 	for _, it := range c.pending {
-		wanted := !it.settled && (it.live == nil || it.live())
+		wanted := it.request.wanted()
 		if wanted && len(b.items) > 0 && !total.fits(len(it.entries), it.bytes) {
 			break
 		}
 		taken++
 		if !wanted {
-			c.abandon(it)
+			// The owner is gone and awaits no answer, or has had it.
+			it.request.settle()
 			continue
 		}
 		total.entries = append(total.entries, it.entries...)
 		total.bytes += it.bytes
 		b.items = append(b.items, it)
 	}
-	c.pending = append([]*item(nil), c.pending[taken:]...)
+	c.pending = append([]item(nil), c.pending[taken:]...)
 	if len(b.items) == 0 && c.up {
 		return nil
 	}
@@ -204,14 +202,6 @@
 	return b
 }
 
-// abandon settles an item whose owner is gone.
-func (c *committer) abandon(it *item) {
-	it.settled = true
-	if it.timer != nil {
-		it.timer.Stop()
-	}
-}
-
 // commit appends a batch until it is known to be in the stream. The record id
 // stays the same, so a late copy of an earlier try is dropped by all readers.
 // A batch without entries left is still appended: it takes the place of a copy
@@ -229,12 +219,12 @@
 	}
 }
 
-// appendOnce returns true if the record is in the stream. After false it may
-// be there or not.
+// appendOnce returns true if the batch is settled: the record is in the stream,
+// or it never will be. After false it may be there or not.
 func (c *committer) appendOnce(ctx context.Context, b *batch) bool {
 	rec, err := c.encode(b)
 	if err != nil {
-		c.reject(b, err)
+		c.reject(b, domain.AsError(err))
 		return true
 	}
 	started := time.Now()
@@ -245,18 +235,27 @@
 		_, err := c.log.Append(callCtx, c.stream, rec)
 		result <- err
 	}()
-	ok := false
 	select {
-	case err := <-result:
-		ok = err == nil
+	case err = <-result:
 	case <-b.seen:
-		ok = true
 	case <-callCtx.Done():
+		err = callCtx.Err()
 	}
-	if ok {
+	if refused(err) {
+		c.reject(b, domain.AsError(err))
+		return true
+	}
+	if err == nil {
 		c.setUp(time.Since(started) < AppendTimeout)
 	}
-	return ok
+	return err == nil
+}
+
+// refused reports whether the log service will never take the record. Trying
+// again would hold up all later records.
+func refused(err error) bool {
+	kind := domain.KindOf(err)
+	return kind == domain.KindTooLarge || kind == domain.KindBadRequest
 }
 
 func (c *committer) encode(b *batch) (platform.Record, error) {
@@ -266,21 +265,20 @@
 	return journal.Encode(b.id, entries)
 }
 
-// reject reports a batch that cannot be encoded.
-func (c *committer) reject(b *batch, err error) {
+// reject reports a batch that cannot be appended.
+func (c *committer) reject(b *batch, err *domain.Error) {
 	c.mu.Lock()
 	delete(c.outstanding, b.id)
 	var done []func(*domain.Error)
 	for _, it := range b.items {
-		if !it.settled && it.done != nil {
-			done = append(done, it.done)
-			it.timer.Stop()
+		if f := it.request.settle(); f != nil {
+			done = append(done, f)
 		}
-		it.settled = true
 	}
 	c.mu.Unlock()
+	c.logger.Error("engine: log entries are refused", "entries", len(b.items), "err", err)
 	for _, f := range done {
-		f(domain.AsError(err))
+		f(err)
 	}
 }
 
--- a/node/engine/config.go
+++ b/node/engine/config.go
@@ -68,7 +68,7 @@
 	Domain domain.FailureDomain
 	Ring   *ring.Ring
 	Log    platform.Log
-	// Dial returns a client for the worker at "ip:port".
+	// Dial returns a client for the worker at "ip:port". It must not block.
 	Dial       func(address string) platform.Worker
 	NewMachine NewMachine
 	NewFold    func() Fold
--- a/node/engine/engine.go
+++ b/node/engine/engine.go
@@ -87,7 +87,7 @@
 // own workers.
 func (e *Engine) SetWorkers(vms []platform.VM) {
 	e.mu.Lock()
-	e.listed = vms
+	e.listed = append([]platform.VM{}, vms...)
 	e.mu.Unlock()
 	for _, r := range e.all() {
 		listed := e.workersOf(r.shard, vms)
@@ -141,6 +141,7 @@
 		for _, o := range read.Owners {
 			e.reconcile(o, read)
 		}
+		read.Owned = e.Owned()
 	}
 	if e.config.Observe != nil {
 		e.config.Observe(read)
@@ -226,11 +227,13 @@
 func (e *Engine) register(r *runner) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	listed := e.workersOf(r.shard, e.listed)
-	r.set(func(l *latest) {
-		l.configured = e.configured
-		l.workers = &listed
-	})
+	r.set(func(l *latest) { l.configured = e.configured })
+	// An empty list would tell that the shard has no workers, so that its
+	// evidence is complete.
+	if e.listed != nil {
+		listed := e.workersOf(r.shard, e.listed)
+		r.set(func(l *latest) { l.workers = &listed })
+	}
 	e.runners[r.shard] = r
 }
 
--- a/node/engine/engine_test.go
+++ b/node/engine/engine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -152,6 +153,44 @@
 	})
 }
 
+// Guards against a record that the log refuses and that then holds up all
+// others, and against a part of a large append that is lost or too large.
+func TestLargeAppends(t *testing.T) {
+	inBubble(t, func(t *testing.T, l *memLog, g *rig) {
+		l.set(func(l *memLog) { l.maxBytes = maxBatchBytes })
+		add := func(entries ...journal.Entry) *domain.Error {
+			done := make(chan *domain.Error, 1)
+			g.committer.add(entries, nil, func(err *domain.Error) { done <- err })
+			return <-done
+		}
+		job := journal.Entry{Shard: testShard, Epoch: 1, Job: &journal.Job{Task: urgent(1).Task}}
+		large := job
+		large.Job = &journal.Job{Task: urgent(2).Task}
+		large.Job.Task.Payload = make([]byte, domain.MaxPayloadBytes)
+		assert.Equal(t, add(large).Kind, domain.KindTooLarge)
+
+		many := make([]journal.Entry, 2*maxBatchEntries+1)
+		for i := range many {
+			many[i] = job
+		}
+		assert.Assert(t, add(many...) == nil)
+		assert.Equal(t, len(g.follower.journal(testShard).Snapshot()), len(many))
+		assert.Equal(t, len(l.records), 4)
+	})
+}
+
+// Guards against an empty worker list before the VM list was read, which would
+// look like complete evidence, and against workers of other shards.
+func TestWorkersListed(t *testing.T) {
+	inBubble(t, func(t *testing.T, l *memLog, g *rig) {
+		assert.Assert(t, !strings.Contains(g.seen(), "VMs"), g.seen())
+		g.SetWorkers([]platform.VM{{ID: "w1", Domain: testDomain}, {ID: "w2", Domain: "volos"}})
+		settle()
+		assert.Assert(t, strings.Contains(g.seen(), "w1"), g.seen())
+		assert.Assert(t, !strings.Contains(g.seen(), "w2"), g.seen())
+	})
+}
+
 // Guards against a log that counts as down for ever after one slow append: no
 // machine appends anything while it is down.
 func TestSlowAppend(t *testing.T) {
--- a/node/engine/executor.go
+++ b/node/engine/executor.go
@@ -65,15 +65,6 @@
 	}()
 }
 
-// neverAttached answers a command to a worker that has no client.
-func neverAttached(id domain.WorkerID) *domain.Error {
-	return &domain.Error{
-		Kind:    domain.KindNotFound,
-		Message: "worker " + string(id) + " was never attached",
-		Remedy:  "report this as a defect",
-	}
-}
-
 func (x *executor) attach(ef shard.SendAttach) {
 	w := x.clients.at(ef.Worker, ef.Address)
 	x.spawn(func() {
@@ -88,7 +79,7 @@
 func (x *executor) renew(ef shard.SendRenew) {
 	w, ok := x.clients.of(ef.Worker)
 	if !ok {
-		x.post(shard.RenewDone{Worker: ef.Worker, Err: neverAttached(ef.Worker), SentAt: x.now()})
+		x.post(shard.RenewDone{Worker: ef.Worker, Err: noClient(ef.Worker), SentAt: x.now()})
 		return
 	}
 	x.spawn(func() {
@@ -104,7 +95,7 @@
 	done := shard.StartDone{Worker: ef.Worker, ID: ef.Request.Task.ID, Attempt: ef.Request.Attempt}
 	w, ok := x.clients.of(ef.Worker)
 	if !ok {
-		done.Err = neverAttached(ef.Worker)
+		done.Err = noClient(ef.Worker)
 		x.post(done)
 		return
 	}
@@ -124,7 +115,7 @@
 	done := shard.StopDone{Worker: ef.Worker, ID: ef.Request.ID}
 	w, ok := x.clients.of(ef.Worker)
 	if !ok {
-		done.Err = neverAttached(ef.Worker)
+		done.Err = noClient(ef.Worker)
 		x.post(done)
 		return
 	}
@@ -153,8 +144,7 @@
 	done := shard.LookupDone{Worker: ef.Worker, ID: ef.ID}
 	w, ok := x.clients.of(ef.Worker)
 	if !ok {
-		// KindNotFound would mean that the worker has no record of the task.
-		done.Err = callError(context.Canceled)
+		done.Err = noClient(ef.Worker)
 		x.post(done)
 		return
 	}
--- a/node/engine/fakes_test.go
+++ b/node/engine/fakes_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -37,6 +38,8 @@
 	// down fails every call. loseAnswers appends and then fails that many times.
 	down        bool
 	loseAnswers int
+	// maxBytes bounds a record's data; zero sets no bound.
+	maxBytes int
 	// hang appends and then never answers that many times.
 	hang int
 	// intruder is another node's record that gets the offset before the next
@@ -57,6 +60,9 @@
 	if l.down {
 		return 0, errLogDown
 	}
+	if l.maxBytes > 0 && len(rec.Data) > l.maxBytes {
+		return 0, &domain.Error{Kind: domain.KindTooLarge}
+	}
 	if l.intruder != nil {
 		l.add(*l.intruder)
 		l.intruder = nil
@@ -311,6 +317,13 @@
 	}
 }
 
+// seen returns the machine's events without ticks and reads, as text.
+func (g *rig) seen() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return strings.Join(g.events, "\n")
+}
+
 // claim makes the node the owner of testShard and returns the epoch.
 func (g *rig) claim(t testing.TB, previous domain.Epoch) domain.Epoch {
 	t.Helper()
--- a/node/engine/follower.go
+++ b/node/engine/follower.go
@@ -12,6 +12,7 @@
 	"github.com/basilferry/basilferry/core/membership"
 	"github.com/basilferry/basilferry/core/platform"
 	"github.com/basilferry/basilferry/core/shard"
+	"github.com/basilferry/basilferry/node/service"
 )
 
 // LogRead is the result of one read of the domain's stream.
@@ -23,6 +24,8 @@
 	// what the whole stream says.
 	AtEnd  bool
 	Owners []membership.Ownership
+	// Owned is what this node owns after the read was applied.
+	Owned []service.OwnedShard
 	// Retention is how long the log keeps records.
 	Retention time.Duration
 }
--- a/node/engine/members.go
+++ b/node/engine/members.go
@@ -70,16 +70,22 @@
 
 // Observe takes a log read; it is meant for Config.Observe.
 func (m *Members) Observe(read LogRead) {
-	m.step(membership.LogRead{OK: read.OK, SentAt: read.SentAt, AtEnd: read.AtEnd, Owners: read.Owners})
+	m.step(membership.LogRead{
+		OK: read.OK, SentAt: read.SentAt, AtEnd: read.AtEnd, Owners: read.Owners, Holdings: holdings(read.Owned),
+	})
 }
 
 // held takes what this node owns.
 func (m *Members) held(owned []service.OwnedShard, version domain.Version, stopping bool) {
-	ev := membership.Held{ConfigVersion: version, Stopping: stopping}
+	m.step(membership.Held{ConfigVersion: version, Stopping: stopping, Holdings: holdings(owned)})
+}
+
+func holdings(owned []service.OwnedShard) []membership.Holding {
+	var held []membership.Holding
 	for _, o := range owned {
-		ev.Holdings = append(ev.Holdings, membership.Holding(o))
+		held = append(held, membership.Holding(o))
 	}
-	m.step(ev)
+	return held
 }
 
 // view runs f on the state with the present time.
--- a/node/engine/runner.go
+++ b/node/engine/runner.go
@@ -204,6 +204,9 @@
 	l, results := r.latest, r.results
 	r.latest, r.results = latest{}, nil
 	r.mu.Unlock()
+	if l.workers != nil {
+		r.exec.clients.list(l.workers.VMs)
+	}
 	for _, ev := range l.events() {
 		r.step(ev)
 	}
