Start a machine when an owner's own second claim takes effect

Cause: a run with random log faults and claims left a shard with an owner in the log but no machine: dropping the older machine also forgot the newer claim.

--- a/node/engine/engine.go
+++ b/node/engine/engine.go
@@ -191,7 +191,7 @@
 // discard forgets a runner that was dropped. e.mu is held.
 func (e *Engine) discard(r *runner) *runner {
 	delete(e.runners, r.shard)
-	e.follower.disown(r.shard)
+	e.follower.disown(r.shard, r.epoch)
 	return nil
 }
 
--- a/node/engine/engine_test.go
+++ b/node/engine/engine_test.go
@@ -254,6 +254,14 @@
 	})
 }
 
+// Guards against an owner whose second claim, read late, leaves the shard without
+// a machine.
+func TestOwnerClaimsAgain(t *testing.T) {
+	inBubble(t, func(t *testing.T, l *memLog, g *rig) {
+		assert.Equal(t, g.claim(t, 1), domain.Epoch(2))
+	})
+}
+
 // Guards against a process that takes over the epoch of an earlier process of
 // the same node, under which it would issue request ids a second time.
 func TestRestartNeedsNewClaim(t *testing.T) {
--- a/node/engine/follower.go
+++ b/node/engine/follower.go
@@ -247,11 +247,14 @@
 	return epoch != 0 && f.own[id] == epoch
 }
 
-// disown forgets a claim, so that no machine is started for it again.
-func (f *follower) disown(id domain.ShardID) {
+// disown forgets a claim, so that no machine is started for it again. A newer
+// claim of this process stays.
+func (f *follower) disown(id domain.ShardID, epoch domain.Epoch) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	delete(f.own, id)
+	if f.own[id] == epoch {
+		delete(f.own, id)
+	}
 }
 
 // journal returns a copy of the shard's part of the fold.
