--- a/node/engine/engine.go
+++ b/node/engine/engine.go
@@ -90,7 +90,7 @@
 // own workers.
 func (e *Engine) SetWorkers(vms []platform.VM) {
 	e.mu.Lock()
-	e.listed = vms
+	e.listed = append([]platform.VM{}, vms...)
 	e.mu.Unlock()
 	for _, r := range e.all() {
 		listed := e.workersOf(r.shard, vms)
@@ -144,6 +144,7 @@
 		for _, o := range read.Owners {
 			e.reconcile(o, read)
 		}
+		read.Owned = e.Owned()
 	}
 	if e.config.Observe != nil {
 		e.config.Observe(read)
@@ -193,7 +194,7 @@
 // discard forgets a runner that was dropped. e.mu is held.
 func (e *Engine) discard(r *runner) *runner {
 	delete(e.runners, r.shard)
-	e.follower.disown(r.shard)
+	e.follower.disown(r.shard, r.epoch)
 	return nil
 }
 
@@ -229,11 +230,13 @@
 func (e *Engine) register(r *runner) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	listed := e.workersOf(r.shard, e.listed)
-	r.set(func(l *latest) {
-		l.configured = e.configured
-		l.workers = &listed
-	})
+	r.set(func(l *latest) { l.configured = e.configured })
+	// An empty list would tell that the shard has no workers, so that its
+	// evidence is complete.
+	if e.listed != nil {
+		listed := e.workersOf(r.shard, e.listed)
+		r.set(func(l *latest) { l.workers = &listed })
+	}
 	e.runners[r.shard] = r
 }
 
--- a/node/engine/follower.go
+++ b/node/engine/follower.go
@@ -12,6 +12,7 @@
 	"github.com/basilferry/basilferry/core/membership"
 	"github.com/basilferry/basilferry/core/platform"
 	"github.com/basilferry/basilferry/core/shard"
+	"github.com/basilferry/basilferry/node/service"
 )
 
 // LogRead is the result of one read of the domain's stream.
@@ -23,6 +24,8 @@
 	// what the whole stream says.
 	AtEnd  bool
 	Owners []membership.Ownership
+	// Owned is what this node owns after the read was applied.
+	Owned []service.OwnedShard
 	// Retention is how long the log keeps records.
 	Retention time.Duration
 }
@@ -244,11 +247,14 @@
 	return epoch != 0 && f.own[id] == epoch
 }
 
-// disown forgets a claim, so that no machine is started for it again.
-func (f *follower) disown(id domain.ShardID) {
+// disown forgets a claim, so that no machine is started for it again. A newer
+// claim of this process stays.
+func (f *follower) disown(id domain.ShardID, epoch domain.Epoch) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	delete(f.own, id)
+	if f.own[id] == epoch {
+		delete(f.own, id)
+	}
 }
 
 // journal returns a copy of the shard's part of the fold.
