Add the basilferry command line

Operators and callers had no program that speaks to the HTTP API. The new packages call it with fail-over and answer check, and write tables or JSON.

--- /dev/null
+++ b/cli/client/change.go
@@ -0,0 +1,118 @@
+package client
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"reflect"
+	"time"
+
+	"github.com/basilferry/basilferry/core/configlog"
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/node/httpapi"
+	"github.com/basilferry/basilferry/node/service"
+)
+
+// settleInterval is the time between two looks for a change whose answer was
+// lost.
+const settleInterval = 250 * time.Millisecond
+
+// Change makes a configuration change and lets the node wait up to wait for the
+// other nodes. A rejected change is returned with its decision and the
+// configuration in force, not as an error. If the answer is lost, the history
+// tells what became of the change; it is never sent again after it may have
+// arrived.
+func (c *Client) Change(ctx context.Context, change configlog.Change, wait time.Duration) (httpapi.ChangeBody, error) {
+	var body httpapi.ChangeBody
+	a, err := c.do(ctx, call{
+		method:  http.MethodPost,
+		path:    "/v1/config?wait=" + url.QueryEscape(wait.String()),
+		body:    change,
+		timeout: c.timeout + wait,
+	})
+	if err == nil {
+		err = decodeChange(a, &body)
+	}
+	if domain.KindOf(err) == domain.KindOutcomeUnknown {
+		return c.settle(ctx, change, domain.AsError(err))
+	}
+	return body, err
+}
+
+// decodeChange tells a rejected change, which has the configuration in force,
+// from another error.
+func decodeChange(a answer, body *httpapi.ChangeBody) error {
+	if err := decode(a, body); err != nil {
+		return err
+	}
+	if a.status >= http.StatusMultipleChoices && body.Configuration == nil {
+		return errorOf(a)
+	}
+	return nil
+}
+
+// settle looks for a change whose answer was lost until it is decided or the
+// time-out has passed.
+func (c *Client) settle(ctx context.Context, change configlog.Change, lost *domain.Error) (httpapi.ChangeBody, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	for {
+		if body, ok := c.decided(ctx, change); ok {
+			return body, nil
+		}
+		if !Pause(ctx, settleInterval) {
+			return httpapi.ChangeBody{}, &domain.Error{
+				Kind:    domain.KindOutcomeUnknown,
+				Message: lost.Message + "; the history does not show the change yet",
+				Remedy:  "see basilferry config history before you make the change again",
+			}
+		}
+	}
+}
+
+// decided reports what one node knows of the change. Once a later version than
+// the base is in force, a change that was not accepted never will be.
+func (c *Client) decided(ctx context.Context, change configlog.Change) (httpapi.ChangeBody, bool) {
+	inForce, err := c.Configuration(ctx)
+	if err != nil || inForce.Version <= change.Base {
+		return httpapi.ChangeBody{}, false
+	}
+	history, err := c.History(ctx, MaxHistory)
+	if err != nil {
+		return httpapi.ChangeBody{}, false
+	}
+	rejected := configlog.Decision{Change: change, InForce: inForce.Version, Err: overtaken()}
+	for _, d := range history {
+		if !reflect.DeepEqual(d.Change, change) {
+			continue
+		}
+		if d.Accepted {
+			return httpapi.ChangeBody{ChangeResult: service.ChangeResult{Decision: d}}, true
+		}
+		rejected = d
+	}
+	return httpapi.ChangeBody{
+		ChangeResult:  service.ChangeResult{Decision: rejected},
+		Configuration: &inForce,
+	}, true
+}
+
+func overtaken() *domain.Error {
+	return &domain.Error{
+		Kind:    domain.KindVersionConflict,
+		Message: "another change to the same version was accepted",
+		Remedy:  "read the configuration again and repeat the change on its version",
+	}
+}
+
+// Pause waits for d. It reports false if ctx ends first.
+func Pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/cli/client/operations.go
@@ -0,0 +1,45 @@
+package client
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"github.com/basilferry/basilferry/core/burn"
+	"github.com/basilferry/basilferry/core/configlog"
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/node/httpapi"
+	"github.com/basilferry/basilferry/node/service"
+)
+
+// MaxHistory is the largest limit of History.
+const MaxHistory = 500
+
+func get(path string) call { return call{method: http.MethodGet, path: path, repeat: true} }
+
+// Configuration returns the configuration in force on the node that answers.
+func (c *Client) Configuration(ctx context.Context) (domain.Configuration, error) {
+	return fetch[domain.Configuration](ctx, c, get("/v1/config"))
+}
+
+// History returns the decisions about the latest changes, newest first.
+func (c *Client) History(ctx context.Context, limit int) ([]configlog.Decision, error) {
+	got, err := fetch[httpapi.HistoryAnswer](ctx, c, get("/v1/config/history?limit="+strconv.Itoa(limit)))
+	return got.Decisions, err
+}
+
+// EntryNodes returns all entry nodes as the node that answers sees them.
+func (c *Client) EntryNodes(ctx context.Context) ([]service.NodeStatus, error) {
+	got, err := fetch[httpapi.NodesAnswer](ctx, c, get("/v1/nodes"))
+	return got.Nodes, err
+}
+
+// Workers returns the workers and the failure domains that did not answer.
+func (c *Client) Workers(ctx context.Context) (httpapi.WorkersAnswer, error) {
+	return fetch[httpapi.WorkersAnswer](ctx, c, get("/v1/workers"))
+}
+
+// Burn returns the burn-rate report of the node that answers.
+func (c *Client) Burn(ctx context.Context) (burn.Report, error) {
+	return fetch[burn.Report](ctx, c, get("/v1/burn"))
+}
--- /dev/null
+++ b/cli/client/requests.go
@@ -0,0 +1,96 @@
+package client
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/node/httpapi"
+)
+
+// Name is how a request is named: by key, by id, or not at all.
+type Name struct {
+	Key string
+	ID  domain.RequestID
+}
+
+// Named reports whether the request can be sent again without running twice.
+func (n Name) Named() bool { return n.Key != "" || !n.ID.IsZero() }
+
+func (n Name) header() http.Header {
+	header := http.Header{}
+	if n.Key != "" {
+		header.Set(httpapi.KeyHeader, n.Key)
+	}
+	if !n.ID.IsZero() {
+		header.Set(httpapi.IDHeader, n.ID.String())
+	}
+	return header
+}
+
+// Submit sends a request and returns its outcome; an urgent request is final
+// then. A request without a name is sent to a second node only if no connection
+// to the first was made. An urgent request is not sent again after its
+// deadline.
+func (c *Client) Submit(ctx context.Context, n Name, body httpapi.SubmitBody) (httpapi.OutcomeBody, error) {
+	cl := call{
+		method: http.MethodPost,
+		path:   "/v1/requests",
+		header: n.header(),
+		body:   body,
+		repeat: n.Named(),
+		about:  n.ID,
+	}
+	if body.Kind == domain.KindUrgent && body.DeadlineMS > 0 {
+		cl.sendWithin = time.Duration(body.DeadlineMS) * time.Millisecond
+		cl.timeout = cl.sendWithin + answerMargin
+	}
+	return c.outcome(ctx, cl)
+}
+
+// Lookup tells what is known of a request.
+func (c *Client) Lookup(ctx context.Context, id domain.RequestID) (httpapi.OutcomeBody, error) {
+	return c.outcome(ctx, call{method: http.MethodGet, path: "/v1/requests/" + id.String(), repeat: true, about: id})
+}
+
+// Cancel stops a request and returns its outcome. Repeating it does no harm.
+func (c *Client) Cancel(ctx context.Context, id domain.RequestID) (httpapi.OutcomeBody, error) {
+	return c.outcome(ctx, call{method: http.MethodDelete, path: "/v1/requests/" + id.String(), repeat: true, about: id})
+}
+
+// outcome returns every answer that has an outcome, also a failure; an error
+// means that there is none.
+func (c *Client) outcome(ctx context.Context, cl call) (httpapi.OutcomeBody, error) {
+	var body httpapi.OutcomeBody
+	a, err := c.do(ctx, cl)
+	if err != nil {
+		return body, err
+	}
+	if err := decode(a, &body); err != nil {
+		return body, err
+	}
+	if body.State == "" {
+		return httpapi.OutcomeBody{}, errorOf(a)
+	}
+	if !cl.about.IsZero() && body.ID != cl.about {
+		return httpapi.OutcomeBody{}, strange(a)
+	}
+	return body, nil
+}
+
+// DrawIDs returns n fresh request ids.
+func (c *Client) DrawIDs(ctx context.Context, n int) ([]domain.RequestID, error) {
+	got, err := fetch[httpapi.IDsAnswer](ctx, c, call{
+		method: http.MethodPost,
+		path:   "/v1/ids",
+		body:   httpapi.IDsBody{Count: &n},
+		repeat: true,
+	})
+	return got.IDs, err
+}
+
+// Explain returns the reasons of the decisions about a request, oldest first.
+func (c *Client) Explain(ctx context.Context, id domain.RequestID) (httpapi.ExplainAnswer, error) {
+	return fetch[httpapi.ExplainAnswer](ctx, c, call{method: http.MethodGet, path: "/v1/explain/" + id.String(), repeat: true, about: id})
+}
--- /dev/null
+++ b/cli/command/burn.go
@@ -0,0 +1,143 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/basilferry/basilferry/cli/client"
+	"github.com/basilferry/basilferry/cli/output"
+	"github.com/basilferry/basilferry/core/burn"
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/node/burnreport"
+	"github.com/basilferry/basilferry/node/service"
+)
+
+// reportMode is the mode of the HTML file.
+const reportMode = 0o644
+
+func (e *Env) burn() *cli.Command {
+	return &cli.Command{
+		Name:        "burn",
+		Usage:       "show burn rates, added up over the nodes that answer",
+		Description: "Each node counts its own callers. Name every node with --node; the others are listed as missing.",
+		Flags:       []cli.Flag{&cli.StringFlag{Name: "html", Usage: "write a page with plots to `FILE`"}},
+		Action:      clientAction(0, e.runBurn),
+	}
+}
+
+// burnReport is the result of burn.
+type burnReport struct {
+	burn.Report
+	// Nodes lists the nodes whose counts are included, Missing the others.
+	// Nodes that cannot be told by their address are listed by URL.
+	Nodes   []string `json:"nodes"`
+	Missing []string `json:"missing"`
+}
+
+func (e *Env) runBurn(ctx context.Context, c *cli.Command, cl *client.Client) error {
+	report, err := gatherBurn(ctx, cl)
+	if err != nil {
+		return err
+	}
+	if len(report.Missing) > 0 {
+		fmt.Fprintf(e.Err, "note: counts are missing of %s\n", output.List(report.Missing))
+	}
+	if path := c.String("html"); path != "" {
+		if err := writeHTML(path, report.Report); err != nil {
+			return err
+		}
+	}
+	return e.show(c, report, func(w io.Writer) error {
+		if err := burnreport.Table(w, report.Report); err != nil {
+			return err
+		}
+		_, err := fmt.Fprintf(w, "nodes: %s\n", output.List(report.Nodes))
+		return err
+	})
+}
+
+func writeHTML(path string, r burn.Report) error {
+	var page strings.Builder
+	if err := burnreport.HTML(&page, r); err != nil {
+		return err
+	}
+	if err := os.WriteFile(path, []byte(page.String()), reportMode); err != nil {
+		return usage("the page cannot be written: "+err.Error(), "name a writable file with --html")
+	}
+	return nil
+}
+
+// gatherBurn asks each node that is named. It fails only if none answers.
+func gatherBurn(ctx context.Context, cl *client.Client) (burnReport, error) {
+	report := burnReport{Nodes: []string{}, Missing: []string{}}
+	var known []service.NodeStatus
+	var reports []burn.Report
+	var failure error
+	for _, url := range cl.Nodes() {
+		single := cl.At(url)
+		got, err := single.Burn(ctx)
+		if err != nil {
+			failure = err
+			report.Missing = append(report.Missing, url)
+			continue
+		}
+		nodes, err := single.EntryNodes(ctx)
+		if err == nil {
+			known = nodes
+		}
+		name := nodeName(url, nodes)
+		if slices.Contains(report.Nodes, name) {
+			continue
+		}
+		report.Nodes = append(report.Nodes, name)
+		reports = append(reports, got)
+	}
+	if len(reports) == 0 {
+		return report, failure
+	}
+	report.Report = mergeBurn(reports)
+	report.Missing = missingNodes(report, known)
+	return report, nil
+}
+
+// nodeName returns the id of the node at a URL, and the URL if no node has its
+// address, for example that of a load balancer.
+func nodeName(url string, nodes []service.NodeStatus) string {
+	if id, ok := nodeAt(url, nodes); ok {
+		return string(id)
+	}
+	return url
+}
+
+func nodeAt(url string, nodes []service.NodeStatus) (domain.NodeID, bool) {
+	_, address, _ := strings.Cut(url, "://")
+	for _, n := range nodes {
+		if n.Address == address {
+			return n.ID, true
+		}
+	}
+	return "", false
+}
+
+// missingNodes returns the known nodes that are not included and the URLs
+// without an answer that belong to no known node.
+func missingNodes(r burnReport, known []service.NodeStatus) []string {
+	missing := []string{}
+	for _, n := range known {
+		if !slices.Contains(r.Nodes, string(n.ID)) {
+			missing = append(missing, string(n.ID))
+		}
+	}
+	for _, url := range r.Missing {
+		if _, ok := nodeAt(url, known); !ok {
+			missing = append(missing, url)
+		}
+	}
+	return missing
+}
--- /dev/null
+++ b/cli/command/capacity.go
@@ -0,0 +1,91 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/basilferry/basilferry/cli/client"
+	"github.com/basilferry/basilferry/cli/output"
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/node/service"
+)
+
+func (e *Env) capacity() *cli.Command {
+	return &cli.Command{
+		Name:   "capacity",
+		Usage:  "show reserved and free capacity of each failure domain",
+		Action: clientAction(0, e.runCapacity),
+	}
+}
+
+// domainCapacity is the sum over the workers of a failure domain.
+type domainCapacity struct {
+	Domain   domain.FailureDomain `json:"domain"`
+	Workers  int                  `json:"workers"`
+	Tasks    int                  `json:"tasks"`
+	Capacity domain.Resources     `json:"capacity"`
+	Reserved domain.Resources     `json:"reserved"`
+	Free     domain.Resources     `json:"free"`
+}
+
+// capacityReport is the result of capacity.
+type capacityReport struct {
+	Domains []domainCapacity       `json:"domains"`
+	Missing []domain.FailureDomain `json:"missing,omitempty"`
+}
+
+func (e *Env) runCapacity(ctx context.Context, c *cli.Command, cl *client.Client) error {
+	got, err := cl.Workers(ctx)
+	if err != nil {
+		return err
+	}
+	e.noteMissing(got.Missing)
+	report := capacityReport{Domains: sumDomains(got.Workers), Missing: got.Missing}
+	return e.show(c, report, report.write)
+}
+
+func sumDomains(workers []service.WorkerStatus) []domainCapacity {
+	sums := []domainCapacity{}
+	for _, w := range workers {
+		i := slices.IndexFunc(sums, func(s domainCapacity) bool { return s.Domain == w.Domain })
+		if i < 0 {
+			i = len(sums)
+			sums = append(sums, domainCapacity{Domain: w.Domain})
+		}
+		sums[i].add(w)
+	}
+	slices.SortFunc(sums, func(a, b domainCapacity) int { return strings.Compare(string(a.Domain), string(b.Domain)) })
+	return sums
+}
+
+func (s *domainCapacity) add(w service.WorkerStatus) {
+	s.Workers++
+	s.Tasks += w.Tasks
+	s.Capacity = s.Capacity.Add(w.Capacity)
+	s.Reserved = s.Reserved.Add(w.Reserved)
+	s.Free = s.Capacity.Sub(s.Reserved)
+}
+
+func (r capacityReport) write(w io.Writer) error {
+	table := output.Table{Header: []string{"DOMAIN", "WORKERS", "TASKS", "RESOURCE", "CAPACITY", "RESERVED", "FREE", "RESERVED %"}}
+	for _, s := range r.Domains {
+		for _, d := range dimensions {
+			whole := d.of(s.Capacity)
+			if whole == 0 {
+				continue
+			}
+			table.Add(string(s.Domain), number(int64(s.Workers)), number(int64(s.Tasks)), d.name,
+				number(whole), number(d.of(s.Reserved)), number(d.of(s.Free)), percent(d.of(s.Reserved), whole))
+		}
+	}
+	return table.Write(w)
+}
+
+func percent(part, whole int64) string {
+	return fmt.Sprintf("%.1f", 100*float64(part)/float64(whole))
+}
--- /dev/null
+++ b/cli/command/doc.go
@@ -0,0 +1,3 @@
+// Package command implements the commands of basilferry, one file for each.
+// docs/cli.md describes them.
+package command
--- /dev/null
+++ b/cli/command/exit.go
@@ -0,0 +1,122 @@
+package command
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/node/httpapi"
+)
+
+// Exit codes. They are part of the interface; docs/cli.md describes them.
+const (
+	ExitDone        = 0
+	ExitUsage       = 1
+	ExitNotRun      = 2
+	ExitUnknown     = 3
+	ExitConflict    = 4
+	ExitUnavailable = 5
+	ExitTaskFailed  = 6
+	ExitPartial     = 7
+)
+
+var exitOfKind = map[domain.ErrorKind]int{
+	domain.KindBadRequest:      ExitUsage,
+	domain.KindTooLarge:        ExitUsage,
+	domain.KindNotFound:        ExitUsage,
+	domain.KindKeyConflict:     ExitUsage,
+	domain.KindNeverFits:       ExitUsage,
+	domain.KindUnauthorized:    ExitUsage,
+	domain.KindNotRun:          ExitNotRun,
+	domain.KindOutcomeUnknown:  ExitUnknown,
+	domain.KindInternal:        ExitUnknown,
+	domain.KindVersionConflict: ExitConflict,
+	domain.KindUnavailable:     ExitUnavailable,
+	domain.KindNoCapacity:      ExitUnavailable,
+	domain.KindStaleEpoch:      ExitUnavailable,
+	domain.KindTaskFailed:      ExitTaskFailed,
+}
+
+// codedError is an error with an exit code of its own.
+type codedError struct {
+	code int
+	err  *domain.Error
+}
+
+// Error implements error.
+func (e *codedError) Error() string { return e.err.Error() }
+
+// Unwrap gives the typed error.
+func (e *codedError) Unwrap() error { return e.err }
+
+// exitCode returns the exit code of a command that ended with err. Errors
+// without a type come from the parsing of the command line.
+func exitCode(err error) int {
+	if err == nil {
+		return ExitDone
+	}
+	var coded *codedError
+	if errors.As(err, &coded) {
+		return coded.code
+	}
+	var typed *domain.Error
+	if !errors.As(err, &typed) {
+		return ExitUsage
+	}
+	if code, ok := exitOfKind[typed.Kind]; ok {
+		return code
+	}
+	return ExitUnknown
+}
+
+// printError writes message, remedy and request of an error.
+func printError(w io.Writer, err error) {
+	var typed *domain.Error
+	if !errors.As(err, &typed) {
+		typed = usage(err.Error(), "see basilferry --help")
+	}
+	fmt.Fprintf(w, "error: %s\n", typed.Message)
+	if typed.Remedy != "" {
+		fmt.Fprintf(w, "remedy: %s\n", typed.Remedy)
+	}
+	if typed.RequestID != "" {
+		fmt.Fprintf(w, "request: %s\n", typed.RequestID)
+	}
+}
+
+func usage(message, remedy string) *domain.Error {
+	return &domain.Error{Kind: domain.KindBadRequest, Message: message, Remedy: remedy}
+}
+
+// outcomeError returns the error of an outcome that is not a success, nil
+// otherwise. The state decides on the exit code, unless the request itself is
+// wrong.
+func outcomeError(o httpapi.OutcomeBody) error {
+	code, ok := exitOfState(o.State)
+	if !ok {
+		return nil
+	}
+	err := &domain.Error{Kind: o.Kind, Message: o.Message, Remedy: o.Remedy, RequestID: o.RequestID}
+	if o.State == domain.OutcomeCancelled {
+		err.Kind = domain.KindTaskFailed
+		err.Message = "the task was cancelled and did not run to its end"
+		err.Remedy = "submit the work again under a new key or id"
+	}
+	if exitOfKind[err.Kind] == ExitUsage {
+		code = ExitUsage
+	}
+	return &codedError{code: code, err: err}
+}
+
+func exitOfState(state domain.OutcomeState) (int, bool) {
+	switch state {
+	case domain.OutcomeRan, domain.OutcomeAccepted, domain.OutcomeRunning:
+		return ExitDone, false
+	case domain.OutcomeFailed, domain.OutcomeCancelled:
+		return ExitTaskFailed, true
+	case domain.OutcomeNotRun:
+		return ExitNotRun, true
+	}
+	return ExitUnknown, true
+}
--- /dev/null
+++ b/cli/command/nodes.go
@@ -0,0 +1,44 @@
+package command
+
+import (
+	"context"
+	"io"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/basilferry/basilferry/cli/client"
+	"github.com/basilferry/basilferry/cli/output"
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/node/httpapi"
+)
+
+func (e *Env) nodes() *cli.Command {
+	return &cli.Command{
+		Name:   "nodes",
+		Usage:  "list the entry nodes",
+		Action: clientAction(0, e.runNodes),
+	}
+}
+
+func (e *Env) runNodes(ctx context.Context, c *cli.Command, cl *client.Client) error {
+	nodes, err := cl.EntryNodes(ctx)
+	if err != nil {
+		return err
+	}
+	return e.show(c, httpapi.NodesAnswer{Nodes: nodes}, func(w io.Writer) error {
+		table := output.Table{Header: []string{"NODE", "DOMAIN", "ADDRESS", "LIVE", "VERSION", "SHARDS", "ISOLATED", "LOG UP"}}
+		for _, n := range nodes {
+			table.Add(string(n.ID), string(n.Domain), n.Address, yesNo(n.Live), version(n.ConfigVersion),
+				shards(n.Shards), yesNo(n.Isolated), yesNo(n.LogUp))
+		}
+		return table.Write(w)
+	})
+}
+
+func shards(ids []domain.ShardID) string {
+	texts := make([]string, len(ids))
+	for i, id := range ids {
+		texts[i] = id.String()
+	}
+	return output.List(texts)
+}
--- /dev/null
+++ b/cli/command/outcome.go
@@ -0,0 +1,43 @@
+package command
+
+import (
+	"encoding/base64"
+	"io"
+	"strconv"
+	"unicode/utf8"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/basilferry/basilferry/cli/output"
+	"github.com/basilferry/basilferry/node/httpapi"
+)
+
+// showOutcome writes an outcome of any state.
+func (e *Env) showOutcome(c *cli.Command, o httpapi.OutcomeBody) error {
+	return e.show(c, o, func(w io.Writer) error {
+		table := output.Table{}
+		table.Add("id", o.RequestID)
+		table.Add("state", string(o.State))
+		if o.Worker != "" {
+			table.Add("worker", string(o.Worker))
+		}
+		if o.Attempt > 0 {
+			table.Add("attempt", strconv.Itoa(o.Attempt))
+		}
+		if o.Volatile {
+			table.Add("volatile", "yes, the log does not have the task yet")
+		}
+		if o.Answer != nil {
+			table.Add(answerCell(o.Answer)...)
+		}
+		return table.Write(w)
+	})
+}
+
+// answerCell shows an answer as text if it is text.
+func answerCell(answer []byte) []string {
+	if utf8.Valid(answer) {
+		return []string{"answer", string(answer)}
+	}
+	return []string{"answer (base64)", base64.StdEncoding.EncodeToString(answer)}
+}
--- /dev/null
+++ b/cli/command/preset.go
@@ -0,0 +1,119 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/basilferry/basilferry/cli/client"
+	"github.com/basilferry/basilferry/cli/output"
+	"github.com/basilferry/basilferry/core/configlog"
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/policy"
+)
+
+func (e *Env) preset() *cli.Command {
+	return &cli.Command{
+		Name:  "preset",
+		Usage: "list, show and use presets",
+		Commands: []*cli.Command{
+			{Name: "list", Usage: "list the presets and which one is in force", Action: clientAction(0, e.runPresetList)},
+			{Name: "show", Usage: "show the built-in values of a preset", ArgsUsage: "NAME", Action: action(1, e.runPresetShow)},
+			{Name: "use", Usage: "put a preset in force", ArgsUsage: "NAME", Flags: changeFlags(), Action: clientAction(1, e.runPresetUse)},
+		},
+	}
+}
+
+// presetEntry is one line of preset list.
+type presetEntry struct {
+	domain.Preset
+	InForce bool `json:"in_force"`
+}
+
+func (e *Env) runPresetList(ctx context.Context, c *cli.Command, cl *client.Client) error {
+	current, err := cl.Configuration(ctx)
+	if err != nil {
+		return err
+	}
+	entries := presetEntries(current.Preset)
+	return e.show(c, entries, func(w io.Writer) error {
+		table := output.Table{Header: []string{"NAME", "IN FORCE", "ISOLATED STARTS", "BATCH SHARE", "URGENT SLOTS", "RETRY BUDGET"}}
+		for _, p := range entries {
+			table.Add(p.Name, yesNo(p.InForce), string(p.IsolatedStarts), decimal(p.BatchShare), number(p.UrgentSlots), decimal(p.RetryBudget))
+		}
+		return table.Write(w)
+	})
+}
+
+// presetEntries lists the built-in presets. The one in force is shown with the
+// values that are in force.
+func presetEntries(inForce domain.Preset) []presetEntry {
+	var entries []presetEntry
+	for _, p := range policy.DefaultPresets() {
+		entry := presetEntry{Preset: p}
+		if p.Name == inForce.Name {
+			entry = presetEntry{Preset: inForce, InForce: true}
+		}
+		entries = append(entries, entry)
+	}
+	return entries
+}
+
+func (e *Env) runPresetShow(_ context.Context, c *cli.Command) error {
+	p, err := presetNamed(c.Args().First())
+	if err != nil {
+		return err
+	}
+	return e.show(c, p, func(w io.Writer) error {
+		table := output.Table{}
+		addPreset(&table, p)
+		return table.Write(w)
+	})
+}
+
+func (e *Env) runPresetUse(ctx context.Context, c *cli.Command, cl *client.Client) error {
+	p, err := presetNamed(c.Args().First())
+	if err != nil {
+		return err
+	}
+	return e.change(ctx, c, cl, configlog.Change{Preset: &p})
+}
+
+func presetNamed(name string) (domain.Preset, error) {
+	for _, p := range policy.DefaultPresets() {
+		if p.Name == name {
+			return p, nil
+		}
+	}
+	return domain.Preset{}, usage(fmt.Sprintf("preset %q does not exist", name), "use "+output.List(configlog.PresetNames()))
+}
+
+func addPreset(t *output.Table, p domain.Preset) {
+	t.Add("preset", p.Name)
+	t.Add("isolated starts", string(p.IsolatedStarts))
+	t.Add("batch share", decimal(p.BatchShare))
+	t.Add("urgent slots", number(p.UrgentSlots))
+	t.Add("urgent per worker", urgentLimit(p.UrgentPerWorker))
+	t.Add("reservation quantile", decimal(p.ReservationQuantile))
+	t.Add("throttle slowdown", decimal(p.ThrottleSlowdown))
+	t.Add("evict slowdown", decimal(p.EvictSlowdown))
+	t.Add("retry budget", decimal(p.RetryBudget))
+}
+
+func urgentLimit(n int64) string {
+	if n == 0 {
+		return "number of slots"
+	}
+	return number(n)
+}
+
+func decimal(f float64) string { return fmt.Sprintf("%g", f) }
+
+func yesNo(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
--- /dev/null
+++ b/cli/command/run.go
@@ -0,0 +1,197 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/basilferry/basilferry/cli/client"
+	"github.com/basilferry/basilferry/cli/output"
+)
+
+// Defaults of Env.
+const (
+	defaultPoll     = 500 * time.Millisecond
+	defaultProgress = 2 * time.Second
+)
+
+// Env is what a command uses of its process.
+type Env struct {
+	In       io.Reader
+	Out, Err io.Writer
+	// Poll is the time between two looks at something that is waited for, and
+	// Progress that between two progress lines. Zero is the default.
+	Poll, Progress time.Duration
+}
+
+// Run runs the command line and returns the exit code. args has the name of
+// the program first.
+func Run(ctx context.Context, args []string, env Env) int {
+	if env.Poll == 0 {
+		env.Poll = defaultPoll
+	}
+	if env.Progress == 0 {
+		env.Progress = defaultProgress
+	}
+	err := newRoot(&env).Run(ctx, args)
+	if err != nil {
+		printError(env.Err, err)
+	}
+	return exitCode(err)
+}
+
+func newRoot(env *Env) *cli.Command {
+	root := &cli.Command{
+		Name:                            "basilferry",
+		Usage:                           "submit work to basilferry and operate it",
+		Flags:                           globalFlags(),
+		Commands:                        env.commands(),
+		Reader:                          env.In,
+		Writer:                          env.Out,
+		ErrWriter:                       env.Err,
+		EnableShellCompletion:           true,
+		ConfigureShellCompletionCommand: showCompletion,
+		// The exit code is returned to the caller of Run.
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+	}
+	prepare(root)
+	return root
+}
+
+func (e *Env) commands() []*cli.Command {
+	return []*cli.Command{
+		e.submit(),
+		e.get(),
+		e.cancel(),
+		e.ids(),
+		e.explain(),
+		e.preset(),
+		e.domain(),
+		e.quota(),
+		e.workers(),
+		e.nodes(),
+		e.config(),
+		e.burn(),
+		e.capacity(),
+		e.standin(),
+		e.version(),
+	}
+}
+
+func showCompletion(c *cli.Command) { c.Hidden = false }
+
+// Names of the global flags.
+const (
+	flagNode    = "node"
+	flagToken   = "token"
+	flagTimeout = "timeout"
+	flagOutput  = "output"
+)
+
+func globalFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringSliceFlag{
+			Name:    flagNode,
+			Usage:   "`URL` of an entry node; repeat it or separate by commas, the next one is tried when a node does not answer",
+			Sources: cli.EnvVars("BASILFERRY_NODES"),
+		},
+		&cli.StringFlag{Name: flagToken, Usage: "operator `TOKEN`", Sources: cli.EnvVars("BASILFERRY_TOKEN")},
+		&cli.DurationFlag{Name: flagTimeout, Usage: "bounds a call at one node", Value: client.DefaultTimeout},
+		&cli.StringFlag{Name: flagOutput, Aliases: []string{"o"}, Usage: "table or json", Value: string(output.FormatTable)},
+	}
+}
+
+// prepare gives every command the same treatment of wrong usage.
+func prepare(c *cli.Command) {
+	c.DisableSliceFlagSeparator = true
+	c.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+		return usage(err.Error(), "see basilferry --help for the commands and their flags")
+	}
+	if c.Action == nil {
+		c.Action = needCommand
+	}
+	for _, sub := range c.Commands {
+		prepare(sub)
+	}
+}
+
+// needCommand is the action of a command that only has subcommands.
+func needCommand(_ context.Context, c *cli.Command) error {
+	var names []string
+	for _, sub := range c.VisibleCommands() {
+		names = append(names, sub.Name)
+	}
+	remedy := "use one of " + strings.Join(names, ", ") + "; see " + c.FullName() + " --help"
+	if !c.Args().Present() {
+		return usage(c.FullName()+" needs a command", remedy)
+	}
+	return usage(fmt.Sprintf("%s has no command %q", c.FullName(), c.Args().First()), remedy)
+}
+
+// newClient returns a client for the global flags.
+func newClient(c *cli.Command) (*client.Client, error) {
+	return client.New(client.Options{
+		Nodes:   nodeURLs(c.StringSlice(flagNode)),
+		Token:   c.String(flagToken),
+		Timeout: c.Duration(flagTimeout),
+	})
+}
+
+// nodeURLs takes lists apart, as the environment variable has one.
+func nodeURLs(values []string) []string {
+	var urls []string
+	for _, v := range values {
+		urls = append(urls, strings.FieldsFunc(v, func(r rune) bool { return r == ',' || r == ' ' })...)
+	}
+	return urls
+}
+
+// show writes a result in the form that is asked for.
+func (e *Env) show(c *cli.Command, value any, table func(io.Writer) error) error {
+	format, err := formatOf(c)
+	if err != nil {
+		return err
+	}
+	if format == output.FormatJSON {
+		return output.JSON(e.Out, value)
+	}
+	return table(e.Out)
+}
+
+func formatOf(c *cli.Command) (output.Format, error) {
+	format := output.Format(c.String(flagOutput))
+	if !format.Valid() {
+		return format, usage(fmt.Sprintf("output form %q is unknown", format), "use --output table or --output json")
+	}
+	return format, nil
+}
+
+// action checks the number of arguments and the output form before anything is
+// done, so that a wrong command line changes nothing.
+func action(arguments int, run func(context.Context, *cli.Command) error) cli.ActionFunc {
+	return func(ctx context.Context, c *cli.Command) error {
+		if got := c.Args().Len(); got != arguments {
+			message := fmt.Sprintf("%s takes %d argument(s), not %d", c.FullName(), arguments, got)
+			return usage(message, "use "+strings.TrimSpace(c.FullName()+" "+c.ArgsUsage))
+		}
+		if _, err := formatOf(c); err != nil {
+			return err
+		}
+		return run(ctx, c)
+	}
+}
+
+// clientAction is action for a command that calls nodes.
+func clientAction(arguments int, run func(context.Context, *cli.Command, *client.Client) error) cli.ActionFunc {
+	return action(arguments, func(ctx context.Context, c *cli.Command) error {
+		cl, err := newClient(c)
+		if err != nil {
+			return err
+		}
+		return run(ctx, c, cl)
+	})
+}
--- /dev/null
+++ b/cli/command/workers.go
@@ -0,0 +1,47 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/basilferry/basilferry/cli/client"
+	"github.com/basilferry/basilferry/cli/output"
+	"github.com/basilferry/basilferry/core/domain"
+)
+
+func (e *Env) workers() *cli.Command {
+	return &cli.Command{
+		Name:   "workers",
+		Usage:  "list the workers with their reserved and whole capacity",
+		Action: clientAction(0, e.runWorkers),
+	}
+}
+
+func (e *Env) runWorkers(ctx context.Context, c *cli.Command, cl *client.Client) error {
+	got, err := cl.Workers(ctx)
+	if err != nil {
+		return err
+	}
+	e.noteMissing(got.Missing)
+	return e.show(c, got, func(w io.Writer) error {
+		table := output.Table{Header: []string{"WORKER", "DOMAIN", "RACK", "SHARD", "STATE", "TASKS", "CPU MILLI", "MEMORY MIB", "ACCELERATORS", "SLOTS", "CONNECTIONS"}}
+		for _, s := range got.Workers {
+			cells := []string{string(s.ID), string(s.Domain), s.Rack, s.Shard.String(), s.State, number(int64(s.Tasks))}
+			for _, d := range dimensions {
+				cells = append(cells, share(d.of(s.Reserved), d.of(s.Capacity)))
+			}
+			table.Add(cells...)
+		}
+		return table.Write(w)
+	})
+}
+
+// noteMissing names the domains that an answer lacks.
+func (e *Env) noteMissing(missing []domain.FailureDomain) {
+	if len(missing) > 0 {
+		fmt.Fprintf(e.Err, "note: no answer from failure domain %s; its workers are missing\n", output.List(missing))
+	}
+}
--- /dev/null
+++ b/cli/output/doc.go
@@ -0,0 +1,3 @@
+// Package output writes results of commands as aligned tables or as JSON, and
+// progress lines of long waits. It writes no colour codes.
+package output
