--- a/cli/client/change.go
+++ b/cli/client/change.go
@@ -70,8 +70,9 @@
 	}
 }
 
-// decided reports what one node knows of the change. Once a later version than
-// the base is in force, a change that was not accepted never will be.
+// decided reports what one node knows of the change. Exactly one change of each
+// version is accepted, so another one that was shows that this one never will
+// be. A node that started from a snapshot may know neither.
 func (c *Client) decided(ctx context.Context, change configlog.Change) (httpapi.ChangeBody, bool) {
 	inForce, err := c.Configuration(ctx)
 	if err != nil || inForce.Version <= change.Base {
@@ -81,20 +82,20 @@
 	if err != nil {
 		return httpapi.ChangeBody{}, false
 	}
-	rejected := configlog.Decision{Change: change, InForce: inForce.Version, Err: overtaken()}
 	for _, d := range history {
-		if !reflect.DeepEqual(d.Change, change) {
+		if !d.Accepted || d.Change.Base != change.Base {
 			continue
 		}
-		if d.Accepted {
+		if reflect.DeepEqual(d.Change, change) {
 			return httpapi.ChangeBody{ChangeResult: service.ChangeResult{Decision: d}}, true
 		}
-		rejected = d
+		lost := configlog.Decision{Change: change, InForce: inForce.Version, Err: overtaken()}
+		return httpapi.ChangeBody{
+			ChangeResult:  service.ChangeResult{Decision: lost},
+			Configuration: &inForce,
+		}, true
 	}
-	return httpapi.ChangeBody{
-		ChangeResult:  service.ChangeResult{Decision: rejected},
-		Configuration: &inForce,
-	}, true
+	return httpapi.ChangeBody{}, false
 }
 
 func overtaken() *domain.Error {
--- a/cli/command/capacity.go
+++ b/cli/command/capacity.go
@@ -23,10 +23,16 @@
 	}
 }
 
-// domainCapacity is the sum over the workers of a failure domain.
+// stateAttached is the state of a worker that can take tasks. The states are
+// those of the chart of package shard.
+const stateAttached = "attached"
+
+// domainCapacity is the sum over the workers of a failure domain. Free counts
+// attached workers only, because no other worker can take a task.
 type domainCapacity struct {
 	Domain   domain.FailureDomain `json:"domain"`
 	Workers  int                  `json:"workers"`
+	Attached int                  `json:"attached"`
 	Tasks    int                  `json:"tasks"`
 	Capacity domain.Resources     `json:"capacity"`
 	Reserved domain.Resources     `json:"reserved"`
@@ -68,18 +74,21 @@
 	s.Tasks += w.Tasks
 	s.Capacity = s.Capacity.Add(w.Capacity)
 	s.Reserved = s.Reserved.Add(w.Reserved)
-	s.Free = s.Capacity.Sub(s.Reserved)
+	if w.State == stateAttached {
+		s.Attached++
+		s.Free = s.Free.Add(w.Capacity.Sub(w.Reserved))
+	}
 }
 
 func (r capacityReport) write(w io.Writer) error {
-	table := output.Table{Header: []string{"DOMAIN", "WORKERS", "TASKS", "RESOURCE", "CAPACITY", "RESERVED", "FREE", "RESERVED %"}}
+	table := output.Table{Header: []string{"DOMAIN", "ATTACHED", "TASKS", "RESOURCE", "CAPACITY", "RESERVED", "FREE", "RESERVED %"}}
 	for _, s := range r.Domains {
 		for _, d := range dimensions {
 			whole := d.of(s.Capacity)
 			if whole == 0 {
 				continue
 			}
-			table.Add(string(s.Domain), number(int64(s.Workers)), number(int64(s.Tasks)), d.name,
+			table.Add(string(s.Domain), share(int64(s.Attached), int64(s.Workers)), number(int64(s.Tasks)), d.name,
 				number(whole), number(d.of(s.Reserved)), number(d.of(s.Free)), percent(d.of(s.Reserved), whole))
 		}
 	}
--- a/cli/command/change.go
+++ b/cli/command/change.go
@@ -42,9 +42,13 @@
 	Version domain.Version  `json:"version"`
 	State   string          `json:"state"`
 	InForce []domain.NodeID `json:"in_force"`
+	// Behind lists nodes that answer without having the version in force,
+	// Missing those that do not answer.
+	Behind  []domain.NodeID `json:"behind"`
 	Missing []domain.NodeID `json:"missing"`
-	// Winner is the change in force if another operator won.
-	Winner *configlog.Decision `json:"winner,omitempty"`
+	// Won lists the changes that were accepted after Base, oldest first, if
+	// another operator won.
+	Won []configlog.Decision `json:"won,omitempty"`
 	// Configuration is in force if the change was rejected.
 	Configuration *domain.Configuration `json:"configuration,omitempty"`
 }
@@ -74,7 +78,7 @@
 	if body.Decision.Err != nil {
 		return e.rejected(ctx, c, cl, change, body)
 	}
-	report := changeReport{Base: change.Base, Version: body.Decision.InForce, State: stateProvisional, InForce: body.InForce, Missing: body.Missing}
+	report := changeReport{Base: change.Base, Version: body.Decision.InForce, State: stateProvisional, InForce: listed(body.InForce), Behind: listed(nil), Missing: listed(body.Missing)}
 	if !body.Provisional {
 		report.Version = body.Decision.Version
 		e.awaitInForce(ctx, cl, &report, progress, end)
@@ -82,6 +86,9 @@
 	return e.showChange(c, report)
 }
 
+// listed returns a list that is written as [] if it is empty.
+func listed(ids []domain.NodeID) []domain.NodeID { return append([]domain.NodeID{}, ids...) }
+
 func completeChange(ctx context.Context, c *cli.Command, cl *client.Client, change *configlog.Change) error {
 	change.Operator = c.String("operator")
 	change.Reason = c.String("reason")
@@ -98,32 +105,49 @@
 }
 
 // awaitInForce asks for the nodes until every one that answers has the version,
-// or the time is over.
+// or the time is over. Nodes that do not answer are not waited for.
 func (e *Env) awaitInForce(ctx context.Context, cl *client.Client, r *changeReport, p *output.Progress, end time.Time) {
-	r.State = stateInForce
-	for first := true; first || len(r.Missing) > 0; first = false {
-		if nodes, err := cl.EntryNodes(ctx); err == nil {
+	for {
+		nodes, err := cl.EntryNodes(ctx)
+		if err == nil {
 			r.note(nodes)
 		}
-		p.Set(fmt.Sprintf("waiting until version %d is in force: %d of %d nodes, missing %s",
-			r.Version, len(r.InForce), len(r.InForce)+len(r.Missing), output.List(r.Missing)))
-		if len(r.Missing) == 0 || time.Now().After(end) || !client.Pause(ctx, e.Poll) {
+		p.Set(r.progress())
+		if err == nil && len(r.Behind) == 0 {
+			break
+		}
+		if time.Now().After(end) || !client.Pause(ctx, e.Poll) {
 			break
 		}
 	}
-	if len(r.Missing) > 0 || len(r.InForce) == 0 {
+	r.State = stateInForce
+	if len(r.Missing)+len(r.Behind) > 0 || len(r.InForce) == 0 {
 		r.State = statePartial
 	}
 }
 
+func (r *changeReport) progress() string {
+	text := fmt.Sprintf("waiting until version %d is in force: %d of %d nodes have it", r.Version, len(r.InForce), len(r.InForce)+len(r.Behind)+len(r.Missing))
+	if len(r.Behind) > 0 {
+		text += ", behind: " + output.List(r.Behind)
+	}
+	if len(r.Missing) > 0 {
+		text += ", no answer: " + output.List(r.Missing)
+	}
+	return text
+}
+
 // note updates the lists of nodes. A node that had the version keeps it.
 func (r *changeReport) note(nodes []service.NodeStatus) {
 	had := r.InForce
-	r.InForce, r.Missing = nil, nil
+	r.InForce, r.Behind, r.Missing = listed(nil), listed(nil), listed(nil)
 	for _, n := range nodes {
-		if (n.Live && n.ConfigVersion >= r.Version) || slices.Contains(had, n.ID) {
+		switch {
+		case slices.Contains(had, n.ID), n.Live && n.ConfigVersion >= r.Version:
 			r.InForce = append(r.InForce, n.ID)
-		} else {
+		case n.Live:
+			r.Behind = append(r.Behind, n.ID)
+		default:
 			r.Missing = append(r.Missing, n.ID)
 		}
 	}
@@ -136,6 +160,7 @@
 		table.Add("version", version(r.Version))
 		table.Add("state", r.State)
 		table.Add("in force on", output.List(r.InForce))
+		table.Add("behind", output.List(r.Behind))
 		table.Add("missing", output.List(r.Missing))
 		return table.Write(w)
 	})
@@ -149,14 +174,14 @@
 func (r changeReport) problem() error {
 	switch r.State {
 	case statePartial:
-		return partial("the change is accepted but has not been seen in force on: "+output.List(r.Missing),
+		return partial("the change is accepted but not known to be in force on: "+output.List(append(listed(r.Behind), r.Missing...)),
 			"see basilferry nodes; a node that returns takes the change by itself")
 	case stateProvisional:
 		message := "the log service does not answer; starts are stopped provisionally on: " + output.List(r.InForce)
 		if len(r.Missing) > 0 {
 			message += "; without an answer: " + output.List(r.Missing)
 		}
-		return partial(message, "the take-out becomes part of the configuration once the log service answers; see basilferry domain status")
+		return partial(message, "the take-out becomes part of the configuration once the log service answers; basilferry config history shows it then")
 	}
 	return nil
 }
@@ -165,44 +190,71 @@
 	return &codedError{code: ExitPartial, err: &domain.Error{Kind: domain.KindUnavailable, Message: message, Remedy: remedy}}
 }
 
-// rejected reports a change that lost, with what is in force in its place.
+// rejected reports a change that was not accepted, and what won if another one
+// was.
 func (e *Env) rejected(ctx context.Context, c *cli.Command, cl *client.Client, change configlog.Change, body httpapi.ChangeBody) error {
-	r := changeReport{Base: change.Base, Version: body.Decision.InForce, State: stateRejected, Configuration: body.Configuration}
-	if body.Configuration != nil {
-		r.Version = body.Configuration.Version
+	r := changeReport{
+		Base:          change.Base,
+		Version:       body.Decision.InForce,
+		State:         stateRejected,
+		InForce:       listed(nil),
+		Behind:        listed(nil),
+		Missing:       listed(nil),
+		Configuration: body.Configuration,
 	}
-	r.Winner = winner(ctx, cl, r.Version)
-	err := e.show(c, r, func(w io.Writer) error {
-		table := output.Table{}
-		table.Add("based on version", version(r.Base))
-		table.Add("state", r.State)
-		table.Add("version in force", version(r.Version))
-		if r.Winner != nil {
-			table.Add("changed by", r.Winner.Change.Operator)
-			table.Add("change", changeText(r.Winner.Change))
-			table.Add("reason", r.Winner.Change.Reason)
-		}
-		return table.Write(w)
-	})
-	if err != nil {
+	if body.Decision.Err.Kind == domain.KindVersionConflict {
+		r.Won = acceptedAfter(ctx, cl, change.Base)
+	}
+	if err := e.show(c, r, r.writeRejected); err != nil {
 		return err
 	}
 	return body.Decision.Err
 }
 
-// winner returns the decision that put the version in force, if a node still
-// knows it.
-func winner(ctx context.Context, cl *client.Client, v domain.Version) *configlog.Decision {
+func (r changeReport) writeRejected(w io.Writer) error {
+	table := output.Table{}
+	table.Add("based on version", version(r.Base))
+	table.Add("state", r.State)
+	table.Add("version in force", version(r.Version))
+	if r.Configuration != nil {
+		table.Add("preset in force", r.Configuration.Preset.Name)
+		table.Add("taken out", takenOut(*r.Configuration))
+	}
+	for _, d := range r.Won {
+		table.Add("won, version "+version(d.Version), changeText(d.Change)+" by "+d.Change.Operator+reasonText(d.Change))
+	}
+	return table.Write(w)
+}
+
+func takenOut(c domain.Configuration) string {
+	names := make([]domain.FailureDomain, len(c.TakeOuts))
+	for i, t := range c.TakeOuts {
+		names[i] = t.Domain
+	}
+	return output.List(names)
+}
+
+func reasonText(c configlog.Change) string {
+	if c.Reason == "" {
+		return ""
+	}
+	return ": " + c.Reason
+}
+
+// acceptedAfter returns the changes that were accepted after a version, oldest
+// first, as far as the node that answers knows them.
+func acceptedAfter(ctx context.Context, cl *client.Client, v domain.Version) []configlog.Decision {
 	history, err := cl.History(ctx, client.MaxHistory)
 	if err != nil {
 		return nil
 	}
-	for _, d := range history {
-		if d.Accepted && d.Version == v {
-			return &d
+	var accepted []configlog.Decision
+	for _, d := range slices.Backward(history) {
+		if d.Accepted && d.Version > v {
+			accepted = append(accepted, d)
 		}
 	}
-	return nil
+	return accepted
 }
 
 func version(v domain.Version) string { return number(int64(v)) }
--- a/cli/command/preset.go
+++ b/cli/command/preset.go
@@ -20,8 +20,8 @@
 		Usage: "list, show and use presets",
 		Commands: []*cli.Command{
 			{Name: "list", Usage: "list the presets and which one is in force", Action: clientAction(0, e.runPresetList)},
-			{Name: "show", Usage: "show the built-in values of a preset", ArgsUsage: "NAME", Action: action(1, e.runPresetShow)},
-			{Name: "use", Usage: "put a preset in force", ArgsUsage: "NAME", Flags: changeFlags(), Action: clientAction(1, e.runPresetUse)},
+			{Name: "show", Usage: "show the built-in values of a preset", ArgsUsage: "NAME", ShellComplete: completePresets, Action: action(1, e.runPresetShow)},
+			{Name: "use", Usage: "put a preset in force", ArgsUsage: "NAME", Flags: changeFlags(), ShellComplete: completePresets, Action: clientAction(1, e.runPresetUse)},
 		},
 	}
 }
@@ -81,6 +81,16 @@
 	return e.change(ctx, c, cl, configlog.Change{Preset: &p})
 }
 
+// completePresets offers the names of the presets and then the flags.
+func completePresets(ctx context.Context, c *cli.Command) {
+	if c.Args().Len() == 0 {
+		for _, name := range configlog.PresetNames() {
+			fmt.Fprintln(c.Root().Writer, name)
+		}
+	}
+	cli.DefaultCompleteWithFlags(ctx, c)
+}
+
 func presetNamed(name string) (domain.Preset, error) {
 	for _, p := range policy.DefaultPresets() {
 		if p.Name == name {
--- a/cli/command/run.go
+++ b/cli/command/run.go
@@ -108,6 +108,8 @@
 // prepare gives every command the same treatment of wrong usage.
 func prepare(c *cli.Command) {
 	c.DisableSliceFlagSeparator = true
+	// An argument of a command without subcommands may be "help" or "h".
+	c.HideHelpCommand = len(c.Commands) == 0
 	c.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
 		return usage(err.Error(), "see basilferry --help for the commands and their flags")
 	}
--- a/cli/command/submit.go
+++ b/cli/command/submit.go
@@ -66,9 +66,21 @@
 	if err := e.showOutcome(c, o); err != nil {
 		return err
 	}
+	if c.Bool("wait") && !o.State.Final() && o.State != domain.OutcomeUnknown {
+		return notEnded(o.RequestID)
+	}
 	return outcomeError(o)
 }
 
+func notEnded(id string) *domain.Error {
+	return &domain.Error{
+		Kind:      domain.KindOutcomeUnknown,
+		Message:   "the task has not ended within the wait",
+		Remedy:    "run basilferry get " + id + " later",
+		RequestID: id,
+	}
+}
+
 func nameOf(c *cli.Command) (client.Name, error) {
 	name := client.Name{Key: c.String("key")}
 	if !c.IsSet("id") {
