--- a/node/app/feed.go
+++ b/node/app/feed.go
@@ -13,10 +13,6 @@
 )
 
 const (
-	// vmListInterval separates reads of the VM list, which itself lags by
-	// seconds.
-	vmListInterval = 500 * time.Millisecond
-	vmListTimeout  = 2 * time.Second
 	// configInterval is how often the machines' view of configuration and
 	// isolation is refreshed; it is part of the 3 s for a take-out.
 	configInterval = 100 * time.Millisecond
@@ -35,24 +31,6 @@
 	}
 }
 
-// feedWorkers gives the VM list to the engine. When the list cannot be read
-// the last one stays in use.
-func (n *node) feedWorkers(ctx context.Context) {
-	failing := false
-	every(ctx, vmListInterval, func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, vmListTimeout)
-		defer cancel()
-		vms, err := n.platform.VMs.List(ctx, n.settings.Node.Domain)
-		if err == nil {
-			n.engine.SetWorkers(vms)
-		}
-		if (err != nil) != failing {
-			failing = err != nil
-			n.logger.Warn("VM list changed state", "failing", failing, "err", err)
-		}
-	})
-}
-
 // feedConfig gives the configuration in force to the engine when it changes.
 func (n *node) feedConfig(ctx context.Context) {
 	var last shard.Configured
--- a/node/app/lifecycle.go
+++ b/node/app/lifecycle.go
@@ -48,7 +48,7 @@
 	n.loops.run(n.claimer.Run)
 	n.loops.run(n.pingOwn)
 	n.loops.run(n.pingFar)
-	n.loops.run(n.feedWorkers)
+	n.loops.run(func(ctx context.Context) { n.engine.RunLister(ctx, n.platform.VMs) })
 	n.loops.run(n.feedConfig)
 	n.loops.run(func(context.Context) { n.serve("http", func() error { return n.http.Serve(n.httpListener) }) })
 	n.logger.Info("started", "id", n.settings.Node.ID, "http", n.httpListener.Addr(), "peer", n.peerListener.Addr())
