--- a/node/configsync/provisional.go
+++ b/node/configsync/provisional.go
@@ -35,7 +35,7 @@
 	added := s.addProvisional(provisional{domain: d, operator: operator, reason: reason, base: base})
 	s.mu.Unlock()
 	if added {
-		s.config.Logger.Warn("configsync: provisional take-out", "domain", d, "operator", operator, "reason", reason)
+		s.config.Logger.Warn("provisional take-out", "domain", d, "operator", operator, "reason", reason)
 		signal(s.settle)
 		s.notifyChanged()
 	}
@@ -117,6 +117,6 @@
 	}
 	d, err := s.Propose(ctx, configlog.Change{Base: base, Operator: p.operator, Reason: p.reason, TakeOut: &p.domain})
 	if err != nil || !d.Accepted {
-		s.config.Logger.Info("configsync: provisional take-out is not in force yet", "domain", p.domain, "err", err)
+		s.config.Logger.Info("provisional take-out is not in force yet", "domain", p.domain, "err", err)
 	}
 }
--- a/node/configsync/relay.go
+++ b/node/configsync/relay.go
@@ -71,7 +71,7 @@
 	defer cancel()
 	reply, err := s.config.Fetch(ctx, from, s.Current().Version)
 	if err != nil {
-		s.config.Logger.Debug("configsync: no configuration from node", "node", from, "err", err)
+		s.config.Logger.Debug("no configuration from node", "node", from, "err", err)
 		return
 	}
 	s.adopt(reply)
--- a/node/configsync/snapshot.go
+++ b/node/configsync/snapshot.go
@@ -40,13 +40,13 @@
 func (s *Sync) appendSnapshot(ctx context.Context, c domain.Configuration) {
 	rec, err := s.config.Codec.Snapshot(uuid.NewString(), c)
 	if err != nil {
-		s.config.Logger.Error("configsync: the configuration cannot be encoded", "version", c.Version, "err", err)
+		s.config.Logger.Error("the configuration cannot be encoded", "version", c.Version, "err", err)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	if _, err := s.config.Log.Append(ctx, configlog.Stream, rec); err != nil {
-		s.config.Logger.Warn("configsync: snapshot is not confirmed", "err", err)
+		s.config.Logger.Warn("snapshot is not confirmed", "err", err)
 		return
 	}
 	s.catchUp(ctx)
--- a/node/engine/claimer.go
+++ b/node/engine/claimer.go
@@ -43,10 +43,10 @@
 }
 
 func (c *Claimer) claim(claim membership.Claim) {
-	c.logger.Info("engine: claiming shard", "shard", claim.Shard, "previous", claim.Previous, "reason", claim.Reason)
+	c.logger.Info("claiming shard", "shard", claim.Shard, "previous", claim.Previous, "reason", claim.Reason)
 	c.engine.Claim(claim.Shard, claim.Previous, func(err *domain.Error) {
 		if err != nil {
-			c.logger.Warn("engine: claim is not confirmed", "shard", claim.Shard, "err", err)
+			c.logger.Warn("claim is not confirmed", "shard", claim.Shard, "err", err)
 		}
 	})
 }
--- a/node/engine/committer.go
+++ b/node/engine/committer.go
@@ -276,7 +276,7 @@
 		}
 	}
 	c.mu.Unlock()
-	c.logger.Error("engine: log entries are refused", "entries", len(b.items), "err", err)
+	c.logger.Error("log entries are refused", "entries", len(b.items), "err", err)
 	for _, f := range done {
 		f(err)
 	}
--- a/node/engine/engine.go
+++ b/node/engine/engine.go
@@ -209,7 +209,7 @@
 }
 
 func (e *Engine) startRunner(o membership.Ownership) *runner {
-	e.config.Logger.Info("engine: shard taken", "shard", o.Shard, "epoch", o.Epoch)
+	e.config.Logger.Info("shard taken", "shard", o.Shard, "epoch", o.Epoch)
 	r := newRunner(e.config, o.Shard, o.Epoch)
 	r.exec = e.newExecutor(r)
 	machine, first := e.config.NewMachine(MachineConfig{
--- a/node/engine/follower.go
+++ b/node/engine/follower.go
@@ -193,7 +193,7 @@
 // either dead or was appended again, so a new fold gets the whole state.
 func (f *follower) skipTo(first platform.Offset) {
 	if f.next > 1 {
-		f.logger.Warn("engine: records expired before they were read", "from", f.next, "first", first)
+		f.logger.Warn("records expired before they were read", "from", f.next, "first", first)
 	}
 	f.fold = f.newFold()
 	f.recent = newRecent(recentIDs)
@@ -203,7 +203,7 @@
 func (f *follower) applyRecord(rec platform.Record, issued bool) {
 	entries, err := journal.Decode(rec)
 	if err != nil {
-		f.logger.Error("engine: a log record is skipped", "offset", rec.Offset, "err", err)
+		f.logger.Error("a log record is skipped", "offset", rec.Offset, "err", err)
 		return
 	}
 	f.fold.Apply(rec.Offset, rec.AppendedAt, entries)
--- a/node/engine/lister.go
+++ b/node/engine/lister.go
@@ -21,7 +21,7 @@
 		if err == nil {
 			e.SetWorkers(vms)
 		} else if ctx.Err() == nil {
-			e.config.Logger.Warn("engine: the VM list does not answer", "err", err)
+			e.config.Logger.Warn("the VM list does not answer", "err", err)
 		}
 		sleep(ctx, listInterval)
 	}
--- a/node/engine/runner.go
+++ b/node/engine/runner.go
@@ -259,7 +259,7 @@
 	case shard.Explain:
 		r.config.Reasons.Record(ef.ID, ef.Reason)
 	case shard.StepDown:
-		r.config.Logger.Info("engine: shard given up", "shard", r.shard, "epoch", r.epoch, "reason", ef.Reason)
+		r.config.Logger.Info("shard given up", "shard", r.shard, "epoch", r.epoch, "reason", ef.Reason)
 		r.steppedOut = true
 	case shard.Drained:
 		r.markDrained()
@@ -278,7 +278,7 @@
 func (r *runner) reply(ef shard.Reply) {
 	req, ok := r.waiting[ef.Call]
 	if !ok {
-		r.config.Logger.Error("engine: reply without a waiting call", "shard", r.shard, "id", ef.Outcome.ID)
+		r.config.Logger.Error("reply without a waiting call", "shard", r.shard, "id", ef.Outcome.ID)
 		return
 	}
 	delete(r.waiting, ef.Call)
