Replace connections with undecodable answers, bound deadlines and draws

net/rpc stops reading a connection on which an answer cannot be decoded, but the client kept it, so every later call failed as not sent. The codec now ends the connection. A deadline over limits.max_deadline is refused, and the number of concurrent draws and explain calls is bounded.

--- a/node/peer/client_test.go
+++ b/node/peer/client_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/rpc"
 	"sync"
 	"testing"
 	"time"
@@ -356,3 +357,34 @@
 	_, err := c.Status(ctx)
 	assert.Assert(t, NotSent(err), "%v", err)
 }
+
+// Guards against a client that keeps a connection on which net/rpc has stopped
+// reading because an answer could not be decoded.
+func TestConnectionWithABadAnswerIsReplaced(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	serve := func(body any) {
+		c, err := l.Accept()
+		assert.Check(t, err)
+		assert.Check(t, c.SetDeadline(time.Now().Add(longTime)))
+		_, err = checkHello(c, digestOf(testToken))
+		assert.Check(t, err)
+		assert.Check(t, answerHello(c, helloAccepted))
+		assert.Check(t, newFrameReader(c).next())
+		assert.Check(t, newFrameWriter(c).write(&rpc.Response{}, body))
+		io.Copy(io.Discard, c)
+		c.Close()
+	}
+	var serving sync.WaitGroup
+	serving.Go(func() { serve("text in place of a StatusReply") })
+	c := newTestClient(t, l.Addr().String())
+	_, err = c.Status(testContext(t))
+	assert.Assert(t, NoAnswer(err), "%v", err)
+	serving.Wait()
+	serving.Go(func() { serve(StatusReply{}) })
+	_, err = c.Status(testContext(t))
+	assert.NilError(t, err)
+	c.Close()
+	serving.Wait()
+}
--- a/node/peer/codec.go
+++ b/node/peer/codec.go
@@ -99,7 +99,15 @@
 	return err
 }
 
-func (c *clientCodec) ReadResponseBody(body any) error { return c.r.decode(body) }
+// ReadResponseBody ends the connection on an error, because net/rpc stops
+// reading then.
+func (c *clientCodec) ReadResponseBody(body any) error {
+	err := c.r.decode(body)
+	if err != nil {
+		c.failed()
+	}
+	return err
+}
 
 func (c *clientCodec) Close() error { return c.conn.Close() }
 
--- a/node/router/fake_test.go
+++ b/node/router/fake_test.go
@@ -130,6 +130,15 @@
 func (c *cluster) run(task domain.Task) domain.Outcome {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	return c.runLocked(task)
+}
+
+// runLocked counts each start, also a second one: a router must not rely on
+// the owner to drop repeats. A request that was closed does not start.
+func (c *cluster) runLocked(task domain.Task) domain.Outcome {
+	if out, ok := c.outcomes[task.ID]; ok && out.State == domain.OutcomeNotRun {
+		return out
+	}
 	c.runs[task.ID]++
 	out := domain.Outcome{ID: task.ID, State: domain.OutcomeRan, Answer: answerTo(task.Payload)}
 	c.outcomes[task.ID] = out
@@ -150,13 +159,6 @@
 
 var errStale = &domain.Error{Kind: domain.KindStaleEpoch, Message: "not the owner", Remedy: "ask the owner"}
 
-func (n *testNode) check(s domain.ShardID) error {
-	if n.c.owner(s) != n.self.ID {
-		return errStale
-	}
-	return nil
-}
-
 func (n *testNode) Owned() []service.OwnedShard {
 	n.c.mutex.Lock()
 	defer n.c.mutex.Unlock()
@@ -182,25 +184,31 @@
 }
 
 func (n *testNode) Submit(ctx context.Context, s domain.ShardID, req shard.Submitted) (domain.Outcome, error) {
-	if err := n.check(s); err != nil {
-		return domain.Outcome{}, err
+	n.c.mutex.Lock()
+	defer n.c.mutex.Unlock()
+	if n.c.owners[s] != n.self.ID {
+		return domain.Outcome{}, errStale
 	}
 	if n.submit != nil {
+		n.c.mutex.Unlock()
+		defer n.c.mutex.Lock()
 		return n.submit(ctx, req)
 	}
-	return n.c.run(req.Task), nil
+	return n.c.runLocked(req.Task), nil
 }
 
 func (n *testNode) Lookup(_ context.Context, id domain.RequestID) (domain.Outcome, error) {
-	if err := n.check(id.Shard); err != nil {
-		return domain.Outcome{}, err
-	}
 	n.c.mutex.Lock()
 	defer n.c.mutex.Unlock()
+	if n.c.owners[id.Shard] != n.self.ID {
+		return domain.Outcome{}, errStale
+	}
 	if out, ok := n.c.outcomes[id]; ok {
 		return out, nil
 	}
-	return domain.Outcome{ID: id, State: domain.OutcomeNotRun}, nil
+	closed := domain.Outcome{ID: id, State: domain.OutcomeNotRun}
+	n.c.outcomes[id] = closed
+	return closed, nil
 }
 
 func (n *testNode) Cancel(ctx context.Context, id domain.RequestID) (domain.Outcome, error) {
--- a/node/router/query.go
+++ b/node/router/query.go
@@ -55,6 +55,10 @@
 	if err := r.checkID(id); err != nil {
 		return nil, err
 	}
+	if !r.queries.enter() {
+		return nil, errOverloaded(id)
+	}
+	defer r.queries.leave()
 	if r.owned(id.Shard) {
 		return r.Shards.Explain(id), nil
 	}
@@ -74,6 +78,10 @@
 	if n < 1 || n > maxDraw {
 		return nil, errDrawCount(n)
 	}
+	if !r.queries.enter() {
+		return nil, errOverloaded(domain.RequestID{})
+	}
+	defer r.queries.leave()
 	ctx, cancel := context.WithTimeout(ctx, service.CallTimeout)
 	defer cancel()
 	err := errNoShard()
--- a/node/router/submit.go
+++ b/node/router/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/basilferry/basilferry/core/domain"
@@ -48,6 +49,13 @@
 	if err := task.Validate(); err != nil {
 		return domain.Task{}, err
 	}
+	if limit := time.Duration(r.Limits.MaxDeadline); limit > 0 && task.Deadline > limit {
+		return domain.Task{}, &domain.Error{
+			Kind:    domain.KindBadRequest,
+			Message: fmt.Sprintf("the deadline is %v, the limit is %v", task.Deadline, limit),
+			Remedy:  "set deadline_ms within the limit, or submit a batch task",
+		}
+	}
 	if req.Key != "" && !task.ID.IsZero() {
 		return domain.Task{}, &domain.Error{
 			Kind:    domain.KindBadRequest,
--- a/node/router/submit_test.go
+++ b/node/router/submit_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"testing"
@@ -13,6 +14,7 @@
 	"github.com/basilferry/basilferry/core/domain"
 	"github.com/basilferry/basilferry/core/shard"
 	"github.com/basilferry/basilferry/node/service"
+	"github.com/basilferry/basilferry/node/settings"
 )
 
 // Guards against answers that reach another caller and requests that run twice
@@ -224,7 +226,62 @@
 	assert.Equal(t, domain.KindOf(err), domain.KindNotFound)
 	_, err = n.Router.Submit(t.Context(), service.SubmitRequest{Key: "a/0/1", Task: task})
 	assert.Equal(t, domain.KindOf(err), domain.KindBadRequest)
+	n.Limits.MaxDeadline = settings.Duration(time.Second)
+	_, err = n.Router.Submit(t.Context(), service.SubmitRequest{Task: urgent(2*time.Second, "p")})
+	assert.Equal(t, domain.KindOf(err), domain.KindBadRequest)
 	n.submits = newLimiter(0)
 	_, err = n.Router.Submit(t.Context(), service.SubmitRequest{Task: urgent(time.Second, "p")})
 	assert.Equal(t, domain.KindOf(err), domain.KindUnavailable)
 }
+
+// Guards against false "not run", repeats and mixed-up answers while
+// connections break or go silent and shards move, in a random order.
+func TestRandomFaults(t *testing.T) {
+	const seed, workers, requests = 11, 8, 40
+	t.Logf("seed %d", seed)
+	c := newCluster(t, true)
+	nodes := []domain.NodeID{"a1", "a2", "b1"}
+	var mutex sync.Mutex
+	faults := rand.New(rand.NewPCG(seed, 0))
+	fault := func() {
+		mutex.Lock()
+		defer mutex.Unlock()
+		node := nodes[faults.IntN(len(nodes))]
+		switch faults.IntN(12) {
+		case 0:
+			c.relays[node].FreezeAnswers()
+		case 1:
+			c.relays[node].Freeze()
+		case 2, 3, 4:
+			c.relays[node].Cut()
+		case 5, 6, 7:
+			c.move(shardOf("a", faults.IntN(2)), nodes[faults.IntN(2)])
+		}
+	}
+	var running sync.WaitGroup
+	states := make(map[domain.OutcomeState]int)
+	for w := range workers {
+		running.Go(func() {
+			n := c.nodes[nodes[w%len(nodes)]].Router
+			for i := range requests {
+				req := service.SubmitRequest{Task: urgent(5*time.Second, fmt.Sprintf("%d-%d", w, i))}
+				if i%2 == 0 {
+					req.Key = fmt.Sprintf("%c/%d/%d", "ab"[i/2%2], i/4%2, w*requests+i)
+				}
+				fault()
+				out, err := n.Submit(t.Context(), req)
+				assert.Check(t, err)
+				mutex.Lock()
+				states[out.State]++
+				mutex.Unlock()
+				c.mutex.Lock()
+				assert.Check(t, out.State != domain.OutcomeNotRun || c.runs[out.ID] == 0, "%s", out.ID)
+				c.mutex.Unlock()
+				assert.Check(t, out.State != domain.OutcomeRan || string(out.Answer) == "answer to "+string(req.Task.Payload))
+			}
+		})
+	}
+	running.Wait()
+	t.Logf("outcomes: %v", states)
+	c.assertRunsAtMostOnce(t)
+}
