Prove moves between failure domains and close the holes that the test showed

Cause: a virtual-time test with two failure domains, random take-outs and all other faults showed lost, doubled and overlapping batch tasks: - a target that held a task without a log record was taken for responsible; - both domains took an old offer for the answer to a newer one, and each believed that the other had the task; - a new owner at the target started an offered task that the owner before it had started without a log record; - a job record that was repeated late brought a moved task back; - a look-up that found an earlier attempt left the task in state starting; - a task adopted from a worker after recovery waited for ever; - a batch task that failed waited for ever in a shard with one worker.

Change: moves are counted and offers, answers and confirmations carry the count; a task counts as moved only when the target has logged it; offers are taken only after recovery; outdated records are not repeated; a worker is avoided for 2 s at most. The check counts a result that no owner could know when the task moved as lost, after a trace showed a worker out of reach.

--- a/core/journal/entry.go
+++ b/core/journal/entry.go
@@ -46,6 +46,8 @@
 	Task       domain.Task `json:"task"`
 	Attempt    int         `json:"attempt,omitempty"`
 	Checkpoint string      `json:"checkpoint,omitempty"`
+	// Moves counts the moves of the task between failure domains so far.
+	Moves int `json:"moves,omitempty"`
 }
 
 // Ended gives the final outcome of a job, or of a request that was answered
@@ -58,6 +60,8 @@
 type Moved struct {
 	ID     domain.RequestID `json:"id"`
 	Target domain.ShardID   `json:"target"`
+	// Moves counts the moves of the task, this one included.
+	Moves int `json:"moves"`
 	// Job is set for batch tasks and watches, so that the hand-over can be
 	// repeated until the target has confirmed it.
 	Job *Job `json:"job,omitempty"`
@@ -66,6 +70,8 @@
 // Arrived says that the target of a move has confirmed it.
 type Arrived struct {
 	ID domain.RequestID `json:"id"`
+	// Moves is that of the move; a later move is not confirmed by it.
+	Moves int `json:"moves"`
 }
 
 // Entry is one entry of a domain's stream. Exactly one pointer field is
--- a/core/journal/shard.go
+++ b/core/journal/shard.go
@@ -100,7 +100,7 @@
 	for _, m := range s.Moved {
 		add(repeatedJob, Entry{Moved: &m.Moved})
 		if m.Arrived {
-			add(repeatedJob, Entry{Arrived: &Arrived{ID: m.ID}})
+			add(repeatedJob, Entry{Arrived: &Arrived{ID: m.ID, Moves: m.Moves}})
 		}
 	}
 	return out
@@ -135,7 +135,7 @@
 		s.Moved[e.Moved.ID] = KnownMove{Moved: *e.Moved}
 		delete(s.Jobs, e.Moved.ID)
 	case e.Arrived != nil:
-		s.arrive(e.Arrived.ID)
+		s.arrive(*e.Arrived)
 	}
 }
 
@@ -195,14 +195,14 @@
 	s.Ended[id] = KnownEnd{Ended: e, LoggedAt: at}
 }
 
-func (s *Shard) arrive(id domain.RequestID) {
-	m, known := s.Moved[id]
-	if !known {
+func (s *Shard) arrive(a Arrived) {
+	m, known := s.Moved[a.ID]
+	if !known || m.Moves != a.Moves {
 		return
 	}
 	m.Arrived = true
 	m.Job = nil
-	s.Moved[id] = m
+	s.Moved[a.ID] = m
 }
 
 // expire forgets requests that ended, or were logged without an end, before
--- a/core/platform/worker.go
+++ b/core/platform/worker.go
@@ -56,6 +56,8 @@
 	// Throttle is the share of its reservation that a batch task may use, in
 	// (0, 1].
 	Throttle float64 `json:"throttle,omitempty"`
+	// Moves is that of the start command.
+	Moves int `json:"moves,omitempty"`
 }
 
 // AttachRequest opens a session.
@@ -133,6 +135,9 @@
 	Reserved domain.Resources `json:"reserved"`
 	// Checkpoint to resume from; empty to start from the beginning.
 	Checkpoint string `json:"checkpoint,omitempty"`
+	// Moves counts the moves of the task between failure domains. The worker
+	// keeps it in the status for a later owner.
+	Moves int `json:"moves,omitempty"`
 }
 
 // StopRequest stops a task.
--- a/core/shard/event.go
+++ b/core/shard/event.go
@@ -32,6 +32,9 @@
 	Delegated  bool
 	Attempt    int
 	Checkpoint string
+	// Moves counts the moves of a delegated task, this one included. It tells a
+	// new offer from a repeat of an earlier one.
+	Moves int
 }
 
 // Queried asks what is known of a request.
@@ -102,7 +105,9 @@
 
 // DelegateDone answers Delegate.
 type DelegateDone struct {
-	ID      domain.RequestID
+	ID domain.RequestID
+	// Moves is that of the offer.
+	Moves   int
 	Outcome domain.Outcome
 	Err     *domain.Error
 }
--- a/core/shard/faults_test.go
+++ b/core/shard/faults_test.go
@@ -56,16 +56,24 @@
 	}
 }
 
-// history plays one random run of a world.
+// history plays one random run of one or two worlds.
 type history struct {
+	worlds []*world
+	// w is the world of the present round.
 	w     *world
 	next  uint64
 	tasks map[domain.RequestID]domain.Task
 }
 
 func newHistory(seed uint64, weak weakness) *history {
-	h := &history{w: newWorld(seed, weak), tasks: map[domain.RequestID]domain.Task{}}
-	h.w.claim("n0")
+	return startHistory(newWorld(newSimClock(seed), "larissa", weak))
+}
+
+func startHistory(worlds ...*world) *history {
+	h := &history{worlds: worlds, w: worlds[0], tasks: map[domain.RequestID]domain.Task{}}
+	for _, w := range worlds {
+		w.claim("n0")
+	}
 	h.w.runFor(time.Second)
 	return h
 }
@@ -73,6 +81,7 @@
 // play runs n rounds of requests with a random fault in most of them.
 func (h *history) play(n int) {
 	for range n {
+		h.w = h.worlds[h.w.rng.IntN(len(h.worlds))]
 		h.requests()
 		h.fault()
 		h.w.runFor(time.Duration(50+h.w.rng.IntN(1500)) * time.Millisecond)
@@ -120,7 +129,11 @@
 		return
 	}
 	id := ids[h.w.rng.IntN(len(ids))]
-	h.w.submit(h.w.latest(), h.tasks[id])
+	for _, w := range h.worlds {
+		if id.Shard == w.shard {
+			w.submit(w.latest(), h.tasks[id])
+		}
+	}
 }
 
 func (h *history) fault() {
@@ -153,7 +166,29 @@
 		h.evict(o)
 	case 8:
 		w.claimWithOne(k)
+	case 9:
+		if len(h.worlds) > 1 {
+			w.toggleTakeOut()
+		}
+	}
+}
+
+// toggleTakeOut takes the failure domain out or brings it back. Only one of the
+// two is out at a time.
+func (w *world) toggleTakeOut() {
+	if !w.config.TakenOut(w.shard.Domain) && w.config.TakenOut(w.other.shard.Domain) {
+		return
+	}
+	c := w.config
+	c.Version++
+	if c.TakenOut(w.shard.Domain) {
+		c.TakeOuts = nil
+		w.outages[len(w.outages)-1].to = w.now
+	} else {
+		c.TakeOuts = []domain.TakeOut{{Domain: w.shard.Domain, Since: c.Version}}
+		w.outages = append(w.outages, outage{from: w.now})
 	}
+	w.config, w.other.config = c, c
 }
 
 // claimWhileCut makes a new owner that cannot reach one worker which the old
@@ -200,7 +235,16 @@
 
 // heal ends all faults and lets the work that was accepted finish.
 func (h *history) heal() {
-	w := h.w
+	for _, w := range h.worlds {
+		w.heal()
+	}
+	h.w.runFor(120 * time.Second)
+}
+
+func (w *world) heal() {
+	if w.config.TakenOut(w.shard.Domain) {
+		w.toggleTakeOut()
+	}
 	w.logUp = true
 	for _, o := range w.owners {
 		o.logCut = false
@@ -214,13 +258,40 @@
 			k.restart()
 		}
 	}
-	w.runFor(120 * time.Second)
+}
+
+// runs returns the runs of every request on the workers of all worlds.
+func (h *history) runs() map[domain.RequestID][]interval {
+	var workers []*simWorker
+	for _, w := range h.worlds {
+		workers = append(workers, w.workers...)
+	}
+	return intervalsOf(workers, h.w.now)
+}
+
+func (h *history) told(id domain.RequestID) []domain.Outcome {
+	var all []domain.Outcome
+	for _, w := range h.worlds {
+		all = append(all, w.told[id]...)
+	}
+	return all
+}
+
+// ranByLog reports whether a log holds the end of a task that ran.
+func (h *history) ranByLog(id domain.RequestID) bool {
+	for _, w := range h.worlds {
+		e, ended := w.journal.Shard(w.shard).Ended[id]
+		if ended && e.Outcome.State == domain.OutcomeRan {
+			return true
+		}
+	}
+	return false
 }
 
 // traces returns what the owners decided about each request, and its runs.
 func (h *history) traces() string {
 	var b strings.Builder
-	runs := intervalsOf(h.w.workers, h.w.now)
+	runs := h.runs()
 	for _, id := range sortedIDs(h.tasks) {
 		if len(h.check(id, runs[id])) == 0 {
 			continue
@@ -232,11 +303,16 @@
 				b.WriteString("    no owner could know the result\n")
 			}
 		}
-		for _, o := range h.w.told[id] {
+		for _, o := range h.told(id) {
 			fmt.Fprintf(&b, "    told %s volatile=%v\n", o.State, o.Volatile)
 		}
-		for _, line := range h.w.trace[id] {
-			fmt.Fprintf(&b, "    %s\n", line)
+		for _, w := range h.worlds {
+			if r, known := w.latest().machine.requests[id]; known {
+				fmt.Fprintf(&b, "    %s now %s, target %s, logged %v, arrived %v\n", w.shard.Domain, r.state, r.target, r.moveLogged, r.arrived)
+			}
+			for _, line := range w.trace[id] {
+				fmt.Fprintf(&b, "    %s %s\n", w.shard.Domain, line)
+			}
 		}
 	}
 	return b.String()
@@ -245,11 +321,33 @@
 // problems lists the broken invariants.
 func (h *history) problems() []string {
 	var out []string
-	runs := intervalsOf(h.w.workers, h.w.now)
+	runs := h.runs()
 	for _, id := range sortedIDs(h.tasks) {
 		out = append(out, h.check(id, runs[id])...)
 	}
-	return append(out, h.overCapacity()...)
+	for _, w := range h.worlds {
+		out = append(out, w.overCapacity()...)
+		out = append(out, w.startsTakenOut()...)
+	}
+	return out
+}
+
+// takeOutBound is the time after a take-out in which starts may still happen.
+const takeOutBound = 3 * time.Second
+
+// startsTakenOut lists starts in the domain while it was taken out.
+func (w *world) startsTakenOut() []string {
+	var out []string
+	for _, k := range w.workers {
+		for _, iv := range k.history {
+			for _, o := range w.outages {
+				if iv.from > o.from+takeOutBound && (o.to == 0 || iv.from < o.to) {
+					out = append(out, fmt.Sprintf("I4: %s started on %s %s after the take-out", iv.id, k.id, iv.from-o.from))
+				}
+			}
+		}
+	}
+	return out
 }
 
 func (h *history) check(id domain.RequestID, runs []interval) []string {
@@ -268,7 +366,7 @@
 		out = append(out, fmt.Sprintf("I7: %s ran %d times", id, len(runs)))
 	}
 	accepted := false
-	for _, o := range h.w.told[id] {
+	for _, o := range h.told(id) {
 		switch o.State {
 		case domain.OutcomeNotRun:
 			if len(runs) > 0 {
@@ -282,7 +380,7 @@
 			accepted = accepted || !o.Volatile
 		}
 	}
-	if e, ended := h.w.journal.Shard(h.w.shard).Ended[id]; ended && succeeded == 0 && e.Outcome.State == domain.OutcomeRan {
+	if succeeded == 0 && h.ranByLog(id) {
 		// The owner had the result before the worker crashed.
 		succeeded = 1
 	}
@@ -292,9 +390,9 @@
 	return out
 }
 
-func (h *history) overCapacity() []string {
+func (w *world) overCapacity() []string {
 	var out []string
-	for _, k := range h.w.workers {
+	for _, k := range w.workers {
 		for _, at := range k.history {
 			var sum domain.Resources
 			for _, iv := range k.history {
--- a/core/shard/machine.go
+++ b/core/shard/machine.go
@@ -112,6 +112,8 @@
 	waiting []domain.RequestID
 	// delayed holds batch tasks and watches that wait for notBefore.
 	delayed map[domain.RequestID]bool
+	// avoiding holds requests that avoid workers.
+	avoiding map[domain.RequestID]bool
 	// timed holds requests whose caller's wait can end.
 	timed map[domain.RequestID]bool
 	// moving holds requests whose target has not confirmed the move.
@@ -175,6 +177,7 @@
 		requests:  map[domain.RequestID]*request{},
 		live:      map[domain.RequestID]*request{},
 		delayed:   map[domain.RequestID]bool{},
+		avoiding:  map[domain.RequestID]bool{},
 		timed:     map[domain.RequestID]bool{},
 		moving:    map[domain.RequestID]Instant{},
 		appends:   map[AppendToken]pendingAppend{},
@@ -363,9 +366,26 @@
 	if !e.Up || len(m.backlog) == 0 {
 		return
 	}
-	entries := m.backlog
+	entries := slices.DeleteFunc(m.backlog, m.outdated)
 	m.backlog = nil
-	m.append(nil, entries...)
+	if len(entries) > 0 {
+		m.append(nil, entries...)
+	}
+}
+
+// outdated reports whether an entry was overtaken by a later one: the job of a
+// request that has moved or ended since would bring it back, and the end of an
+// earlier move would hide that a later one is not confirmed.
+func (m *Machine) outdated(e journal.Entry) bool {
+	switch {
+	case e.Job != nil:
+		r, known := m.requests[e.Job.Task.ID]
+		return !known || r.state == stateMoving || r.state == stateMoved || r.state == stateEnded
+	case e.Arrived != nil:
+		r, known := m.requests[e.Arrived.ID]
+		return !known || r.state != stateMoved
+	}
+	return false
 }
 
 func (m *Machine) onOwnershipRead(e OwnershipRead) {
--- /dev/null
+++ b/core/shard/machine_test.go
@@ -0,0 +1,194 @@
+package shard
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/platform"
+)
+
+// single is a machine with one attached worker, driven event by event.
+type single struct {
+	t       *testing.T
+	m       *Machine
+	now     Instant
+	effects []Effect
+}
+
+const singleWorker = domain.WorkerID("w0")
+
+func newSingle(t *testing.T) *single {
+	s := &single{t: t, now: time.Hour}
+	m, effects := New(Config{
+		Shard: domain.ShardID{Domain: "larissa"}, Node: "n0", Epoch: 1, Policy: newFirstFit(), Now: s.now,
+	})
+	s.m, s.effects = m, effects
+	preset := domain.Preset{Name: "ordinary", IsolatedStarts: domain.IsolatedAll}
+	s.step(Configured{Configuration: domain.Configuration{Preset: preset}})
+	s.step(LogState{Up: true})
+	s.step(WorkersListed{VMs: []platform.VM{{ID: singleWorker, Domain: "larissa"}}})
+	s.step(AttachDone{Worker: singleWorker, SentAt: s.now, Reply: platform.AttachReply{
+		Session: 1, RecordsComplete: true, Capacity: domain.Resources{CPUMilli: 4000, MemoryMiB: 4096, Slots: 4, Connections: 4},
+	}})
+	s.own()
+	return s
+}
+
+// own confirms the ownership by a log read.
+func (s *single) own() { s.step(OwnershipRead{SentAt: s.now, Epoch: 1}) }
+
+func (s *single) step(ev Event) {
+	s.effects = append(s.effects, s.m.Step(s.now, ev)...)
+}
+
+// wait lets time pass with ticks, confirmed renewals and confirmed ownership.
+func (s *single) wait(d time.Duration) {
+	for end := s.now + d; s.now < end; {
+		s.now += TickInterval
+		s.own()
+		s.step(RenewDone{Worker: singleWorker, SentAt: s.now})
+		s.step(Tick{})
+	}
+}
+
+func (s *single) task(kind domain.Kind, seq uint64) domain.Task {
+	return domain.Task{
+		ID:   domain.RequestID{Shard: domain.ShardID{Domain: "larissa"}, Epoch: 1, Seq: seq},
+		Kind: kind, Class: "c", Team: "t", Idempotent: true,
+		Resources: domain.Resources{CPUMilli: 1000, MemoryMiB: 256, Slots: 1},
+	}
+}
+
+// take returns the effects of one type since the last call and forgets all.
+func take[T Effect](s *single) []T {
+	var out []T
+	for _, e := range s.effects {
+		if typed, ok := e.(T); ok {
+			out = append(out, typed)
+		}
+	}
+	s.effects = nil
+	return out
+}
+
+func (s *single) submit(task domain.Task) {
+	ev := Submitted{Call: 1, Task: task}
+	if task.Kind == domain.KindUrgent {
+		ev.Budget = time.Second
+	}
+	s.step(ev)
+	for _, a := range take[Append](s) {
+		s.step(AppendDone{Token: a.Token})
+	}
+}
+
+// Guards against a batch task that waits for ever, because it avoids the only
+// worker of its shard after a failure there.
+func TestFailingBatchTaskEnds(t *testing.T) {
+	s := newSingle(t)
+	task := s.task(domain.KindBatch, 1)
+	s.submit(task)
+	for range maxTaskFailures {
+		starts := take[SendStart](s)
+		assert.Equal(t, len(starts), 1)
+		status := platform.TaskStatus{Task: task, Attempt: starts[0].Request.Attempt, State: platform.TaskFailed}
+		s.step(StartDone{Worker: singleWorker, ID: task.ID, Attempt: status.Attempt, Status: status})
+		s.wait(avoidTime + maxRestartDelay/8)
+	}
+	s.effects = nil
+	s.step(Queried{Call: 2, ID: task.ID})
+	replies := take[Reply](s)
+	assert.Equal(t, replies[0].Outcome.State, domain.OutcomeFailed)
+	assert.Equal(t, replies[0].Outcome.Err.Kind, domain.KindTaskFailed)
+}
+
+// Guards I6: a request whose start was not answered must not be told "not run"
+// at its deadline.
+func TestUnansweredStartIsUnknownAtDeadline(t *testing.T) {
+	s := newSingle(t)
+	task := s.task(domain.KindUrgent, 1)
+	s.submit(task)
+	s.step(StartDone{
+		Worker: singleWorker, ID: task.ID, Attempt: 1,
+		Err: &domain.Error{Kind: domain.KindUnavailable, Message: "no answer"},
+	})
+	s.effects = nil
+	s.wait(1200 * time.Millisecond)
+	replies := take[Reply](s)
+	assert.Equal(t, len(replies), 1)
+	assert.Equal(t, replies[0].Outcome.State, domain.OutcomeUnknown)
+}
+
+// Guards against an early answer that is not true: a request that waits for a
+// worker is told "not run" at its deadline and is never started later.
+func TestWaitingRequestIsNotRunAtDeadline(t *testing.T) {
+	s := newSingle(t)
+	for seq := uint64(1); seq <= 4; seq++ {
+		s.submit(s.task(domain.KindUrgent, seq))
+	}
+	late := s.task(domain.KindUrgent, 9)
+	s.submit(late)
+	s.wait(1200 * time.Millisecond)
+	told := map[domain.RequestID]domain.OutcomeState{}
+	for _, r := range take[Reply](s) {
+		told[r.Outcome.ID] = r.Outcome.State
+	}
+	assert.Equal(t, told[late.ID], domain.OutcomeNotRun)
+	s.submit(late)
+	s.wait(time.Second)
+	assert.Equal(t, len(take[SendStart](s)), 0)
+}
+
+// Guards I7 and the caller: a key or id that is used with another body gets an
+// error and starts nothing.
+func TestReusedIDWithAnotherBody(t *testing.T) {
+	s := newSingle(t)
+	task := s.task(domain.KindUrgent, 1)
+	s.submit(task)
+	s.effects = nil
+	task.Payload = []byte("other")
+	s.step(Submitted{Call: 7, Task: task, Budget: time.Second})
+	replies := take[Reply](s)
+	assert.Equal(t, replies[0].Outcome.Err.Kind, domain.KindKeyConflict)
+}
+
+// Guards I9: a planned stop waits for urgent requests and takes no new ones.
+func TestDrainingFinishesUrgentRequests(t *testing.T) {
+	s := newSingle(t)
+	task := s.task(domain.KindUrgent, 1)
+	s.submit(task)
+	s.effects = nil
+	s.step(Draining{})
+	s.step(Submitted{Call: 5, Task: s.task(domain.KindUrgent, 2), Budget: time.Second})
+	assert.Equal(t, take[Reply](s)[0].Outcome.Err.Kind, domain.KindStaleEpoch)
+	s.wait(time.Second)
+	assert.Equal(t, len(take[Drained](s)), 0)
+	s.step(StartDone{Worker: singleWorker, ID: task.ID, Attempt: 1, Status: platform.TaskStatus{
+		Task: task, Attempt: 1, State: platform.TaskSucceeded, Answer: []byte("done"),
+	}})
+	s.wait(time.Second)
+	assert.Equal(t, len(take[Drained](s)), 1)
+}
+
+// Guards I8: a worker that says it is leaving gets no new task, and its batch
+// tasks are stopped with a checkpoint.
+func TestLeavingWorker(t *testing.T) {
+	s := newSingle(t)
+	task := s.task(domain.KindBatch, 1)
+	s.submit(task)
+	start := take[SendStart](s)[0]
+	s.step(StartDone{Worker: singleWorker, ID: task.ID, Attempt: 1, Status: platform.TaskStatus{
+		Task: task, Attempt: start.Request.Attempt, State: platform.TaskRunning,
+	}})
+	s.step(RenewDone{Worker: singleWorker, SentAt: s.now, Reply: platform.RenewReply{Leaving: true}})
+	s.effects = nil
+	s.submit(s.task(domain.KindUrgent, 2))
+	s.step(Tick{})
+	assert.Equal(t, len(take[SendStart](s)), 0)
+	s.step(Tick{})
+	s.wait(TickInterval)
+	assert.Equal(t, s.m.requests[task.ID].state, stateStopping)
+}
--- a/core/shard/move.go
+++ b/core/shard/move.go
@@ -58,6 +58,8 @@
 	if !m.fire(r, eventMove) {
 		return
 	}
+	r.moveLogged = false
+	r.moves++
 	r.target = m.targets[m.nextTarget%len(m.targets)]
 	m.nextTarget++
 	m.explain(r.task.ID, fmt.Sprintf("failure domain %s is taken out: moving to %s", m.shard.Domain, r.target))
@@ -65,7 +67,7 @@
 }
 
 func (r *request) moved() *journal.Moved {
-	moved := &journal.Moved{ID: r.task.ID, Target: r.target}
+	moved := &journal.Moved{ID: r.task.ID, Target: r.target, Moves: r.moves}
 	if !r.urgent() {
 		moved.Job = r.job()
 	}
@@ -89,15 +91,14 @@
 // retryMoveLater repeats the record of a move. A move that may be in the log
 // is not taken back, because a later owner would follow it.
 func (m *Machine) retryMoveLater(r *request) {
-	r.logged = false
 	m.moving[r.task.ID] = m.now + moveRetry
 }
 
 // offer hands the request to its target, which deduplicates by id.
 func (m *Machine) offer(r *request) {
-	r.logged = true
+	r.moveLogged = true
 	m.moving[r.task.ID] = m.now + moveRetry
-	sub := Submitted{Task: r.task, Delegated: true, Attempt: r.attempt, Checkpoint: r.checkpoint}
+	sub := Submitted{Task: r.task, Delegated: true, Attempt: r.attempt, Checkpoint: r.checkpoint, Moves: r.moves}
 	if r.urgent() {
 		sub.Budget = max(r.expiresAt-m.now, 0)
 	}
@@ -106,14 +107,21 @@
 
 func (m *Machine) onDelegateDone(e DelegateDone) {
 	r, known := m.requests[e.ID]
-	if !known || r.arrived || (r.state != stateMoving && r.state != stateMoved) {
+	if !known || r.arrived || e.Moves != r.moves || (r.state != stateMoving && r.state != stateMoved) {
 		return
 	}
 	if r.urgent() {
 		m.urgentMoved(r, e)
 		return
 	}
-	if e.Err != nil || e.Outcome.State == domain.OutcomeUnknown || e.Outcome.State == domain.OutcomeNotRun {
+	// A target that holds the task without a log record may lose it, so this
+	// shard stays responsible until the record is there.
+	if e.Err == nil && e.Outcome.State == domain.OutcomeNotRun {
+		m.offerElsewhere(r)
+		return
+	}
+	refused := e.Outcome.State == domain.OutcomeUnknown
+	if e.Err != nil || refused || e.Outcome.Volatile {
 		m.moving[e.ID] = m.now + moveRetry
 		return
 	}
@@ -121,6 +129,16 @@
 	m.reply(r, e.Outcome)
 }
 
+// offerElsewhere takes a task back that its target will never run. It stays here
+// or moves to the next target.
+func (m *Machine) offerElsewhere(r *request) {
+	m.explain(r.task.ID, fmt.Sprintf("shard %s refused it", r.target))
+	delete(m.moving, r.task.ID)
+	r.logged, r.moveLogged = false, false
+	m.queue(r)
+	m.record(journal.Entry{Job: r.job()})
+}
+
 func (m *Machine) urgentMoved(r *request, e DelegateDone) {
 	if e.Err != nil && e.Err.Kind == domain.KindStaleEpoch {
 		m.finishNotRun(r, "the shard that it was moved to did not take it")
@@ -140,7 +158,7 @@
 	delete(m.moving, r.task.ID)
 	delete(m.timed, r.task.ID)
 	delete(m.live, r.task.ID)
-	m.record(journal.Entry{Arrived: &journal.Arrived{ID: r.task.ID}})
+	m.record(journal.Entry{Arrived: &journal.Arrived{ID: r.task.ID, Moves: r.moves}})
 }
 
 // retryMoves repeats offers that were not confirmed.
@@ -151,7 +169,7 @@
 			continue
 		}
 		m.moving[id] = m.now + moveRetry
-		if r.logged {
+		if r.moveLogged {
 			m.offer(r)
 			continue
 		}
@@ -167,10 +185,14 @@
 		return
 	}
 	m.live[e.Task.ID] = r
+	delete(m.moving, e.Task.ID)
+	r.moves = e.Moves
 	r.calls = append(r.calls, e.Call)
 	r.task, r.body, r.described = e.Task, BodyHash(e.Task), true
 	r.attempt, r.checkpoint = e.Attempt, e.Checkpoint
 	r.arrived, r.kept = false, false
+	// The log holds the move away, not the return.
+	r.logged, r.moveLogged = false, false
 	if r.urgent() {
 		r.expiresAt = m.now + e.Budget
 		m.timed[e.Task.ID] = true
--- a/core/shard/recover.go
+++ b/core/shard/recover.go
@@ -52,6 +52,7 @@
 		state:      stateNew,
 		attempt:    job.Attempt,
 		checkpoint: job.Checkpoint,
+		moves:      job.Moves,
 		inherited:  true,
 	}
 	m.fire(r, eventRecover)
@@ -60,7 +61,7 @@
 
 func (m *Machine) recoveredMove(moved journal.KnownMove) *request {
 	r := &request{task: domain.Task{ID: moved.ID, Kind: domain.KindUrgent}, state: stateNew, logged: true}
-	r.target = moved.Target
+	r.target, r.moveLogged, r.moves = moved.Target, true, moved.Moves
 	r.arrived = moved.Arrived
 	if moved.Job == nil {
 		r.arrived = true
@@ -106,7 +107,9 @@
 	if known {
 		return
 	}
-	r = &request{task: s.Task, body: BodyHash(s.Task), described: true, state: stateNew, inherited: true}
+	r = &request{
+		task: s.Task, body: BodyHash(s.Task), described: true, state: stateNew, inherited: !m.recovered, moves: s.Moves,
+	}
 	m.fire(r, eventRecover)
 	m.add(r)
 }
--- a/core/shard/request.go
+++ b/core/shard/request.go
@@ -83,7 +83,9 @@
 	// notBefore delays a task that failed repeatedly.
 	notBefore Instant
 	avoid     []domain.WorkerID
-	refused   bool
+	// avoidUntil is when avoid is forgotten.
+	avoidUntil Instant
+	refused    bool
 	// inherited tells that an earlier owner accepted the request, and may run
 	// it on a worker that this owner has not attached to yet.
 	inherited bool
@@ -94,7 +96,11 @@
 
 	stopping stopReason
 	target   domain.ShardID
-	arrived  bool
+	// moves counts the moves of the task between failure domains.
+	moves int
+	// moveLogged tells that the log holds the move to the target.
+	moveLogged bool
+	arrived    bool
 
 	outcome domain.Outcome
 	// endLogged tells that the log holds the outcome.
--- a/core/shard/simworker_test.go
+++ b/core/shard/simworker_test.go
@@ -154,7 +154,7 @@
 		return platform.TaskStatus{}, &domain.Error{Kind: domain.KindNoCapacity, Message: "full"}
 	}
 	t := &simTask{ended: ended, since: k.world.now}
-	t.status = platform.TaskStatus{Task: req.Task, Attempt: req.Attempt, State: platform.TaskRunning, Reserved: req.Reserved}
+	t.status = platform.TaskStatus{Task: req.Task, Attempt: req.Attempt, State: platform.TaskRunning, Reserved: req.Reserved, Moves: req.Moves}
 	t.progress, _ = time.ParseDuration(req.Checkpoint)
 	k.records[id] = t
 	k.world.forgive(id)
@@ -239,7 +239,7 @@
 		k.end(t, platform.TaskStopped)
 	} else if t.status.Attempt < req.Attempt {
 		// An earlier attempt ended here; the later one never started.
-		t.status = platform.TaskStatus{Task: t.status.Task, Attempt: req.Attempt, State: platform.TaskNeverStarted, Checkpoint: t.status.Checkpoint}
+		t.status = platform.TaskStatus{Task: t.status.Task, Attempt: req.Attempt, State: platform.TaskNeverStarted, Checkpoint: t.status.Checkpoint, Moves: t.status.Moves}
 	}
 	return t.status, nil
 }
--- a/core/shard/start.go
+++ b/core/shard/start.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/basilferry/basilferry/core/domain"
 	"github.com/basilferry/basilferry/core/journal"
@@ -105,6 +106,7 @@
 		Attempt:    r.attempt,
 		Reserved:   r.reserved,
 		Checkpoint: r.checkpoint,
+		Moves:      r.moves,
 	}})
 }
 
@@ -179,7 +181,7 @@
 		}
 	}
 	if err.Kind == domain.KindNoCapacity {
-		r.avoid = avoidAlso(r.avoid, w.id)
+		m.avoid(r, w.id)
 	}
 	r.refused = true
 	r.notBefore = m.now + TickInterval
@@ -193,12 +195,37 @@
 // maxAvoided bounds the workers that a task avoids; the oldest is forgotten.
 const maxAvoided = 4
 
-func avoidAlso(list []domain.WorkerID, id domain.WorkerID) []domain.WorkerID {
-	list = append(list, id)
-	if len(list) > maxAvoided {
-		list = list[1:]
+// avoidTime is how long a task avoids a worker that refused or failed it. In a
+// shard with few workers it may be the only one.
+const avoidTime = 2 * time.Second
+
+func (m *Machine) avoid(r *request, id domain.WorkerID) {
+	r.avoid = append(r.avoid, id)
+	if len(r.avoid) > maxAvoided {
+		r.avoid = r.avoid[1:]
+	}
+	r.avoidUntil = m.now + avoidTime
+	m.avoiding[r.task.ID] = true
+}
+
+// endAvoiding lets tasks go back to workers that they have avoided long enough.
+func (m *Machine) endAvoiding() {
+	for _, id := range sortedIDs(m.avoiding) {
+		r, known := m.live[id]
+		if !known {
+			delete(m.avoiding, id)
+			continue
+		}
+		if m.now < r.avoidUntil {
+			continue
+		}
+		delete(m.avoiding, id)
+		r.avoid = nil
+		if r.state == stateQueued && !r.urgent() && !m.delayed[id] {
+			m.policy.Dequeue(id)
+			m.policy.Enqueue(m.now, r.demand(m.now))
+		}
 	}
-	return list
 }
 
 // settle finds out what became of a start whose answer was lost. For an urgent
@@ -222,9 +249,10 @@
 		return
 	}
 	switch {
-	case e.Err == nil:
+	case e.Err == nil && e.Status.Attempt >= r.attempt:
 		m.reported(w, e.Status)
-	case e.Err.Kind == domain.KindNotFound:
+	case e.Err == nil, e.Err.Kind == domain.KindNotFound:
+		// The worker has no record of this attempt, at most of an earlier one.
 		m.sendStop(r, w, stopSettle)
 	default:
 		// An event or the end of the lease may settle the request before the
@@ -342,7 +370,7 @@
 		return
 	}
 	r.attempt = max(r.attempt, s.Attempt)
-	r.avoid = avoidAlso(r.avoid, w.id)
+	m.avoid(r, w.id)
 	r.notBefore = m.now + backoff(r.failures)
 	m.release(r, ResultFailed)
 	m.requeue(r)
@@ -388,7 +416,7 @@
 // that an attempt ended there: a later attempt may run on a worker that has
 // not been attached yet.
 func (m *Machine) waitForOthers(r *request, s platform.TaskStatus) bool {
-	if r.state != stateRecovering || !r.restartable() {
+	if m.recovered || r.state != stateRecovering || !r.restartable() {
 		return false
 	}
 	r.attempt = max(r.attempt, s.Attempt)
--- a/core/shard/submit.go
+++ b/core/shard/submit.go
@@ -55,7 +55,7 @@
 		return
 	}
 	if e.Delegated {
-		m.accept(e)
+		m.acceptDelegated(e)
 		return
 	}
 	switch m.evidence(id) {
@@ -74,8 +74,8 @@
 
 // resubmitted answers a repeat of a request that is known.
 func (m *Machine) resubmitted(r *request, e Submitted) {
-	if r.state == stateMoved && e.Delegated {
-		m.takeBack(r, e)
+	if e.Delegated && (r.state == stateMoved || r.state == stateMoving) {
+		m.offeredAgain(r, e)
 		return
 	}
 	body := BodyHash(e.Task)
@@ -106,6 +106,35 @@
 	}
 }
 
+// offeredAgain answers an offer of a task that has left this shard: a new one
+// brings it back, an old one was taken and passed on.
+func (m *Machine) offeredAgain(r *request, e Submitted) {
+	switch {
+	case e.Moves > r.moves:
+		m.acceptDelegated(e)
+	case e.Moves < r.moves:
+		o := domain.Outcome{ID: e.Task.ID, State: domain.OutcomeAccepted, Volatile: !r.moveLogged}
+		m.emit(Reply{Call: e.Call, Outcome: o})
+	default:
+		m.refuseCall(e.Call, errNotTaken(e.Task.ID, "the task moved to another shard"))
+	}
+}
+
+// acceptDelegated takes a task that was moved here. The offer may be a repeat of
+// one that an earlier owner took without a log record, so a task that can be
+// started twice waits until what that owner started is known or over.
+func (m *Machine) acceptDelegated(e Submitted) {
+	if e.Task.Kind != domain.KindUrgent && !m.recovered {
+		m.refuseCall(e.Call, errNotTaken(e.Task.ID, "the shard's state is not recovered yet"))
+		return
+	}
+	if r, known := m.requests[e.Task.ID]; known {
+		m.takeBack(r, e)
+		return
+	}
+	m.accept(e)
+}
+
 func (m *Machine) accept(e Submitted) {
 	r := &request{
 		task:       e.Task,
@@ -115,6 +144,7 @@
 		calls:      []CallID{e.Call},
 		attempt:    e.Attempt,
 		checkpoint: e.Checkpoint,
+		moves:      e.Moves,
 	}
 	m.add(r)
 	if refusal := m.policy.NeverFits(r.demand(m.now)); refusal != nil {
@@ -171,7 +201,7 @@
 }
 
 func (r *request) job() *journal.Job {
-	return &journal.Job{Task: r.task, Attempt: r.attempt, Checkpoint: r.checkpoint}
+	return &journal.Job{Task: r.task, Attempt: r.attempt, Checkpoint: r.checkpoint, Moves: r.moves}
 }
 
 // onLogged continues a request whose entry was appended, or was not surely
@@ -272,12 +302,12 @@
 func (m *Machine) close(r *request, o domain.Outcome) {
 	id := r.task.ID
 	o.ID = id
-	if id.Shard == m.shard && id.Epoch == m.epoch && !r.appended {
+	if m.onlyHere(r) {
 		m.finish(r, o)
 		return
 	}
 	if !m.logUsable() {
-		m.uncertain(r, "the log service does not answer, so another owner may start it: "+string(o.State))
+		m.closeWithoutLog(r, o)
 		return
 	}
 	if r.state == stateQueued {
@@ -291,9 +321,35 @@
 	m.append([]domain.RequestID{id}, journal.Entry{Ended: &journal.Ended{Outcome: o}})
 }
 
+// onlyHere reports whether no other owner could start the request.
+func (m *Machine) onlyHere(r *request) bool {
+	return r.task.ID.Shard == m.shard && r.task.ID.Epoch == m.epoch && !r.appended
+}
+
+// canClose reports whether the request can be ended truthfully now.
+func (m *Machine) canClose(r *request) bool { return m.onlyHere(r) || m.logUsable() }
+
+// closeWithoutLog handles an end that cannot be logged. An urgent request stays
+// uncertain, because another owner may start it. A batch task or watch is
+// cancelled until a later owner may find it again, or goes on.
+func (m *Machine) closeWithoutLog(r *request, o domain.Outcome) {
+	switch {
+	case r.urgent():
+		m.uncertain(r, "the log service does not answer, so another owner may start it")
+	case o.State == domain.OutcomeCancelled:
+		o.Volatile = true
+		m.finish(r, o)
+	default:
+		if r.state != stateQueued {
+			m.queue(r)
+		}
+		m.keepAnyway(r)
+	}
+}
+
 func (m *Machine) afterClosing(r *request, ok bool) {
 	if !ok {
-		m.uncertain(r, "its end could not be logged")
+		m.closeWithoutLog(r, r.outcome)
 		return
 	}
 	r.endLogged = true
--- a/core/shard/tick.go
+++ b/core/shard/tick.go
@@ -11,6 +11,7 @@
 	m.expireHeld()
 	m.expireWaits()
 	m.wakeDelayed()
+	m.endAvoiding()
 	m.retryMoves()
 	m.evacuateQueued()
 	m.react()
@@ -72,15 +73,35 @@
 		m.timed[r.task.ID] = true
 		return
 	}
-	if r.mayHaveRun {
-		// It cannot be refused truthfully any more, so this owner holds it.
-		m.keep(r)
-		m.record(journal.Entry{Job: r.job()})
+	if r.mayHaveRun || r.appended || !m.canClose(r) {
+		m.keepAnyway(r)
+		return
+	}
+	if r.moves > 0 {
+		m.dropOffer(r)
 		return
 	}
 	m.finishNotRun(r, "the log service does not answer and no worker was free")
 }
 
+// dropOffer forgets a task that another shard offers: that shard still has it,
+// and closing the id would end it there.
+func (m *Machine) dropOffer(r *request) {
+	id := r.task.ID
+	m.unqueue(r)
+	for _, call := range r.calls {
+		m.refuseCall(call, errNotTaken(id, "the log service does not answer and no worker was free"))
+	}
+	delete(m.requests, id)
+	delete(m.live, id)
+}
+
+// keepAnyway holds a batch task or watch that cannot be refused truthfully.
+func (m *Machine) keepAnyway(r *request) {
+	m.keep(r)
+	m.record(journal.Entry{Job: r.job()})
+}
+
 // wakeDelayed continues requests whose delay is over.
 func (m *Machine) wakeDelayed() {
 	for _, id := range sortedIDs(m.delayed) {
--- a/core/shard/world_test.go
+++ b/core/shard/world_test.go
@@ -16,10 +16,7 @@
 // late. The owners' pauses and the network's faults are chosen by a seeded
 // generator.
 type world struct {
-	rng   *rand.Rand
-	now   time.Duration
-	queue timers
-	seq   int
+	*simClock
 
 	shard   domain.ShardID
 	workers []*simWorker
@@ -32,15 +29,36 @@
 	calls    map[CallID]domain.RequestID
 	lastCall CallID
 	told     map[domain.RequestID][]domain.Outcome
-	intents  int
 	// trace holds the recorded reasons of every owner by request.
 	trace map[domain.RequestID][]string
 	// unreachable holds when a worker was last out of the newest owner's reach.
 	unreachable map[domain.WorkerID]time.Duration
+	// outages holds the times in which the failure domain was taken out.
+	outages []outage
+	// other is the shard of another failure domain that tasks move to.
+	other *world
+	// onReply holds calls of the other shard.
+	onReply map[CallID]func(Reply)
 	// weakness removes one mechanism, to show that a test notices.
 	weakness weakness
 }
 
+// simClock is the virtual time and the random source of one history.
+type simClock struct {
+	rng   *rand.Rand
+	now   time.Duration
+	queue timers
+	seq   int
+}
+
+func newSimClock(seed uint64) *simClock {
+	return &simClock{rng: rand.New(rand.NewPCG(seed, 1)), now: time.Hour}
+}
+
+// outage is a time in which a failure domain was taken out; to is zero while
+// it lasts.
+type outage struct{ from, to time.Duration }
+
 // weakness names a mechanism that a test switches off.
 type weakness int
 
@@ -82,6 +100,7 @@
 	paused  bool
 	pending []Event
 	logCut  bool
+	config  domain.Configuration
 	// cut lists the workers that the owner cannot reach.
 	cut  map[domain.WorkerID]bool
 	down bool
@@ -92,34 +111,33 @@
 	callTimeout = 800 * time.Millisecond
 )
 
-func newWorld(seed uint64, weak weakness) *world {
+func newWorld(clock *simClock, name domain.FailureDomain, weak weakness) *world {
 	w := &world{
-		rng:     rand.New(rand.NewPCG(seed, 1)),
-		now:     time.Hour,
-		shard:   domain.ShardID{Domain: "larissa", Index: 0},
-		journal: journal.NewDomain(),
-		logUp:   true,
-		calls:   map[CallID]domain.RequestID{},
-		told:    map[domain.RequestID][]domain.Outcome{},
-		trace:   map[domain.RequestID][]string{},
-
+		simClock:    clock,
+		shard:       domain.ShardID{Domain: name, Index: 0},
+		journal:     journal.NewDomain(),
+		logUp:       true,
+		calls:       map[CallID]domain.RequestID{},
+		told:        map[domain.RequestID][]domain.Outcome{},
+		trace:       map[domain.RequestID][]string{},
+		onReply:     map[CallID]func(Reply){},
 		unreachable: map[domain.WorkerID]time.Duration{},
 		weakness:    weak,
 	}
 	w.config = domain.Configuration{Version: 1, Preset: domain.Preset{Name: "ordinary", IsolatedStarts: domain.IsolatedAll}}
 	for i := range simWorkers {
-		w.workers = append(w.workers, newSimWorker(w, domain.WorkerID(fmt.Sprintf("w%d", i))))
+		w.workers = append(w.workers, newSimWorker(w, domain.WorkerID(fmt.Sprintf("%s-w%d", name, i))))
 	}
 	return w
 }
 
-func (w *world) after(d time.Duration, run func()) {
+func (w *simClock) after(d time.Duration, run func()) {
 	w.seq++
 	heap.Push(&w.queue, timer{at: w.now + d, seq: w.seq, run: run})
 }
 
 // runFor runs all that happens within d.
-func (w *world) runFor(d time.Duration) {
+func (w *simClock) runFor(d time.Duration) {
 	end := w.now + d
 	for len(w.queue) > 0 && w.queue[0].at <= end {
 		t := heap.Pop(&w.queue).(timer)
@@ -129,7 +147,7 @@
 	w.now = end
 }
 
-func (w *world) delay() time.Duration {
+func (w *simClock) delay() time.Duration {
 	return time.Duration(200+w.rng.IntN(2000)) * time.Microsecond
 }
 
@@ -146,7 +164,7 @@
 	o.machine = m
 	w.owners = append(w.owners, o)
 	w.run(o, effects)
-	w.step(o, Configured{Configuration: w.config})
+	w.configure(o)
 	w.step(o, WorkersListed{VMs: w.vms()})
 	w.ticks(o)
 	return o
@@ -166,10 +184,26 @@
 	}
 	w.noteUnreachable()
 	w.readLog(o)
+	w.configure(o)
 	w.step(o, Tick{})
 	w.after(TickInterval, func() { w.ticks(o) })
 }
 
+// configure gives an owner the configuration. One that is cut off from the log
+// keeps the old one and is isolated.
+func (w *world) configure(o *simOwner) {
+	if o.logCut {
+		w.step(o, Configured{Configuration: o.config, Isolated: true})
+		return
+	}
+	o.config = w.config
+	c := Configured{Configuration: w.config}
+	if w.other != nil && !w.config.TakenOut(w.other.shard.Domain) {
+		c.Targets = []domain.ShardID{w.other.shard}
+	}
+	w.step(o, c)
+}
+
 func (w *world) noteUnreachable() {
 	for _, k := range w.workers {
 		if k.dead || w.latest().cut[k.id] {
@@ -186,13 +220,20 @@
 }
 
 // forgive marks results of earlier runs that no owner can know of when a later
-// run starts: the log has no end, and the worker that has the result is out of
+// run starts or the task moves to the other domain: the log has no end, and the worker that has the result is out of
 // reach. Without another run the task would be lost if the worker never
 // returned.
 func (w *world) forgive(id domain.RequestID) {
-	if _, logged := w.journal.Shard(w.shard).Ended[id]; logged {
+	if w.endLogged(id) || w.other != nil && w.other.endLogged(id) {
 		return
 	}
+	w.forgiveHere(id)
+	if w.other != nil {
+		w.other.forgiveHere(id)
+	}
+}
+
+func (w *world) forgiveHere(id domain.RequestID) {
 	for _, k := range w.workers {
 		for i := range k.history {
 			iv := &k.history[i]
@@ -203,6 +244,11 @@
 	}
 }
 
+func (w *world) endLogged(id domain.RequestID) bool {
+	_, logged := w.journal.Shard(w.shard).Ended[id]
+	return logged
+}
+
 func (w *world) readLog(o *simOwner) {
 	up := w.logUp && !o.logCut
 	w.step(o, LogState{Up: up})
@@ -282,7 +328,16 @@
 			})
 	case Append:
 		w.executeAppend(o, e)
+	case Delegate:
+		w.delegate(o, e)
+	case Redirect:
+		w.redirect(e)
 	case Reply:
+		if answer, ok := w.onReply[e.Call]; ok {
+			delete(w.onReply, e.Call)
+			answer(e)
+			return
+		}
 		if id, ok := w.calls[e.Call]; ok && e.Outcome.State != "" {
 			w.told[id] = append(w.told[id], e.Outcome)
 		}
@@ -368,7 +423,11 @@
 			})
 			return
 		}
-		w.intents++
+		for _, entry := range e.Entries {
+			if entry.Moved != nil {
+				w.forgive(entry.Moved.ID)
+			}
+		}
 		w.appendRecord(e.Entries)
 		w.after(w.delay(), func() {
 			w.readLog(o)
@@ -386,6 +445,51 @@
 	return nil
 }
 
+// delegate hands a task to the newest owner of the other shard. The call or its
+// answer may be lost.
+func (w *world) delegate(o *simOwner, e Delegate) {
+	id := e.Request.Task.ID
+	silent := &domain.Error{Kind: domain.KindUnavailable, Message: "no answer"}
+	lost := w.rng.IntN(6)
+	done := func(outcome domain.Outcome, err *domain.Error) {
+		if lost == 0 {
+			err = silent
+		}
+		w.after(w.delay(), func() { w.step(o, DelegateDone{ID: id, Moves: e.Request.Moves, Outcome: outcome, Err: err}) })
+	}
+	if lost == 1 {
+		w.after(callTimeout, func() { w.step(o, DelegateDone{ID: id, Moves: e.Request.Moves, Err: silent}) })
+		return
+	}
+	w.after(w.delay(), func() {
+		w.other.lastCall++
+		call := w.other.lastCall
+		w.other.onReply[call] = func(r Reply) {
+			if r.Outcome.State == "" {
+				done(domain.Outcome{}, r.Outcome.Err)
+				return
+			}
+			done(r.Outcome, nil)
+		}
+		sub := e.Request
+		sub.Call = call
+		w.other.step(w.other.latest(), sub)
+	})
+}
+
+// redirect asks the newest owner of the other shard for a waiting caller.
+func (w *world) redirect(e Redirect) {
+	id, waiting := w.calls[e.Call]
+	if !waiting {
+		return
+	}
+	w.after(w.delay(), func() {
+		w.other.lastCall++
+		w.other.calls[w.other.lastCall] = id
+		w.other.step(w.other.latest(), Queried{Call: w.other.lastCall, ID: id})
+	})
+}
+
 // submit sends a request to an owner.
 func (w *world) submit(o *simOwner, task domain.Task) {
 	w.lastCall++
--- a/node/engine/executor.go
+++ b/node/engine/executor.go
@@ -175,7 +175,7 @@
 		limit = ef.Request.Budget
 	}
 	x.spawn(func() {
-		done := shard.DelegateDone{ID: ef.Request.Task.ID}
+		done := shard.DelegateDone{ID: ef.Request.Task.ID, Moves: ef.Request.Moves}
 		done.Outcome, done.Err = x.callDelegate(ef, limit)
 		x.post(done)
 	})
--- a/node/peer/message.go
+++ b/node/peer/message.go
@@ -44,10 +44,11 @@
 	Draw bool
 	// Budget is the part of the deadline that is left, or the call's time-out.
 	Budget time.Duration
-	// Delegated, Attempt and Checkpoint are those of shard.Submitted.
+	// Delegated, Attempt, Checkpoint and Moves are those of shard.Submitted.
 	Delegated  bool
 	Attempt    int
 	Checkpoint string
+	Moves      int
 }
 
 // OutcomeReply carries an outcome. Length and Sum (xxhash64) are those of
--- a/node/router/handler.go
+++ b/node/router/handler.go
@@ -84,6 +84,7 @@
 		Delegated:  args.Delegated,
 		Attempt:    args.Attempt,
 		Checkpoint: args.Checkpoint,
+		Moves:      args.Moves,
 	}
 	limit := min(args.Budget, service.CallTimeout)
 	if args.Task.Kind == domain.KindUrgent {
--- a/node/router/hop.go
+++ b/node/router/hop.go
@@ -54,6 +54,7 @@
 		Delegated:  req.Delegated,
 		Attempt:    req.Attempt,
 		Checkpoint: req.Checkpoint,
+		Moves:      req.Moves,
 	})
 	return reply.Outcome, err
 }
