Test the client's fail-over and clean control characters

The client now has tests for hanging nodes, answers about another request, urgent requests past their deadline and lost changes. Text of operators and tasks cannot break lines or control the terminal. A take-out lets the node wait 3 s, because only the node can tell who has a provisional one.

--- /dev/null
+++ b/cli/client/client_test.go
@@ -0,0 +1,164 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/basilferry/basilferry/core/configlog"
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/node/httpapi"
+)
+
+var testID = domain.RequestID{Shard: domain.ShardID{Domain: "volos"}, Epoch: 3, Seq: 9}
+
+// nodes answers calls in place of a network. Each node is a function that
+// returns an answer, or nil if it hangs until the time-out.
+type nodes map[string]func(*http.Request) *http.Response
+
+// RoundTrip implements http.RoundTripper.
+func (n nodes) RoundTrip(r *http.Request) (*http.Response, error) {
+	httptrace.ContextClientTrace(r.Context()).GotConn(httptrace.GotConnInfo{})
+	if resp := n[r.URL.Host](r); resp != nil {
+		return resp, nil
+	}
+	return nil, context.DeadlineExceeded
+}
+
+func hang(*http.Request) *http.Response { return nil }
+
+// sends returns a node that answers with a body about a request.
+func sends(status int, id string, value any) func(*http.Request) *http.Response {
+	return func(*http.Request) *http.Response {
+		body, _ := json.Marshal(value)
+		header := http.Header{}
+		header.Set("Content-Length", strconv.Itoa(len(body)))
+		header.Set(httpapi.ChecksumHeader, httpapi.Checksum(body))
+		header.Set(httpapi.IDHeader, id)
+		return &http.Response{StatusCode: status, Header: header, Body: io.NopCloser(strings.NewReader(string(body)))}
+	}
+}
+
+func testClient(t *testing.T, n nodes) *Client {
+	c, err := New(Options{Nodes: []string{"a:1", "b:1"}, Timeout: time.Minute})
+	assert.NilError(t, err)
+	c.http.Transport = n
+	return c
+}
+
+func outcome(id domain.RequestID) httpapi.OutcomeBody {
+	return httpapi.OutcomeBody{Outcome: domain.Outcome{ID: id, State: domain.OutcomeRan}, RequestID: id.String()}
+}
+
+// Guards against a node whose connections hang and that stops a call that may
+// be sent again, and against an answer about another request.
+func TestLookupTriesNext(t *testing.T) {
+	other := testID
+	other.Seq++
+	good := sends(http.StatusOK, testID.String(), outcome(testID))
+	for name, first := range map[string]func(*http.Request) *http.Response{
+		"hangs":         hang,
+		"other request": sends(http.StatusOK, other.String(), outcome(other)),
+	} {
+		o, err := testClient(t, nodes{"a:1": first, "b:1": good}).Lookup(t.Context(), testID)
+		assert.NilError(t, err, name)
+		assert.Equal(t, o.ID, testID)
+	}
+	bare := sends(http.StatusOK, "", outcome(other))
+	_, err := testClient(t, nodes{"a:1": bare, "b:1": bare}).Lookup(t.Context(), testID)
+	assert.Equal(t, domain.KindOf(err), domain.KindInternal)
+	_, err = testClient(t, nodes{"a:1": hang, "b:1": hang}).Lookup(t.Context(), testID)
+	assert.Equal(t, domain.KindOf(err), domain.KindUnavailable)
+}
+
+// Guards against urgent work that is started after its deadline, and against a
+// lost answer that is reported as "nothing was started" because a second node
+// refused the request.
+func TestSubmitAgain(t *testing.T) {
+	urgent := httpapi.SubmitBody{Kind: domain.KindUrgent, DeadlineMS: 1}
+	late := func(r *http.Request) *http.Response {
+		for start := time.Now(); time.Since(start) <= time.Millisecond; {
+		}
+		return nil
+	}
+	never := func(*http.Request) *http.Response { t.Error("sent after the deadline"); return nil }
+	_, err := testClient(t, nodes{"a:1": late, "b:1": never}).Submit(t.Context(), Name{Key: "k"}, urgent)
+	assert.Equal(t, domain.KindOf(err), domain.KindOutcomeUnknown)
+
+	refuses := sends(http.StatusServiceUnavailable, "", domain.Error{Kind: domain.KindUnavailable})
+	_, err = testClient(t, nodes{"a:1": hang, "b:1": refuses}).Submit(t.Context(), Name{Key: "k"}, httpapi.SubmitBody{Kind: domain.KindBatch})
+	assert.Equal(t, domain.KindOf(err), domain.KindOutcomeUnknown)
+}
+
+// Guards against a change whose answer was lost and that is told as accepted,
+// as rejected or as not made without proof.
+func TestSettle(t *testing.T) {
+	d := domain.FailureDomain("volos")
+	change := configlog.Change{Base: 4, Operator: "anna", TakeOut: &d}
+	other := configlog.Change{Base: 4, Operator: "petros", BringBack: &d}
+	tests := []struct {
+		name    string
+		version domain.Version
+		history []configlog.Decision
+		want    domain.ErrorKind
+		settled bool
+	}{
+		{"own", 6, []configlog.Decision{{Version: 5, Accepted: true, Change: change}}, "", true},
+		{"other", 5, []configlog.Decision{{Version: 6, Change: change}, {Version: 5, Accepted: true, Change: other}}, domain.KindVersionConflict, true},
+		{"history starts later", 6, nil, domain.KindOutcomeUnknown, false},
+		{"no change", 4, nil, domain.KindOutcomeUnknown, false},
+	}
+	for _, test := range tests {
+		ctx, cancel := context.WithCancel(t.Context())
+		looks := 0
+		node := func(r *http.Request) *http.Response {
+			switch {
+			case r.Method == http.MethodPost:
+				return nil
+			case strings.HasPrefix(r.URL.Path, "/v1/config/history"):
+				return sends(http.StatusOK, "", httpapi.HistoryAnswer{Decisions: test.history})(r)
+			}
+			if looks++; looks > 1 {
+				cancel()
+			}
+			return sends(http.StatusOK, "", domain.Configuration{Version: test.version})(r)
+		}
+		body, err := testClient(t, nodes{"a:1": node, "b:1": node}).Change(ctx, change, 0)
+		cancel()
+		if !test.settled {
+			assert.Equal(t, domain.KindOf(err), test.want, test.name)
+			continue
+		}
+		assert.NilError(t, err, test.name)
+		assert.Equal(t, body.Decision.Accepted, test.want == "", test.name)
+		assert.Equal(t, body.Configuration != nil, test.want != "", test.name)
+	}
+}
+
+// Guards against addresses that are taken for something else than a node.
+func TestNodes(t *testing.T) {
+	for text, want := range map[string]string{
+		"10.0.0.1:80":        "http://10.0.0.1:80",
+		"http://[::1]:80/":   "http://[::1]:80",
+		"https://10.0.0.1":   "https://10.0.0.1",
+		"ftp://10.0.0.1":     "",
+		"http://10.0.0.1/v1": "",
+		"http://":            "",
+	} {
+		c, err := New(Options{Nodes: []string{text}})
+		if want == "" {
+			assert.Equal(t, domain.KindOf(err), domain.KindBadRequest, text)
+			continue
+		}
+		assert.NilError(t, err, text)
+		assert.DeepEqual(t, c.Nodes(), []string{want})
+	}
+}
--- a/cli/command/change.go
+++ b/cli/command/change.go
@@ -25,6 +25,9 @@
 	// nodeWait is how long the node itself waits before the command asks for
 	// progress.
 	nodeWait = time.Second
+	// takeOutNodeWait is longer, because only the node can tell which nodes
+	// have a provisional take-out; 3 s is the bound on a take-out.
+	takeOutNodeWait = 3 * time.Second
 )
 
 // States of a changeReport.
@@ -71,7 +74,7 @@
 	progress := output.StartProgress(e.Err, e.Progress, fmt.Sprintf("waiting for the decision on the change of version %d", change.Base))
 	defer progress.Stop()
 	end := time.Now().Add(c.Duration("wait"))
-	body, err := cl.Change(ctx, change, min(nodeWait, max(c.Duration("wait"), 0)))
+	body, err := cl.Change(ctx, change, nodeWaitOf(change, c.Duration("wait")))
 	if err != nil {
 		return err
 	}
@@ -86,6 +89,15 @@
 	return e.showChange(c, report)
 }
 
+// nodeWaitOf returns how long the node waits, at most the whole wait.
+func nodeWaitOf(change configlog.Change, whole time.Duration) time.Duration {
+	wait := nodeWait
+	if change.TakeOut != nil {
+		wait = takeOutNodeWait
+	}
+	return max(min(wait, whole), 0)
+}
+
 // listed returns a list that is written as [] if it is empty.
 func listed(ids []domain.NodeID) []domain.NodeID { return append([]domain.NodeID{}, ids...) }
 
--- a/cli/command/exit.go
+++ b/cli/command/exit.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 
+	"github.com/basilferry/basilferry/cli/output"
 	"github.com/basilferry/basilferry/core/domain"
 	"github.com/basilferry/basilferry/node/httpapi"
 )
@@ -76,12 +77,12 @@
 	if !errors.As(err, &typed) {
 		typed = usage(err.Error(), "see basilferry --help")
 	}
-	fmt.Fprintf(w, "error: %s\n", typed.Message)
+	fmt.Fprintf(w, "error: %s\n", output.Clean(typed.Message))
 	if typed.Remedy != "" {
-		fmt.Fprintf(w, "remedy: %s\n", typed.Remedy)
+		fmt.Fprintf(w, "remedy: %s\n", output.Clean(typed.Remedy))
 	}
 	if typed.RequestID != "" {
-		fmt.Fprintf(w, "request: %s\n", typed.RequestID)
+		fmt.Fprintf(w, "request: %s\n", output.Clean(typed.RequestID))
 	}
 }
 
--- a/cli/output/output.go
+++ b/cli/output/output.go
@@ -19,8 +19,11 @@
 // Valid reports whether f is a known format.
 func (f Format) Valid() bool { return f == FormatTable || f == FormatJSON }
 
-// columnGap is the number of spaces between two columns.
-const columnGap = 2
+const (
+	// columnGap is the number of spaces between two columns.
+	columnGap = 2
+	emptyCell = "-"
+)
 
 // Table is a list of rows under a header.
 type Table struct {
@@ -47,23 +50,24 @@
 func writeRow(w io.Writer, cells []string) {
 	shown := make([]string, len(cells))
 	for i, cell := range cells {
-		shown[i] = clean(cell)
+		shown[i] = Clean(cell)
+		if cell == "" {
+			shown[i] = emptyCell
+		}
 	}
 	_, _ = io.WriteString(w, strings.Join(shown, "\t")+"\n")
 }
 
-// clean keeps a cell on its line: text from operators and tasks can hold tabs,
-// line ends and terminal control codes.
-func clean(cell string) string {
-	if cell == "" {
-		return "-"
-	}
+// Clean replaces control characters by spaces, so that the text stays on its
+// line: text from operators and tasks can hold tabs, line ends and terminal
+// control codes.
+func Clean(text string) string {
 	return strings.Map(func(r rune) rune {
 		if r < ' ' || (r >= 0x7f && r < 0xa0) {
 			return ' '
 		}
 		return r
-	}, cell)
+	}, text)
 }
 
 // JSON writes a value as indented JSON.
