Report why no node gives a burn report

The error named only the last node, and hid a wrong token behind it. It now joins the errors of all nodes and keeps the kind of the first, which decides on the exit code. The manual has an example of JSON output.

go test -race -count 3 ./cli/...: ok.

--- a/cli/command/burn.go
+++ b/cli/command/burn.go
@@ -62,6 +62,15 @@
 	})
 }
 
+// noBurn joins the errors of all nodes; kind and remedy are those of the first.
+func noBurn(failures []*domain.Error) *domain.Error {
+	joined := *failures[0]
+	for _, f := range failures[1:] {
+		joined.Message += "; " + f.Message
+	}
+	return &joined
+}
+
 func writeHTML(path string, r burn.Report) error {
 	var page strings.Builder
 	if err := burnreport.HTML(&page, r); err != nil {
@@ -78,12 +87,12 @@
 	report := burnReport{Nodes: []string{}, Missing: []string{}}
 	var known []service.NodeStatus
 	var reports []burn.Report
-	var failure error
+	var failures []*domain.Error
 	for _, url := range cl.Nodes() {
 		single := cl.At(url)
 		got, err := single.Burn(ctx)
 		if err != nil {
-			failure = err
+			failures = append(failures, domain.AsError(err))
 			report.Missing = append(report.Missing, url)
 			continue
 		}
@@ -99,7 +108,7 @@
 		reports = append(reports, got)
 	}
 	if len(reports) == 0 {
-		return report, failure
+		return report, noBurn(failures)
 	}
 	report.Report = mergeBurn(reports)
 	report.Missing = missingNodes(report, known)
--- a/cli/command/golden_test.go
+++ b/cli/command/golden_test.go
@@ -107,8 +107,12 @@
 		t.Run(g.name, func(t *testing.T) {
 			table := g.transcript(t, "")
 			golden.Assert(t, table, g.name+".table.golden")
-			golden.Assert(t, g.transcript(t, " -o json"), g.name+".json.golden")
+			inJSON := g.transcript(t, " -o json")
+			golden.Assert(t, inJSON, g.name+".json.golden")
 			assert.Assert(t, cmp.Contains(string(manual), table))
+			if g.name == "get" {
+				assert.Assert(t, cmp.Contains(string(manual), inJSON))
+			}
 		})
 	}
 }
--- a/cli/command/run_test.go
+++ b/cli/command/run_test.go
@@ -54,6 +54,8 @@
 		{"get", nil, 1},
 		{"nodes --token wrong", nil, 1},
 		{"nodes -o yaml", nil, 1},
+		{"burn --token wrong", nil, 1},
+		{"burn --node 127.0.0.1:1", nil, 5},
 		{"preset use bogus", nil, 1},
 		{"preset use peak --base 3", nil, 4},
 		{"domain take-out a-b", nil, 1},
