Close gaps that mutated rules showed in the tests

Five rules could be broken without a failing test: the base in the settling of a lost change, redirects, budgets that differ between nodes, an argument that is a help command, and nodes that were seen with the version. Each has a case now. Settling reads the history first, so that it cannot judge by a version that is older than the history.

--- a/cli/client/change.go
+++ b/cli/client/change.go
@@ -74,10 +74,6 @@
 // version is accepted, so another one that was shows that this one never will
 // be. A node that started from a snapshot may know neither.
 func (c *Client) decided(ctx context.Context, change configlog.Change) (httpapi.ChangeBody, bool) {
-	inForce, err := c.Configuration(ctx)
-	if err != nil || inForce.Version <= change.Base {
-		return httpapi.ChangeBody{}, false
-	}
 	history, err := c.History(ctx, MaxHistory)
 	if err != nil {
 		return httpapi.ChangeBody{}, false
@@ -89,21 +85,28 @@
 		if reflect.DeepEqual(d.Change, change) {
 			return httpapi.ChangeBody{ChangeResult: service.ChangeResult{Decision: d}}, true
 		}
-		lost := configlog.Decision{Change: change, InForce: inForce.Version, Err: overtaken()}
-		return httpapi.ChangeBody{
-			ChangeResult:  service.ChangeResult{Decision: lost},
-			Configuration: &inForce,
-		}, true
+		return c.overtaken(ctx, change)
 	}
 	return httpapi.ChangeBody{}, false
 }
 
-func overtaken() *domain.Error {
-	return &domain.Error{
-		Kind:    domain.KindVersionConflict,
-		Message: "another change to the same version was accepted",
-		Remedy:  "read the configuration again and repeat the change on its version",
+// overtaken returns the rejection of a change with the configuration in force.
+func (c *Client) overtaken(ctx context.Context, change configlog.Change) (httpapi.ChangeBody, bool) {
+	inForce, err := c.Configuration(ctx)
+	rejected := configlog.Decision{
+		Change:  change,
+		InForce: inForce.Version,
+		Err: &domain.Error{
+			Kind:    domain.KindVersionConflict,
+			Message: "another change to the same version was accepted",
+			Remedy:  "read the configuration again and repeat the change on its version",
+		},
+	}
+	body := httpapi.ChangeBody{
+		ChangeResult:  service.ChangeResult{Decision: rejected},
+		Configuration: &inForce,
 	}
+	return body, err == nil
 }
 
 // Pause waits for d. It reports false if ctx ends first.
--- a/cli/client/client_test.go
+++ b/cli/client/client_test.go
@@ -79,9 +79,9 @@
 	assert.Equal(t, domain.KindOf(err), domain.KindUnavailable)
 }
 
-// Guards against urgent work that is started after its deadline, and against a
-// lost answer that is reported as "nothing was started" because a second node
-// refused the request.
+// Guards against urgent work that is started after its deadline, against a lost
+// answer that is reported as "nothing was started" because a second node refused
+// the request, and against redirects that send a request twice.
 func TestSubmitAgain(t *testing.T) {
 	urgent := httpapi.SubmitBody{Kind: domain.KindUrgent, DeadlineMS: 1}
 	late := func(r *http.Request) *http.Response {
@@ -89,10 +89,18 @@
 		}
 		return nil
 	}
-	never := func(*http.Request) *http.Response { t.Error("sent after the deadline"); return nil }
+	never := func(*http.Request) *http.Response { t.Error("sent again"); return nil }
 	_, err := testClient(t, nodes{"a:1": late, "b:1": never}).Submit(t.Context(), Name{Key: "k"}, urgent)
 	assert.Equal(t, domain.KindOf(err), domain.KindOutcomeUnknown)
 
+	redirects := func(r *http.Request) *http.Response {
+		resp := sends(http.StatusTemporaryRedirect, "", "")(r)
+		resp.Header.Set("Location", "http://b:1/v1/requests")
+		return resp
+	}
+	_, err = testClient(t, nodes{"a:1": redirects, "b:1": never}).Submit(t.Context(), Name{}, httpapi.SubmitBody{Kind: domain.KindBatch})
+	assert.Equal(t, domain.KindOf(err), domain.KindInternal)
+
 	refuses := sends(http.StatusServiceUnavailable, "", domain.Error{Kind: domain.KindUnavailable})
 	_, err = testClient(t, nodes{"a:1": hang, "b:1": refuses}).Submit(t.Context(), Name{Key: "k"}, httpapi.SubmitBody{Kind: domain.KindBatch})
 	assert.Equal(t, domain.KindOf(err), domain.KindOutcomeUnknown)
@@ -106,15 +114,14 @@
 	other := configlog.Change{Base: 4, Operator: "petros", BringBack: &d}
 	tests := []struct {
 		name    string
-		version domain.Version
 		history []configlog.Decision
 		want    domain.ErrorKind
 		settled bool
 	}{
-		{"own", 6, []configlog.Decision{{Version: 5, Accepted: true, Change: change}}, "", true},
-		{"other", 5, []configlog.Decision{{Version: 6, Change: change}, {Version: 5, Accepted: true, Change: other}}, domain.KindVersionConflict, true},
-		{"history starts later", 6, nil, domain.KindOutcomeUnknown, false},
-		{"no change", 4, nil, domain.KindOutcomeUnknown, false},
+		{"own", []configlog.Decision{{Version: 5, Accepted: true, Change: change}}, "", true},
+		{"other", []configlog.Decision{{Version: 6, Change: change}, {Version: 5, Accepted: true, Change: other}}, domain.KindVersionConflict, true},
+		{"history starts later", []configlog.Decision{{Version: 7, Accepted: true, Change: configlog.Change{Base: 6, Operator: "petros", BringBack: &d}}}, domain.KindOutcomeUnknown, false},
+		{"no change", nil, domain.KindOutcomeUnknown, false},
 	}
 	for _, test := range tests {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -124,12 +131,12 @@
 			case r.Method == http.MethodPost:
 				return nil
 			case strings.HasPrefix(r.URL.Path, "/v1/config/history"):
+				if looks++; looks > 1 {
+					cancel()
+				}
 				return sends(http.StatusOK, "", httpapi.HistoryAnswer{Decisions: test.history})(r)
 			}
-			if looks++; looks > 1 {
-				cancel()
-			}
-			return sends(http.StatusOK, "", domain.Configuration{Version: test.version})(r)
+			return sends(http.StatusOK, "", domain.Configuration{Version: 5})(r)
 		}
 		body, err := testClient(t, nodes{"a:1": node, "b:1": node}).Change(ctx, change, 0)
 		cancel()
--- a/cli/command/run_test.go
+++ b/cli/command/run_test.go
@@ -160,6 +160,17 @@
 	var r run
 	assert.Equal(t, r.do(t, []string{f.serve(t, nil)}, "preset use peak --wait 0s"), ExitPartial)
 	assert.Assert(t, cmp.Contains(r.err.String(), "larissa1"))
+	// The node that made the change has told that volos1 has it.
+	assert.Assert(t, cmp.Regexp(`in force on +volos1\n`, r.out.String()))
+}
+
+// Guards against an argument that is taken for the help command, so that the
+// change is not made although the exit code is 0.
+func TestArgumentIsNoCommand(t *testing.T) {
+	f := newFake()
+	var r run
+	assert.Equal(t, r.do(t, []string{f.serve(t, nil)}, "domain take-out help"), ExitDone, r.err.String())
+	assert.Equal(t, len(f.changed()), 1)
 }
 
 // Guards against --wait that returns before the end of a task or gives up when
@@ -208,7 +219,9 @@
 // Guards against rates that differ from those of one recorder with all events.
 func TestMergeBurn(t *testing.T) {
 	objectives := []burn.Objective{{Kind: domain.KindUrgent, Target: 0.99}}
-	all, a, b := burn.NewRecorder(objectives), burn.NewRecorder(objectives), burn.NewRecorder(objectives)
+	// The objectives of two nodes differ while settings are rolled out.
+	other := []burn.Objective{{Kind: domain.KindUrgent, Target: 0.9}}
+	all, a, b := burn.NewRecorder(objectives), burn.NewRecorder(objectives), burn.NewRecorder(other)
 	for i := range 200 {
 		at := testTime.Add(-time.Duration(i) * time.Minute)
 		verdict := []burn.Verdict{burn.Good, burn.Bad, burn.Good}[i%3]
