--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -81,6 +81,9 @@
 	if r.Retry && c.tokens < 1 {
 		return fmt.Sprintf("the retry budget of %.0f%% of urgent starts is used up", c.retryShare*100)
 	}
+	if r.Budget <= 0 {
+		return "no time is left until the deadline"
+	}
 	if r.Budget <= r.Wait {
 		return fmt.Sprintf("the expected wait of %v does not fit the %v left", round(r.Wait), round(r.Budget))
 	}
--- a/core/interference/model.go
+++ b/core/interference/model.go
@@ -69,7 +69,10 @@
 	if u.Slowdown <= 0 {
 		return
 	}
-	s := m.site(worker)
+	s, ok := m.workers[worker]
+	if !ok {
+		return
+	}
 	s.sawLag(u.Age)
 	loads := s.loadsAt(now-u.Age, u.ID)
 	if len(loads) > 0 {
--- a/core/placement/index.go
+++ b/core/placement/index.go
@@ -1,8 +1,9 @@
 package placement
 
 import (
+	"cmp"
 	"math/rand/v2"
-	"sort"
+	"slices"
 
 	"github.com/basilferry/basilferry/core/domain"
 )
@@ -16,18 +17,19 @@
 // Index is the set of workers with what is held on them. It is used from one
 // goroutine.
 type Index struct {
-	limits  Limits
-	workers []*worker // by leaf; nil where a worker was removed
-	leafOf  map[domain.WorkerID]int
-	vacant  []int // leaves without a worker
-	racks   map[string]*rack
-	shapes  map[domain.Resources]int // number of workers per capacity
-	order   []domain.Resources       // the keys of shapes in a fixed order
-	total   domain.Resources         // capacity of the workers that are up
-	noisy   int                      // workers marked as noisy
-	tree    *tree
-	random  *rand.Rand
-	chosen  candidates // reused between calls
+	limits    Limits
+	workers   []*worker // by leaf; nil where a worker was removed
+	leafOf    map[domain.WorkerID]int
+	vacant    []int // leaves without a worker
+	racks     map[string]*rack
+	shapes    map[domain.Resources]int // number of workers per capacity
+	order     []domain.Resources       // the keys of shapes in a fixed order
+	total     domain.Resources         // capacity of the workers that are up
+	open      int64                    // workers that are up and not blocked
+	openNoisy int64                    // those of them that are noisy
+	tree      *tree
+	random    *rand.Rand
+	chosen    candidates // reused between calls
 }
 
 // New returns an empty index whose random choices follow from the seed.
@@ -92,13 +94,13 @@
 		return
 	}
 	x.workers[leaf].noisy = noisy
-	x.noisy += step(noisy)
 	x.refresh(leaf)
 }
 
-// NoisyShare returns the share of the known workers that are noisy.
+// NoisyShare returns the share of noisy workers among those that are up and
+// not blocked.
 func (x *Index) NoisyShare() float64 {
-	return ratio(int64(x.noisy), int64(len(x.leafOf)))
+	return ratio(x.openNoisy, x.open)
 }
 
 // Total returns the capacity of the workers that are up.
@@ -229,13 +231,6 @@
 	}
 }
 
-func step(up bool) int {
-	if up {
-		return 1
-	}
-	return -1
-}
-
 func (x *Index) vacantLeaf() int {
 	if n := len(x.vacant); n > 0 {
 		leaf := x.vacant[n-1]
@@ -251,10 +246,24 @@
 
 func (x *Index) refresh(leaf int) {
 	if w := x.workers[leaf]; w != nil {
+		x.tally(w)
 		x.tree.set(leaf, w.rooms(x.limits))
 	}
 }
 
+func (x *Index) tally(w *worker) {
+	open, openNoisy := int64(0), int64(0)
+	if w.up && !w.blocked {
+		open = 1
+		if w.noisy {
+			openNoisy = 1
+		}
+	}
+	x.open += open - w.tallied.open
+	x.openNoisy += openNoisy - w.tallied.openNoisy
+	w.tallied = tally{open, openNoisy}
+}
+
 func (x *Index) dropIfEmpty(leaf int) {
 	w := x.workers[leaf]
 	if !w.removed || len(w.tasks) > 0 {
@@ -262,7 +271,6 @@
 	}
 	x.forgetShape(w)
 	x.leaveRack(w)
-	x.SetNoisy(w.ID, false)
 	delete(x.leafOf, w.ID)
 	x.workers[leaf] = nil
 	x.vacant = append(x.vacant, leaf)
@@ -307,33 +315,23 @@
 }
 
 func (x *Index) countShape(c domain.Resources, by int) {
-	before := len(x.shapes)
 	x.shapes[c] += by
-	if x.shapes[c] == 0 {
+	at, listed := slices.BinarySearchFunc(x.order, c, largestFirst)
+	switch {
+	case x.shapes[c] == 0:
 		delete(x.shapes, c)
+		x.order = slices.Delete(x.order, at, at+1)
+	case !listed:
+		x.order = slices.Insert(x.order, at, c)
 	}
-	if len(x.shapes) == before && by > 0 {
-		return
-	}
-	x.order = x.order[:0]
-	for shape := range x.shapes {
-		x.order = append(x.order, shape)
-	}
-	sort.Slice(x.order, func(i, j int) bool { return larger(x.order[i], x.order[j]) })
 }
 
-func larger(a, b domain.Resources) bool {
-	if a.CPUMilli != b.CPUMilli {
-		return a.CPUMilli > b.CPUMilli
-	}
-	if a.MemoryMiB != b.MemoryMiB {
-		return a.MemoryMiB > b.MemoryMiB
-	}
-	if a.Accelerators != b.Accelerators {
-		return a.Accelerators > b.Accelerators
-	}
-	if a.Slots != b.Slots {
-		return a.Slots > b.Slots
-	}
-	return a.Connections > b.Connections
+func largestFirst(a, b domain.Resources) int {
+	return cmp.Or(
+		cmp.Compare(b.CPUMilli, a.CPUMilli),
+		cmp.Compare(b.MemoryMiB, a.MemoryMiB),
+		cmp.Compare(b.Accelerators, a.Accelerators),
+		cmp.Compare(b.Slots, a.Slots),
+		cmp.Compare(b.Connections, a.Connections),
+	)
 }
--- a/core/placement/worker.go
+++ b/core/placement/worker.go
@@ -122,6 +122,7 @@
 	up      bool
 	blocked bool
 	noisy   bool
+	tallied tally
 	removed bool
 	rack    *rack
 	// total is the sum of all holds. It exceeds the capacity only if the
@@ -134,6 +135,9 @@
 	occupants []Occupant
 }
 
+// tally is what a worker adds to the counts of the index.
+type tally struct{ open, openNoisy int64 }
+
 func (w *worker) free() domain.Resources {
 	return atLeastZero(w.Capacity.Sub(w.total))
 }
--- a/core/policy/choose.go
+++ b/core/policy/choose.go
@@ -16,6 +16,10 @@
 // probeLimit bounds the workers in quarantine that one decision looks at.
 const probeLimit = 4
 
+// sizeLimit bounds the reservations that one decision tries when the wanted
+// one is above every worker's size.
+const sizeLimit = 4
+
 // Choose implements shard.Policy.
 func (p *Policy) Choose(now shard.Instant, d shard.Demand) (shard.Choice, *shard.Refusal) {
 	if refusal := p.NeverFits(d); refusal != nil {
@@ -115,6 +119,9 @@
 		if !slices.Contains(sizes, size) {
 			sizes = append(sizes, size)
 		}
+		if len(sizes) == sizeLimit {
+			break
+		}
 	}
 	return sizes
 }
--- a/core/quarantine/tracker.go
+++ b/core/quarantine/tracker.go
@@ -165,11 +165,13 @@
 	return true, fmt.Sprintf("worker %s completed %d probes", e.Worker, probesToPass)
 }
 
-// probeFailed extends the quarantine unless the class fails elsewhere too.
+// probeFailed extends the quarantine. The time to the next probe grows only if
+// the class succeeds elsewhere.
 func (t *Tracker) probeFailed(now time.Duration, r *record, e Result) string {
 	rate, known := t.failRateElsewhere(e.Class, e.Worker)
 	if !known || weight(true, rate) <= 0 {
-		return "the probe failed, but its class fails on other workers too"
+		r.probeAt = now + r.backoff
+		return "the probe failed, but its class is not known to succeed on other workers"
 	}
 	r.passed = 0
 	r.backoff = min(2*r.backoff, maxBackoff)
--- a/core/quarantine/tracker_test.go
+++ b/core/quarantine/tracker_test.go
@@ -89,3 +89,18 @@
 	}
 	assert.Assert(t, len(f.t.isolated) <= 5)
 }
+
+// Guards against one probe after the other while the class of the probe has
+// not ended anywhere else.
+func TestInconclusiveProbeWaits(t *testing.T) {
+	f := newFleet(4)
+	for w := 1; w < 4; w++ {
+		f.run(0, w, "c", false)
+	}
+	for !f.t.Isolated(name(0)) {
+		f.run(0, 0, "c", true)
+	}
+	f.run(firstBackoff, 0, "new", true)
+	assert.Equal(t, len(f.t.Due(2*firstBackoff-1, 9)), 0)
+	assert.Equal(t, len(f.t.Due(2*firstBackoff, 9)), 1)
+}
