Keep quiet slots for urgent requests when batch tasks start

At 2.5 times the urgent load, batch tasks filled the quiet workers and urgent requests ran beside noisy tasks, which were throttled for it. A batch task now starts on a quiet worker only if that leaves a free quiet slot per running urgent request, or else joins the noisy workers.

--- a/core/placement/index.go
+++ b/core/placement/index.go
@@ -17,19 +17,20 @@
 // Index is the set of workers with what is held on them. It is used from one
 // goroutine.
 type Index struct {
-	limits    Limits
-	workers   []*worker // by leaf; nil where a worker was removed
-	leafOf    map[domain.WorkerID]int
-	vacant    []int // leaves without a worker
-	racks     map[string]*rack
-	shapes    map[domain.Resources]int // number of workers per capacity
-	order     []domain.Resources       // the keys of shapes in a fixed order
-	total     domain.Resources         // capacity of the workers that are up
-	open      int64                    // workers that are up and not blocked
-	openNoisy int64                    // those of them that are noisy
-	tree      *tree
-	random    *rand.Rand
-	chosen    candidates // reused between calls
+	limits     Limits
+	workers    []*worker // by leaf; nil where a worker was removed
+	leafOf     map[domain.WorkerID]int
+	vacant     []int // leaves without a worker
+	racks      map[string]*rack
+	shapes     map[domain.Resources]int // number of workers per capacity
+	order      []domain.Resources       // the keys of shapes in a fixed order
+	total      domain.Resources         // capacity of the workers that are up
+	open       int64                    // workers that are up and not blocked
+	openNoisy  int64                    // those of them that are noisy
+	quietSlots int64                    // free slots of those that are not
+	tree       *tree
+	random     *rand.Rand
+	chosen     candidates // reused between calls
 }
 
 // New returns an empty index whose random choices follow from the seed.
@@ -103,6 +104,10 @@
 	return ratio(x.openNoisy, x.open)
 }
 
+// QuietSlots returns the number of free slots on workers that are up, not
+// blocked and not noisy.
+func (x *Index) QuietSlots() int64 { return x.quietSlots }
+
 // Total returns the capacity of the workers that are up.
 func (x *Index) Total() domain.Resources { return x.total }
 
@@ -252,16 +257,13 @@
 }
 
 func (x *Index) tally(w *worker) {
-	open, openNoisy := int64(0), int64(0)
-	if w.up && !w.blocked {
-		open = 1
-		if w.noisy {
-			openNoisy = 1
-		}
-	}
-	x.open += open - w.tallied.open
-	x.openNoisy += openNoisy - w.tallied.openNoisy
-	w.tallied = tally{open, openNoisy}
+	x.open -= w.tallied.open
+	x.openNoisy -= w.tallied.openNoisy
+	x.quietSlots -= w.tallied.quietSlots
+	w.tallied = w.tally()
+	x.open += w.tallied.open
+	x.openNoisy += w.tallied.openNoisy
+	x.quietSlots += w.tallied.quietSlots
 }
 
 func (x *Index) dropIfEmpty(leaf int) {
--- a/core/placement/worker.go
+++ b/core/placement/worker.go
@@ -136,7 +136,18 @@
 }
 
 // tally is what a worker adds to the counts of the index.
-type tally struct{ open, openNoisy int64 }
+type tally struct{ open, openNoisy, quietSlots int64 }
+
+func (w *worker) tally() tally {
+	switch {
+	case !w.up || w.blocked:
+		return tally{}
+	case w.noisy:
+		return tally{open: 1, openNoisy: 1}
+	default:
+		return tally{open: 1, quietSlots: w.free().Slots}
+	}
+}
 
 func (w *worker) free() domain.Resources {
 	return atLeastZero(w.Capacity.Sub(w.total))
--- a/core/policy/choose.go
+++ b/core/policy/choose.go
@@ -71,18 +71,21 @@
 }
 
 // placeWaiting places a batch task or watch. Noisy classes share workers, so
-// that others stay quiet for urgent requests; at most the batch share of the
-// workers becomes noisy.
+// that others stay quiet for urgent requests. Other batch tasks join them when
+// quiet slots run short.
 func (p *Policy) placeWaiting(now shard.Instant, d shard.Demand) (shard.Choice, bool) {
 	cost := func(_ domain.WorkerID, occupants []placement.Occupant) float64 {
 		return p.batchCost(d.Class, occupants)
 	}
 	if d.Kind == domain.KindBatch && p.noisy(now, d.Class) {
 		c, ok := p.place(d, placement.Query{Zone: placement.Noisy, Cost: cost})
-		if ok || p.index.NoisyShare() >= p.preset.BatchShare {
+		if ok || !p.mayOpenNoisy() {
 			return c, ok
 		}
 	}
+	if d.Kind == domain.KindBatch && p.index.NoisyShare() > 0 && !p.quietSlotsLeft(1) {
+		return p.place(d, placement.Query{Zone: placement.Noisy, Cost: cost})
+	}
 	return p.place(d, placement.Query{Cost: cost})
 }
 
--- a/core/policy/compare_test.go
+++ b/core/policy/compare_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/basilferry/basilferry/core/domain"
 	"github.com/basilferry/basilferry/core/shard"
 )
@@ -37,7 +39,9 @@
 type options struct {
 	noBatch   bool
 	trueSizes bool
-	span      time.Duration
+	// urgentRate is the arrival rate per worker and second; zero means 10.
+	urgentRate float64
+	span       time.Duration
 }
 
 type scenario struct {
@@ -48,7 +52,14 @@
 var scenarios = []scenario{
 	{"steady", func(s *sim, at site, o options) { s.load(at, o, [3]float64{1, 1, 1}, false) }},
 	{"noisy waves", func(s *sim, at site, o options) { s.load(at, o, [3]float64{1, 1, 1}, true) }},
+	{"noisy waves at 2.5 times the urgent load", func(s *sim, at site, o options) {
+		o.urgentRate = 25
+		s.load(at, o, [3]float64{1, 1, 1}, true)
+	}},
 	{"wrong sizes", func(s *sim, at site, o options) { s.load(at, o, [3]float64{0.25, 4, 0.5}, true) }},
+	// The two directions of wrong sizes alone, to tell their effects apart.
+	{"sizes too small", func(s *sim, at site, o options) { s.load(at, o, [3]float64{0.25, 0.25, 0.5}, true) }},
+	{"sizes too large", func(s *sim, at site, o options) { s.load(at, o, [3]float64{1, 4, 2}, true) }},
 	{"faulty workers", func(s *sim, at site, o options) {
 		for i := range 3 {
 			s.workers[i*17%len(s.workers)].faulty = true
@@ -71,7 +82,11 @@
 	credit := &simClass{"credit-check", domain.KindUrgent, at.size(0.04), 0.04, 0.4, 0, declared[2]}
 	crunch := &simClass{"settlement", domain.KindBatch, at.size(0.12), 8, 0.5, 0.2, declared[0]}
 	build := &simClass{"schedule-build", domain.KindBatch, at.size(0.1), 6, 0.5, 0, declared[1]}
-	s.urgent(credit, 10*float64(at.workers), deadline)
+	rate := o.urgentRate
+	if rate == 0 {
+		rate = 10
+	}
+	s.urgent(credit, rate*float64(at.workers), deadline)
 	if o.noBatch {
 		return
 	}
@@ -218,3 +233,20 @@
 	}
 	fmt.Println()
 }
+
+// Guards the targets for urgent latency and batch work under bursts of noisy
+// tasks in a short run, from a cold start.
+func TestNoisyWaves(t *testing.T) {
+	const seed, span = 1, 25 * time.Second
+	run := func(p shard.Policy, o options) measured {
+		o.span = span
+		return measure(scenarios[1], agrodaneio, seed, p, o)
+	}
+	alone := run(New(Config{Seed: seed}), options{noBatch: true})
+	ours := run(New(Config{Seed: seed}), options{})
+	best := run(newBaseline(seed, leastLoaded), options{trueSizes: true})
+	t.Logf("seed %d: p99 %.1f ms, alone %.1f ms; batch %.1f cores, with true sizes %.1f", seed, ours.p99, alone.p99, ours.work, best.work)
+	assert.Assert(t, ours.p99 <= 1.3*alone.p99)
+	assert.Assert(t, ours.work >= 0.9*best.work)
+	assert.Assert(t, ours.misses == 0)
+}
--- a/core/policy/noise.go
+++ b/core/policy/noise.go
@@ -31,6 +31,13 @@
 	// exploreReserve is the part of the budget that the service time may take
 	// for a request that is sent beside an unknown class.
 	exploreReserve = 0.25
+	// quietReserve is the number of free slots on quiet workers that must be
+	// left per running urgent request when a batch task starts on a quiet
+	// worker while others are noisy. It covers the variation of the load;
+	// requests that find no quiet slot run beside noisy tasks, which are then
+	// throttled. At 50 running requests on 50 workers, 0.5 gave 13 ms more p99
+	// and 11% less batch work.
+	quietReserve = 1.0
 	// unknownPreference outweighs the load of a worker.
 	unknownPreference = 2.0
 	// noisyValidity is how long a judgement of a class is used.
@@ -73,6 +80,28 @@
 	return p.judgement(now, class).noisy
 }
 
+// mayOpenNoisy reports whether a noisy task may start on a quiet worker: at
+// most the batch share of the workers becomes noisy, and the others keep free
+// slots for urgent requests. One worker may always become noisy.
+func (p *Policy) mayOpenNoisy() bool {
+	share := p.index.NoisyShare()
+	if share == 0 {
+		return true
+	}
+	shapes := p.index.Shapes()
+	if share >= p.preset.BatchShare || len(shapes) == 0 {
+		return false
+	}
+	return p.quietSlotsLeft(shapes[0].Slots)
+}
+
+// quietSlotsLeft reports whether quiet workers keep enough free slots for
+// urgent requests when they lose some.
+func (p *Policy) quietSlotsLeft(lost int64) bool {
+	left := p.index.QuietSlots() - lost
+	return float64(left) >= quietReserve*float64(p.urgentRunning)
+}
+
 // exploring reports whether the next urgent start goes beside an unknown
 // class.
 func (p *Policy) exploring(now shard.Instant) bool {
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -44,6 +44,7 @@
 	urgentClasses *bounded.Map[domain.Class, struct{}]
 	noisyClasses  *bounded.Map[domain.Class, noisyState]
 	urgentStarts  uint64
+	urgentRunning int
 	sawUnknown    bool          // a class of unknown noise ran,
 	unknownAt     shard.Instant // at this time
 	reported      workerList    // workers with usage reports since Reactions
@@ -180,6 +181,7 @@
 		p.noise.Started(now, worker, interference.Task{ID: d.ID, Class: d.Class, Kind: d.Kind})
 	}
 	p.urgentStarts++
+	p.urgentRunning++
 	p.admit.Started(now, d.Class, d.Retry)
 	p.urgentClasses.Put(d.Class, struct{}{})
 }
@@ -204,6 +206,9 @@
 
 func (p *Policy) unaccount(t placement.Task) {
 	p.batch.Released(t.Team, t.Reserved, t.Kind == domain.KindBatch)
+	if t.Kind == domain.KindUrgent {
+		p.urgentRunning--
+	}
 }
 
 func (p *Policy) judge(now shard.Instant, worker domain.WorkerID, t placement.Task, r shard.Result) {
