Make wrong sizes limit processors in the comparison

With small tasks the slots limited the workers before the processors, so declared sizes that were too small had no effect and hid the overload.

--- a/core/policy/compare_test.go
+++ b/core/policy/compare_test.go
@@ -49,39 +49,59 @@
 	load func(s *sim, at site, o options)
 }
 
+// mix is the batch load of a scenario. The factors are declared over real size.
+type mix struct {
+	waves                 bool
+	noisy, steady, urgent float64 // factors
+	// large makes noisy tasks twice as large and half as many, so that
+	// processors and not slots limit them.
+	large bool
+}
+
+var (
+	trueMix  = mix{noisy: 1, steady: 1, urgent: 1}
+	waveMix  = mix{waves: true, noisy: 1, steady: 1, urgent: 1}
+	wrongMix = mix{waves: true, noisy: 0.25, steady: 4, urgent: 0.5, large: true}
+	// The two directions of wrong sizes alone tell their effects apart.
+	smallMix = mix{waves: true, noisy: 0.25, steady: 0.25, urgent: 0.5, large: true}
+	largeMix = mix{waves: true, noisy: 1, steady: 4, urgent: 2, large: true}
+)
+
 var scenarios = []scenario{
-	{"steady", func(s *sim, at site, o options) { s.load(at, o, [3]float64{1, 1, 1}, false) }},
-	{"noisy waves", func(s *sim, at site, o options) { s.load(at, o, [3]float64{1, 1, 1}, true) }},
+	{"steady", func(s *sim, at site, o options) { s.load(at, o, trueMix) }},
+	{"noisy waves", func(s *sim, at site, o options) { s.load(at, o, waveMix) }},
 	{"noisy waves at 2.5 times the urgent load", func(s *sim, at site, o options) {
 		o.urgentRate = 25
-		s.load(at, o, [3]float64{1, 1, 1}, true)
+		s.load(at, o, waveMix)
 	}},
-	{"wrong sizes", func(s *sim, at site, o options) { s.load(at, o, [3]float64{0.25, 4, 0.5}, true) }},
-	// The two directions of wrong sizes alone, to tell their effects apart.
-	{"sizes too small", func(s *sim, at site, o options) { s.load(at, o, [3]float64{0.25, 0.25, 0.5}, true) }},
-	{"sizes too large", func(s *sim, at site, o options) { s.load(at, o, [3]float64{1, 4, 2}, true) }},
+	{"wrong sizes", func(s *sim, at site, o options) { s.load(at, o, wrongMix) }},
+	{"sizes too small", func(s *sim, at site, o options) { s.load(at, o, smallMix) }},
+	{"sizes too large", func(s *sim, at site, o options) { s.load(at, o, largeMix) }},
 	{"faulty workers", func(s *sim, at site, o options) {
 		for i := range 3 {
 			s.workers[i*17%len(s.workers)].faulty = true
 		}
-		s.load(at, o, [3]float64{1, 1, 1}, true)
+		s.load(at, o, waveMix)
 	}},
 	{"cancellations", func(s *sim, at site, o options) {
-		s.load(at, o, [3]float64{1, 1, 1}, true)
+		s.load(at, o, waveMix)
 		s.cancelWave(at, o)
 	}},
 }
 
 // load submits urgent requests, steady batch tasks and, with waves, bursts of
-// noisy ones. declared has the declared over the real size of the noisy, the
-// steady batch and the urgent class.
-func (s *sim) load(at site, o options, declared [3]float64, waves bool) {
+// noisy ones.
+func (s *sim) load(at site, o options, m mix) {
 	if o.trueSizes {
-		declared = [3]float64{1, 1, 1}
+		m.noisy, m.steady, m.urgent = 1, 1, 1
+	}
+	size, burst := 0.12, 6*at.workers
+	if m.large {
+		size, burst = 2*size, burst/2
 	}
-	credit := &simClass{"credit-check", domain.KindUrgent, at.size(0.04), 0.04, 0.4, 0, declared[2]}
-	crunch := &simClass{"settlement", domain.KindBatch, at.size(0.12), 8, 0.5, 0.2, declared[0]}
-	build := &simClass{"schedule-build", domain.KindBatch, at.size(0.1), 6, 0.5, 0, declared[1]}
+	credit := &simClass{"credit-check", domain.KindUrgent, at.size(0.04), 0.04, 0.4, 0, m.urgent}
+	crunch := &simClass{"settlement", domain.KindBatch, at.size(size), 8, 0.5, 0.2, m.noisy}
+	build := &simClass{"schedule-build", domain.KindBatch, at.size(0.1), 6, 0.5, 0, m.steady}
 	rate := o.urgentRate
 	if rate == 0 {
 		rate = 10
@@ -91,8 +111,8 @@
 		return
 	}
 	s.steady(build, 0.2*float64(at.workers))
-	for start := 5 * time.Second; waves && start < o.span; start += 15 * time.Second {
-		s.at(start, func() { s.burst(crunch, 6*at.workers) })
+	for start := 5 * time.Second; m.waves && start < o.span; start += 15 * time.Second {
+		s.at(start, func() { s.burst(crunch, burst) })
 	}
 }
 
