--- a/core/placement/index_test.go
+++ b/core/placement/index_test.go
@@ -204,3 +204,26 @@
 		x.Release(found.Worker, id(seq))
 	}
 }
+
+// Measures the search for a demand that fits nowhere although each dimension
+// has room somewhere: half of the workers lack memory, half processors.
+func BenchmarkFindNothing(b *testing.B) {
+	for _, workers := range []int{50, 1500, 15_000} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			x := fleet(workers, 8)
+			for i := range workers {
+				use := domain.Resources{CPUMilli: big.CPUMilli}
+				if i%2 == 0 {
+					use = domain.Resources{MemoryMiB: big.MemoryMiB}
+				}
+				x.Hold(name(i), Task{ID: id(i), Kind: domain.KindUrgent, Class: "c", Reserved: use})
+			}
+			q := Query{Kind: domain.KindUrgent, Class: "c", Demand: domain.Resources{CPUMilli: 2000, MemoryMiB: 4000, Slots: 1}}
+			for b.Loop() {
+				if _, ok := x.Find(q); ok {
+					b.Fatal("found a worker")
+				}
+			}
+		})
+	}
+}
