--- a/core/interference/model.go
+++ b/core/interference/model.go
@@ -69,7 +69,10 @@
 	if u.Slowdown <= 0 {
 		return
 	}
-	s := m.site(worker)
+	s, ok := m.workers[worker]
+	if !ok {
+		return
+	}
 	s.sawLag(u.Age)
 	loads := s.loadsAt(now-u.Age, u.ID)
 	if len(loads) > 0 {
@@ -115,6 +118,16 @@
 	return e.value * e.samples / (e.samples + priorSamples)
 }
 
+// Samples returns the number of reports from which Effect was learned, each
+// divided among the classes that ran at the time.
+func (m *Model) Samples(victim, aggressor domain.Class) float64 {
+	e, ok := m.pairs.Get(pair{victim, aggressor})
+	if !ok {
+		return 0
+	}
+	return e.samples
+}
+
 // Slowdown returns the factor by which one task of the aggressor class slows
 // down a task of the victim class; 1 is no effect.
 func (m *Model) Slowdown(victim, aggressor domain.Class) float64 {
@@ -129,3 +142,18 @@
 	}
 	return s
 }
+
+// Share returns the throttle share of a running task, 1 if it is not throttled
+// or not known.
+func (m *Model) Share(worker domain.WorkerID, id domain.RequestID) float64 {
+	s, ok := m.workers[worker]
+	if !ok {
+		return 1
+	}
+	for i := range s.stays {
+		if st := &s.stays[i]; st.ID == id && st.runs() {
+			return st.share
+		}
+	}
+	return 1
+}
