--- /dev/null
+++ b/node/e2e/cluster_test.go
@@ -0,0 +1,297 @@
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/ring"
+	"github.com/basilferry/basilferry/node/httpapi"
+	"github.com/basilferry/basilferry/node/settings"
+	"github.com/basilferry/basilferry/platform/worker"
+)
+
+// Topology of the clusters.
+const (
+	nodesPerDomain  = 2
+	shardsPerDomain = 2
+)
+
+// domains are the failure domains of the clusters.
+var domains = []domain.FailureDomain{"larissa", "volos"}
+
+// capacity is that of each worker.
+var capacity = domain.Resources{CPUMilli: 16_000, MemoryMiB: 32_768, Slots: 8, Connections: 64}
+
+const (
+	// readyTimeout bounds the start of a cluster on a busy machine.
+	readyTimeout = 60 * time.Second
+	// pollDelay separates two looks at a condition.
+	pollDelay = 50 * time.Millisecond
+	// nodeStopTimeout is limits.stop_timeout of the nodes.
+	nodeStopTimeout = 20 * time.Second
+	maxDeadline     = 10 * time.Second
+)
+
+// cluster is a set of processes: the platform's stand-ins and the entry nodes.
+type cluster struct {
+	t       *testing.T
+	log     *standin
+	vms     *standin
+	workers []*workerVM
+	nodes   []*entryNode
+	cfg     settings.Settings
+}
+
+// standin is a process of the platform.
+type standin struct {
+	*process
+	addr string
+}
+
+// workerVM is a worker process.
+type workerVM struct {
+	standin
+	id      domain.WorkerID
+	domain  domain.FailureDomain
+	control string
+	// last has the records of a worker that was killed.
+	last []worker.Interval
+	dead bool
+}
+
+// entryNode is a basilferryd process.
+type entryNode struct {
+	settings.NodeAddress
+	file string
+	proc *process
+}
+
+func (n *entryNode) base() string { return "http://" + n.HTTPAddress }
+
+// options change a cluster.
+type options struct {
+	vmListLag time.Duration
+	// shards are the shards of the three workers of a domain; nil puts two
+	// into the first shard and one into the second.
+	shards []int
+}
+
+// workerIDs returns ids that the ring puts into the given shards of d.
+func workerIDs(t *testing.T, d domain.FailureDomain, shards []int) []domain.WorkerID {
+	t.Helper()
+	if shards == nil {
+		shards = []int{0, 0, 1}
+	}
+	r, err := ring.New(domains, shardsPerDomain)
+	assert.NilError(t, err)
+	var ids []domain.WorkerID
+	for n := 1; len(ids) < len(shards); n++ {
+		id := domain.WorkerID(fmt.Sprintf("%s-w%d", d, n))
+		if r.WorkerShard(d, id).Index == shards[len(ids)] {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// startCluster starts all processes and waits until every node takes requests.
+func startCluster(t *testing.T, o options) *cluster {
+	t.Helper()
+	slot(t)
+	c := &cluster{t: t}
+	c.log = startStandin(t, "log", "log")
+	args := []string{"vmlist", "--lag", o.vmListLag.String()}
+	for _, d := range domains {
+		for _, id := range workerIDs(t, d, o.shards) {
+			w := startWorker(t, id, d)
+			c.workers = append(c.workers, w)
+			args = append(args, "--vm", fmt.Sprintf("id=%s,domain=%s,rack=%s-r1,address=%s", w.id, d, d, w.addr))
+		}
+	}
+	c.vms = startStandin(t, "vmlist", args...)
+	c.configure()
+	for _, n := range c.nodes {
+		c.start(n)
+	}
+	c.awaitReady()
+	return c
+}
+
+func startStandin(t *testing.T, name string, args ...string) *standin {
+	t.Helper()
+	p := startProcess(t, name, toolPath, append([]string{"standin"}, args...)...)
+	return &standin{process: p, addr: p.address(t)}
+}
+
+func startWorker(t *testing.T, id domain.WorkerID, d domain.FailureDomain) *workerVM {
+	t.Helper()
+	control := freeAddresses(t, 1)[0]
+	s := startStandin(t, string(id), "worker",
+		"--control-listen", control,
+		"--id", string(id),
+		"--domain", string(d),
+		"--rack", string(d)+"-r1",
+		"--cpu-milli", strconv.FormatInt(capacity.CPUMilli, 10),
+		"--memory-mib", strconv.FormatInt(capacity.MemoryMiB, 10),
+		"--slots", strconv.FormatInt(capacity.Slots, 10),
+		"--connections", strconv.FormatInt(capacity.Connections, 10),
+	)
+	return &workerVM{standin: *s, id: id, domain: d, control: "http://" + control}
+}
+
+// freeAddresses returns n addresses that were free a moment ago.
+func freeAddresses(t *testing.T, n int) []string {
+	t.Helper()
+	var free []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer l.Close()
+		free = append(free, l.Addr().String())
+	}
+	return free
+}
+
+// configure writes the settings files of the nodes.
+func (c *cluster) configure() {
+	free := freeAddresses(c.t, 2*nodesPerDomain*len(domains))
+	c.cfg = settings.Settings{
+		Cluster:  settings.Cluster{Domains: domains, ShardsPerDomain: shardsPerDomain},
+		Platform: settings.Platform{LogURL: "http://" + c.log.addr, VMListURL: "http://" + c.vms.addr},
+	}
+	for i := range nodesPerDomain * len(domains) {
+		c.cfg.Cluster.Nodes = append(c.cfg.Cluster.Nodes, settings.NodeAddress{
+			ID:          domain.NodeID(fmt.Sprintf("n%d", i+1)),
+			Domain:      domains[i/nodesPerDomain],
+			PeerAddress: free[2*i],
+			HTTPAddress: free[2*i+1],
+		})
+	}
+	dir := c.t.TempDir()
+	for _, a := range c.cfg.Cluster.Nodes {
+		n := &entryNode{NodeAddress: a, file: filepath.Join(dir, string(a.ID)+".json")}
+		c.write(n)
+		c.nodes = append(c.nodes, n)
+	}
+}
+
+func (c *cluster) write(n *entryNode) {
+	c.t.Helper()
+	data, err := json.Marshal(map[string]any{
+		"node":     settings.Node{ID: n.ID, Domain: n.Domain, HTTPAddress: n.HTTPAddress, PeerAddress: n.PeerAddress},
+		"cluster":  c.cfg.Cluster,
+		"platform": c.cfg.Platform,
+		"limits": map[string]string{
+			"max_deadline": maxDeadline.String(),
+			"stop_timeout": nodeStopTimeout.String(),
+		},
+	})
+	assert.NilError(c.t, err)
+	assert.NilError(c.t, os.WriteFile(n.file, data, 0o600))
+}
+
+func (c *cluster) start(n *entryNode) {
+	c.t.Helper()
+	n.proc = startProcess(c.t, string(n.ID), daemonPath, "--settings", n.file)
+}
+
+// awaitReady waits until every node gives out ids and every worker is attached.
+func (c *cluster) awaitReady() {
+	c.t.Helper()
+	for _, n := range c.nodes {
+		c.awaitNode(n)
+	}
+	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+		got, err := get[httpapi.WorkersAnswer](c.nodes[0].base() + "/v1/workers")
+		if err != nil {
+			return poll.Continue("list workers: %v", err)
+		}
+		attached := 0
+		for _, w := range got.Workers {
+			if w.State == "attached" {
+				attached++
+			}
+		}
+		if attached < len(c.workers) {
+			return poll.Continue("%d of %d workers are attached: %+v", attached, len(c.workers), got)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(readyTimeout), poll.WithDelay(pollDelay))
+}
+
+// awaitNode waits until a node gives out ids.
+func (c *cluster) awaitNode(n *entryNode) {
+	c.t.Helper()
+	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+		var ids httpapi.IDsAnswer
+		if err := post(n.base()+"/v1/ids", struct{}{}, &ids); err != nil {
+			return poll.Continue("node %s: %v", n.ID, err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(readyTimeout), poll.WithDelay(pollDelay))
+}
+
+// owners returns the owner of each shard as the given node sees it.
+func (c *cluster) owners(from *entryNode) map[domain.ShardID]*entryNode {
+	c.t.Helper()
+	got, err := get[httpapi.NodesAnswer](from.base() + "/v1/nodes")
+	assert.NilError(c.t, err)
+	owners := map[domain.ShardID]*entryNode{}
+	for _, status := range got.Nodes {
+		for _, s := range status.Shards {
+			owners[s] = c.node(status.ID)
+		}
+	}
+	return owners
+}
+
+// owner returns a node that owns a shard of the failure domain, and the shard.
+func (c *cluster) owner(d domain.FailureDomain) (*entryNode, domain.ShardID) {
+	c.t.Helper()
+	for i := range shardsPerDomain {
+		s := domain.ShardID{Domain: d, Index: i}
+		if n := c.owners(c.nodeIn(d))[s]; n != nil {
+			return n, s
+		}
+	}
+	c.t.Fatalf("no node owns a shard of %s", d)
+	return nil, domain.ShardID{}
+}
+
+func (c *cluster) node(id domain.NodeID) *entryNode {
+	for _, n := range c.nodes {
+		if n.ID == id {
+			return n
+		}
+	}
+	return nil
+}
+
+func (c *cluster) nodeIn(d domain.FailureDomain) *entryNode {
+	for _, n := range c.nodes {
+		if n.Domain == d {
+			return n
+		}
+	}
+	return nil
+}
+
+// other returns another node of the same failure domain.
+func (c *cluster) other(n *entryNode) *entryNode {
+	for _, o := range c.nodes {
+		if o.Domain == n.Domain && o != n {
+			return o
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/node/e2e/emptyshard_test.go
@@ -0,0 +1,23 @@
+package e2e
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/basilferry/basilferry/core/domain"
+)
+
+// Guards against accepted batch tasks that wait for ever, and urgent requests
+// that are refused, because the shard of their id has no worker while other
+// shards have free ones.
+func TestShardWithoutWorkers(t *testing.T) {
+	knownRed(t, "TestShardWithoutWorkers")
+	c := startCluster(t, options{shards: []int{0, 0, 0}})
+	tr := startTraffic(c, mix{seed: 102, interval: 20 * time.Millisecond, batchEvery: 10, batchMillis: 1000, count: 100})
+	tr.wait()
+	got, _ := tr.settle()
+	assert.Equal(t, got.states[domain.KindUrgent][domain.OutcomeRan], 90)
+	assert.Equal(t, got.states[domain.KindBatch][domain.OutcomeRan], 10)
+}
--- /dev/null
+++ b/node/e2e/latency_test.go
@@ -0,0 +1,206 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/platform"
+	"github.com/basilferry/basilferry/node/load"
+	"github.com/basilferry/basilferry/node/workerclient"
+	"github.com/basilferry/basilferry/platform/worker"
+)
+
+const (
+	latencySeed = 111
+	// latencyCalls is the number of measured calls directly and on the path.
+	latencyCalls   = 400
+	latencyCallers = 4
+	latencyMillis  = 10
+	renewInterval  = time.Second
+)
+
+// samples are latencies of one way to a worker.
+type samples struct {
+	mu   sync.Mutex
+	list []time.Duration
+}
+
+func (s *samples) add(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list = append(s.list, d)
+}
+
+func (s *samples) quantile(q float64) time.Duration {
+	if len(s.list) == 0 {
+		return 0
+	}
+	slices.Sort(s.list)
+	return s.list[min(len(s.list)-1, int(q*float64(len(s.list))))]
+}
+
+// directWorker is a worker of its own, with a session of the test.
+type directWorker struct {
+	client  *workerclient.Client
+	session platform.SessionID
+}
+
+func attachDirect(t *testing.T) *directWorker {
+	t.Helper()
+	vm := startWorker(t, "direct-w1", "direct")
+	d := &directWorker{client: workerclient.New(vm.addr)}
+	reply, err := d.client.Attach(t.Context(), platform.AttachRequest{Epoch: 1, Owner: "test"})
+	assert.NilError(t, err)
+	d.session = reply.Session
+	go d.renew(t.Context(), reply.Now)
+	return d
+}
+
+// renew keeps the session open until ctx ends.
+func (d *directWorker) renew(ctx context.Context, echo platform.WorkerTime) {
+	ticker := time.NewTicker(renewInterval)
+	defer ticker.Stop()
+	for {
+		reply, err := d.client.Renew(ctx, platform.RenewRequest{Epoch: 1, Session: d.session, Echo: echo})
+		if err == nil {
+			echo = reply.Now
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			d.client.Close()
+			return
+		}
+	}
+}
+
+func (d *directWorker) run(ctx context.Context, task domain.Task) error {
+	status, err := d.client.Run(ctx, platform.StartRequest{
+		Epoch: 1, Session: d.session, Task: task, Attempt: 1, Reserved: task.Resources,
+	})
+	if err != nil {
+		return err
+	}
+	if !bytes.Equal(status.Answer, worker.ExpectedAnswer(task)) {
+		return fmt.Errorf("answer %q of another request than %s", status.Answer, task.ID)
+	}
+	return nil
+}
+
+// spread calls f for 1 to n from a few callers at once.
+func spread(n int, f func(i int)) {
+	next := make(chan int)
+	var callers sync.WaitGroup
+	for range latencyCallers {
+		callers.Go(func() {
+			for i := range next {
+				f(i)
+			}
+		})
+	}
+	for i := range n {
+		next <- i + 1
+	}
+	close(next)
+	callers.Wait()
+}
+
+// Measures what the path adds to a call of a worker, by hop: calls that enter
+// at the owner, that are forwarded within the failure domain and to another
+// one, without and with an intent in the log. Guards against a path that adds
+// more than the waits it is made of.
+func TestAddedLatency(t *testing.T) {
+	t.Logf("seed %d", latencySeed)
+	c := startCluster(t, options{})
+	direct := measureDirect(t)
+	t.Logf("direct call of a worker: median %s, p99 %s (%d calls)",
+		direct.quantile(0.5), direct.quantile(0.99), len(direct.list))
+	ways := measurePath(c)
+	for _, name := range []string{"owner", "same domain", "other domain"} {
+		for _, intent := range []bool{false, true} {
+			s := ways[way{name, intent}]
+			t.Logf("entry at %s, intent %t: adds median %s, p99 %s (%d calls)", name, intent,
+				s.quantile(0.5)-direct.quantile(0.5), s.quantile(0.99)-direct.quantile(0.99), len(s.list))
+			assert.Check(t, len(s.list) > 20)
+		}
+	}
+	assert.Check(t, ways[way{"owner", false}].quantile(0.5)-direct.quantile(0.5) < maxAddedMedian)
+	assert.Check(t, ways[way{"other domain", true}].quantile(0.5)-direct.quantile(0.5) < maxAddedMedian+groupCommit)
+}
+
+const (
+	// maxAddedMedian bounds the hops; on an idle machine they take about 1 ms,
+	// and several times that while other clusters share the processors.
+	maxAddedMedian = 25 * time.Millisecond
+	// groupCommit is the interval of appends, the longest wait for an idle log.
+	groupCommit = 20 * time.Millisecond
+)
+
+func measureDirect(t *testing.T) *samples {
+	t.Helper()
+	d := attachDirect(t)
+	s := &samples{}
+	spread(latencyCalls, func(i int) {
+		task := urgentTask(i, latencyMillis)
+		task.ID = domain.RequestID{Shard: domain.ShardID{Domain: "direct"}, Epoch: 1, Seq: uint64(i)}
+		began := time.Now()
+		if err := d.run(t.Context(), task); err != nil {
+			t.Errorf("direct call: %v", err)
+		}
+		s.add(time.Since(began))
+	})
+	return s
+}
+
+// way is how a request reaches a worker.
+type way struct {
+	entry  string
+	intent bool
+}
+
+func measurePath(c *cluster) map[way]*samples {
+	caller := load.NewCaller(latencyCallers)
+	defer caller.Close()
+	owners := c.owners(c.nodes[0])
+	ways := map[way]*samples{}
+	for _, name := range []string{"owner", "same domain", "other domain"} {
+		ways[way{name, false}] = &samples{}
+		ways[way{name, true}] = &samples{}
+	}
+	spread(2*latencyCalls, func(i int) {
+		task := urgentTask(i, latencyMillis)
+		task.Idempotent = i%2 == 0
+		n := c.nodes[i/2%len(c.nodes)]
+		began := time.Now()
+		o, err := caller.Submit(c.t.Context(), n.base(), fmt.Sprintf("latency-%d", i), task)
+		took := time.Since(began)
+		if err != nil || o.State != domain.OutcomeRan {
+			c.t.Errorf("request %d: %+v, %v", i, o, err)
+			return
+		}
+		task.ID = o.ID
+		if !bytes.Equal(o.Answer, worker.ExpectedAnswer(task)) {
+			c.t.Errorf("request %s got %q", o.ID, o.Answer)
+		}
+		ways[way{entryOf(n, owners[o.ID.Shard]), !task.Idempotent}].add(took)
+	})
+	return ways
+}
+
+func entryOf(n, owner *entryNode) string {
+	switch {
+	case n == owner:
+		return "owner"
+	case n.Domain == owner.Domain:
+		return "same domain"
+	}
+	return "other domain"
+}
--- /dev/null
+++ b/node/e2e/main_test.go
@@ -0,0 +1,54 @@
+package e2e
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+)
+
+// Import paths of the programs under test.
+const (
+	daemonPackage = "github.com/basilferry/basilferry/node/cmd/basilferryd"
+	toolPackage   = "github.com/basilferry/basilferry/cli/cmd/basilferry"
+)
+
+// maxClusters bounds the clusters that run at once: each has 12 processes, and
+// more of them starve the nodes' pings on 10 cores.
+const maxClusters = 3
+
+var (
+	daemonPath   string
+	toolPath     string
+	clusterSlots = make(chan struct{}, maxClusters)
+)
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "basilferry-e2e-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "make directory for the programs:", err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	daemonPath = filepath.Join(dir, "basilferryd")
+	toolPath = filepath.Join(dir, "basilferry")
+	for path, pkg := range map[string]string{daemonPath: daemonPackage, toolPath: toolPackage} {
+		if out, err := exec.Command("go", "build", "-o", path, pkg).CombinedOutput(); err != nil {
+			fmt.Fprintf(os.Stderr, "build %s: %v\n%s", pkg, err, out)
+			return 1
+		}
+	}
+	return m.Run()
+}
+
+// slot makes t parallel and takes one of the places for clusters until t ends.
+func slot(t *testing.T) {
+	t.Parallel()
+	clusterSlots <- struct{}{}
+	t.Cleanup(func() { <-clusterSlots })
+}
--- /dev/null
+++ b/node/e2e/mixed_test.go
@@ -0,0 +1,25 @@
+package e2e
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/basilferry/basilferry/core/domain"
+)
+
+// Guards against lost requests and answers of other requests on the whole path
+// through every node.
+func TestMixedRequests(t *testing.T) {
+	c := startCluster(t, options{})
+	tr := startTraffic(c, mix{seed: 101, interval: 8 * time.Millisecond, batchEvery: 20, watchEvery: 200, batchMillis: 3000, count: 1200})
+	tr.wait()
+	got, _ := tr.settle()
+	assert.Equal(t, got.failures, 0)
+	assert.Equal(t, got.silent, 0)
+	assert.Equal(t, got.states[domain.KindUrgent][domain.OutcomeUnknown], 0)
+	assert.Assert(t, got.states[domain.KindUrgent][domain.OutcomeRan] >= 1000, "%v", got.states)
+	assert.Equal(t, got.states[domain.KindBatch][domain.OutcomeRan], 60)
+	assert.Equal(t, len(tr.accepted(domain.KindWatch)), 6)
+}
--- /dev/null
+++ b/node/e2e/process_test.go
@@ -0,0 +1,129 @@
+package e2e
+
+import (
+	"bytes"
+	"os/exec"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	// addressTimeout bounds the start of a stand-in.
+	addressTimeout = 20 * time.Second
+	// plannedStopTimeout bounds a planned stop, above the settings' own limit.
+	plannedStopTimeout = 30 * time.Second
+	// maxOutputBytes is how much of the output of a failed test's process is
+	// printed.
+	maxOutputBytes = 16 << 10
+)
+
+// process is a program of the project that runs beside the test.
+type process struct {
+	name   string
+	cmd    *exec.Cmd
+	output *output
+	// done is closed after the process ended.
+	done chan struct{}
+}
+
+// startProcess starts a program. It is killed when the test ends, and its
+// output is printed if the test failed.
+func startProcess(t *testing.T, name, path string, args ...string) *process {
+	t.Helper()
+	p := &process{name: name, cmd: exec.Command(path, args...), output: newOutput(), done: make(chan struct{})}
+	p.cmd.Stdout = p.output
+	p.cmd.Stderr = p.output
+	// Ends the process if the test binary ends without its cleanups.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	assert.NilError(t, p.cmd.Start())
+	go func() {
+		_ = p.cmd.Wait()
+		close(p.done)
+	}()
+	t.Cleanup(func() {
+		p.kill()
+		if t.Failed() {
+			t.Logf("output of %s (pid %d):\n%s", name, p.cmd.Process.Pid, p.output.tail())
+		}
+	})
+	return p
+}
+
+// kill ends the process at once, also if it is stopped, and waits for its end.
+func (p *process) kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+func (p *process) signal(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	assert.NilError(t, p.cmd.Process.Signal(s), p.name)
+}
+
+// stop asks for a planned stop and returns whether it ended with status 0.
+func (p *process) stop(t *testing.T) bool {
+	t.Helper()
+	p.signal(t, syscall.SIGTERM)
+	select {
+	case <-p.done:
+	case <-time.After(plannedStopTimeout):
+		t.Fatalf("%s has not ended %s after SIGTERM", p.name, plannedStopTimeout)
+	}
+	return p.cmd.ProcessState.Success()
+}
+
+// address returns the first line of the output, on which a stand-in prints
+// where it listens.
+func (p *process) address(t *testing.T) string {
+	t.Helper()
+	select {
+	case <-p.output.firstLine:
+		return p.output.line()
+	case <-p.done:
+	case <-time.After(addressTimeout):
+	}
+	t.Fatalf("%s has printed no address: %s", p.name, p.output.tail())
+	return ""
+}
+
+// output collects what a process prints.
+type output struct {
+	mu   sync.Mutex
+	data bytes.Buffer
+	// firstLine is closed once the first line is complete.
+	firstLine chan struct{}
+	announced bool
+}
+
+func newOutput() *output { return &output{firstLine: make(chan struct{})} }
+
+// Write implements io.Writer.
+func (o *output) Write(data []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.data.Write(data)
+	if !o.announced && bytes.IndexByte(o.data.Bytes(), '\n') >= 0 {
+		o.announced = true
+		close(o.firstLine)
+	}
+	return len(data), nil
+}
+
+func (o *output) line() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	first, _, _ := strings.Cut(o.data.String(), "\n")
+	return first
+}
+
+func (o *output) tail() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	text := o.data.String()
+	return text[max(0, len(text)-maxOutputBytes):]
+}
