Move the work of a shard without workers, and test the embedded mode

Cause: a failure domain with few workers can leave a shard without any; its batch tasks stayed accepted for ever (found by TestShardWithoutWorkers). Change: such a shard moves its work like one that is taken out; an urgent request waits up to 1 s for a shard to move to.

--- a/core/shard/machine.go
+++ b/core/shard/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -65,6 +66,9 @@
 	// appendHoldOff is how long no append is waited for after one that was not
 	// answered; otherwise each request would wait AppendTimeout in turn.
 	appendHoldOff = 2 * time.Second
+	// findTarget is how long an urgent request that has to move waits for a
+	// shard that can take it, before it is refused.
+	findTarget = time.Second
 	// moveRetry is the wait before a move is offered to its target again.
 	moveRetry = time.Second
 )
@@ -99,6 +103,8 @@
 
 	workers map[domain.WorkerID]*worker
 	listed  bool
+	// empty tells that the VM list has no worker of this shard.
+	empty bool
 	// majorityAt is when more than half of the workers were attached; 0 before.
 	majorityAt Instant
 	// recovered tells that no request is in state recovering any more.
@@ -462,11 +468,25 @@
 	if changed {
 		m.policy.Configure(m.now, e.Configuration.Preset, e.Configuration.Quotas)
 	}
-	if m.config.TakenOut(m.shard.Domain) {
+	if m.mustMove() {
 		m.evacuate()
 	}
 }
 
+// mustMove reports whether work of this shard has to go to another failure
+// domain: this one is taken out, or the shard has no worker.
+func (m *Machine) mustMove() bool {
+	return m.config.TakenOut(m.shard.Domain) || m.listed && m.empty
+}
+
+// whyMove tells the reason for mustMove.
+func (m *Machine) whyMove() string {
+	if m.config.TakenOut(m.shard.Domain) {
+		return fmt.Sprintf("failure domain %s is taken out", m.shard.Domain)
+	}
+	return fmt.Sprintf("shard %s has no worker", m.shard)
+}
+
 // mayStart reports whether tasks of the kind may start in this domain now.
 func (m *Machine) mayStart(kind domain.Kind) bool {
 	if !m.configured || m.config.TakenOut(m.shard.Domain) || !m.confirmed() {
--- a/core/shard/machine_test.go
+++ b/core/shard/machine_test.go
@@ -192,3 +192,22 @@
 	s.wait(TickInterval)
 	assert.Equal(t, s.m.requests[task.ID].state, stateStopping)
 }
+
+// Guards against work that waits for ever in a shard without workers.
+func TestShardWithoutWorkersMovesItsWork(t *testing.T) {
+	s := newSingle(t)
+	s.step(WorkersListed{})
+	target := domain.ShardID{Domain: "volos"}
+	s.step(Configured{Configuration: s.m.config, Targets: []domain.ShardID{target}})
+	task := s.task(domain.KindBatch, 1)
+	s.submit(task)
+	s.wait(2 * TickInterval)
+	for _, a := range take[Append](s) {
+		assert.Equal(t, a.Entries[0].Moved.Target, target)
+		s.step(AppendDone{Token: a.Token})
+	}
+	offers := take[Delegate](s)
+	assert.Equal(t, len(offers), 1)
+	assert.Equal(t, offers[0].Request.Task.ID, task.ID)
+	assert.Equal(t, offers[0].Request.Moves, 1)
+}
--- a/core/shard/move.go
+++ b/core/shard/move.go
@@ -7,8 +7,8 @@
 	"github.com/basilferry/basilferry/core/journal"
 )
 
-// evacuate moves the work of a failure domain that is taken out: what runs and
-// can resume is stopped with a checkpoint, what waits moves on.
+// evacuate moves the work of a shard that has to give it up: what runs and can
+// resume is stopped with a checkpoint, what waits moves on.
 func (m *Machine) evacuate() {
 	for _, kind := range []domain.Kind{domain.KindWatch, domain.KindBatch, domain.KindUrgent} {
 		for _, r := range m.sortedLive() {
@@ -46,12 +46,16 @@
 // moveUrgent delegates an urgent request. Its move must be in the log first,
 // so that a later owner of this shard knows who is the authority.
 func (m *Machine) moveUrgent(r *request) {
-	if !m.logUsable() || len(m.targets) == 0 {
-		why := fmt.Sprintf("failure domain %s is taken out and no other one can be reached", m.shard.Domain)
-		m.refuseUrgent(r, why)
+	if m.logUsable() && len(m.targets) > 0 {
+		m.move(r)
 		return
 	}
-	m.move(r)
+	if r.state == stateNew {
+		m.queue(r)
+	}
+	if m.now-r.acceptedAt >= findTarget {
+		m.refuseUrgent(r, m.whyMove()+", and no other failure domain can be reached")
+	}
 }
 
 func (m *Machine) move(r *request) {
@@ -62,7 +66,7 @@
 	r.moves++
 	r.target = m.targets[m.nextTarget%len(m.targets)]
 	m.nextTarget++
-	m.explain(r.task.ID, fmt.Sprintf("failure domain %s is taken out: moving to %s", m.shard.Domain, r.target))
+	m.explain(r.task.ID, fmt.Sprintf("%s: moving to %s", m.whyMove(), r.target))
 	m.append([]domain.RequestID{r.task.ID}, journal.Entry{Moved: r.moved()})
 }
 
--- a/core/shard/request.go
+++ b/core/shard/request.go
@@ -77,6 +77,7 @@
 	loggedCheckpoint string
 	worker           domain.WorkerID
 	reserved         domain.Resources
+	acceptedAt       Instant
 	startedAt        Instant
 	// expiresAt ends the caller's wait; 0 for none.
 	expiresAt Instant
--- a/core/shard/submit.go
+++ b/core/shard/submit.go
@@ -142,6 +142,7 @@
 		described:  true,
 		state:      stateNew,
 		calls:      []CallID{e.Call},
+		acceptedAt: m.now,
 		attempt:    e.Attempt,
 		checkpoint: e.Checkpoint,
 		moves:      e.Moves,
@@ -173,7 +174,7 @@
 // acceptUrgent queues an urgent request, after its intent is logged if a
 // repeat would do harm and the log answers.
 func (m *Machine) acceptUrgent(r *request) {
-	if m.config.TakenOut(m.shard.Domain) {
+	if m.mustMove() {
 		m.moveUrgent(r)
 		return
 	}
--- a/core/shard/tick.go
+++ b/core/shard/tick.go
@@ -19,9 +19,9 @@
 	m.checkDrained()
 }
 
-// evacuateQueued moves tasks that were stopped for a take-out since.
+// evacuateQueued moves tasks that have to move and were stopped since.
 func (m *Machine) evacuateQueued() {
-	if !m.config.TakenOut(m.shard.Domain) || m.draining {
+	if !m.mustMove() || m.draining {
 		return
 	}
 	m.evacuate()
--- a/core/shard/worker.go
+++ b/core/shard/worker.go
@@ -94,6 +94,7 @@
 
 func (m *Machine) onWorkersListed(e WorkersListed) {
 	m.listed = true
+	m.empty = len(e.VMs) == 0
 	seen := map[domain.WorkerID]bool{}
 	for _, vm := range e.VMs {
 		seen[vm.ID] = true
--- /dev/null
+++ b/node/app/embedded_test.go
@@ -0,0 +1,90 @@
+package app
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/node/settings"
+	"github.com/basilferry/basilferry/platform/worker"
+)
+
+// freeAddresses returns n loopback addresses that were free just now.
+func freeAddresses(t *testing.T, n int) []string {
+	t.Helper()
+	var list []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer l.Close()
+		list = append(list, l.Addr().String())
+	}
+	return list
+}
+
+// smallSettings has two failure domains with two nodes and four workers each.
+func smallSettings(t *testing.T) settings.Settings {
+	s := settings.Defaults()
+	s.Cluster.Domains = []domain.FailureDomain{"larissa", "volos"}
+	s.Goals = settings.DefaultGoals()
+	addresses := freeAddresses(t, 8)
+	for i := range 4 {
+		s.Cluster.Nodes = append(s.Cluster.Nodes, settings.NodeAddress{
+			ID:          domain.NodeID(fmt.Sprintf("n%d", i+1)),
+			Domain:      s.Cluster.Domains[i/2],
+			HTTPAddress: addresses[2*i],
+			PeerAddress: addresses[2*i+1],
+		})
+	}
+	e := settings.DefaultEmbedded()
+	e.UrgentPerSecond, e.BatchTasks, e.Watches = 40, 4, 2
+	e.Duration = settings.Duration(2 * time.Second)
+	s.Embedded = &e
+	return s
+}
+
+// Guards the whole path: an answer that is lost or wrong, a task that runs
+// twice, and a node that cannot be stopped.
+func TestEmbedded(t *testing.T) {
+	s := smallSettings(t)
+	e := NewEmbedded(s, io.Discard)
+	assert.NilError(t, e.Start(t.Context()))
+	report := e.Load(t.Context())
+	assert.NilError(t, e.Stop(context.Background()))
+
+	assert.Equal(t, report.WrongAnswers, 0)
+	for _, k := range report.Kinds {
+		assert.Equal(t, len(k.Faults), 0, "%s %v", k.Kind, report.Examples)
+		if k.Kind == domain.KindUrgent {
+			assert.Equal(t, k.Outcomes[domain.OutcomeRan], k.Sent, "outcomes %v", k.Outcomes)
+		}
+	}
+	assert.Equal(t, report.BatchEnded[domain.OutcomeRan], s.Embedded.BatchTasks)
+	audit := AuditHistory(e.History(), s.Embedded.Worker)
+	assert.Equal(t, audit.Overlaps+audit.Repeats+audit.OverCapacity, 0)
+}
+
+// Guards against an audit that finds nothing.
+func TestAuditFindsFaults(t *testing.T) {
+	start := time.Unix(0, 0)
+	stop := start.Add(time.Second)
+	one := domain.Resources{CPUMilli: 1, MemoryMiB: 1}
+	run := worker.Interval{Worker: "w1", Kind: domain.KindUrgent, Reserved: one, Start: start, Stop: &stop}
+	twin := run
+	twin.Start = start.Add(time.Millisecond)
+	a := AuditHistory([]worker.Interval{run, twin}, one)
+	assert.DeepEqual(t, a, Audit{Runs: 2, Overlaps: 1, Repeats: 1, OverCapacity: 1})
+
+	// A start at the instant of another's end is no overlap.
+	next := run
+	next.Start, next.Kind = stop, domain.KindBatch
+	run.Kind, run.End = domain.KindBatch, worker.EndStopped
+	a = AuditHistory([]worker.Interval{run, next}, one)
+	assert.DeepEqual(t, a, Audit{Runs: 2, Evictions: 1})
+}
