--- a/node/app/node.go
+++ b/node/app/node.go
@@ -104,7 +104,7 @@
 	addresses := map[domain.NodeID]string{}
 	for _, n := range s.Cluster.Nodes {
 		cfg.Nodes = append(cfg.Nodes, membership.Node{ID: n.ID, Domain: n.Domain})
-		addresses[n.ID] = n.PeerAddress
+		addresses[n.ID] = n.HTTPAddress
 	}
 	return engine.NewMembers(cfg, addresses, start), clock{start: start}
 }
--- a/node/configsync/config.go
+++ b/node/configsync/config.go
@@ -39,6 +39,11 @@
 	// Adopt takes a higher version from a peer and reports whether it was
 	// higher.
 	Adopt(c domain.Configuration) bool
+	// Lost tells that records expired before they were read.
+	Lost()
+	// SnapshotDue reports whether the configuration must be appended again, by
+	// the log service's clock.
+	SnapshotDue(now time.Time, retention time.Duration) bool
 }
 
 // Codec makes records of the config stream.
--- a/node/configsync/fakes_test.go
+++ b/node/configsync/fakes_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"slices"
@@ -93,58 +92,8 @@
 	return len(l.records)
 }
 
-// fakeState accepts a change whose base is in force and knows take-outs only.
-type fakeState struct {
-	current domain.Configuration
-	history []configlog.Decision
-}
-
-func (s *fakeState) Current() domain.Configuration { return s.current }
-
-func (s *fakeState) History(int) []configlog.Decision { return s.history }
-
-func (s *fakeState) Adopt(c domain.Configuration) bool {
-	if c.Version <= s.current.Version {
-		return false
-	}
-	s.current = c
-	return true
-}
-
-func (s *fakeState) Apply(rec platform.Record) configlog.Decision {
-	if domain.Version(rec.Offset) <= s.current.Version || rec.Type != configlog.ChangeType {
-		return configlog.Decision{}
-	}
-	d := configlog.Decision{Version: domain.Version(rec.Offset), RecordID: rec.ID}
-	if err := json.Unmarshal(rec.Data, &d.Change); err != nil {
-		panic(err)
-	}
-	d.Accepted = d.Change.Base == s.current.Version
-	if d.Accepted {
-		s.current = applied(s.current, d)
-	}
-	s.history = append([]configlog.Decision{d}, s.history...)
-	return d
-}
-
-func applied(c domain.Configuration, d configlog.Decision) domain.Configuration {
-	c.Version = d.Version
-	c.TakeOuts = slices.Clone(c.TakeOuts)
-	if out := d.Change.TakeOut; out != nil {
-		c.TakeOuts = append(c.TakeOuts, domain.TakeOut{Domain: *out, Since: d.Version})
-	}
-	if back := d.Change.BringBack; back != nil {
-		c.TakeOuts = slices.DeleteFunc(c.TakeOuts, func(t domain.TakeOut) bool { return t.Domain == *back })
-	}
-	return c
-}
-
-func encode(kind string) func(string, any) (platform.Record, error) {
-	return func(id string, v any) (platform.Record, error) {
-		data, err := json.Marshal(v)
-		return platform.Record{ID: id, Type: kind, Data: data}, err
-	}
-}
+// newState returns the real fold of the config stream.
+func newState() State { return configlog.New(configlog.Initial()) }
 
 // group is nodes that can fetch from each other.
 type group map[domain.NodeID]*Sync
@@ -156,13 +105,9 @@
 	for n := range g {
 		peers = append(peers, n)
 	}
-	change, snapshot := encode(configlog.ChangeType), encode(configlog.SnapshotType)
 	s := New(Config{
-		Node: id, Log: l, State: &fakeState{}, SnapshotDelay: delay, Logger: log.New(io.Discard),
-		Codec: Codec{
-			Change:   func(id string, c configlog.Change) (platform.Record, error) { return change(id, c) },
-			Snapshot: func(id string, c domain.Configuration) (platform.Record, error) { return snapshot(id, c) },
-		},
+		Node: id, Log: l, State: newState(), SnapshotDelay: delay, Logger: log.New(io.Discard),
+		Codec: Codec{Change: configlog.EncodeChange, Snapshot: configlog.EncodeSnapshot},
 		Peers: func() []domain.NodeID { return peers },
 		Fetch: func(_ context.Context, from domain.NodeID, after domain.Version) (peer.ConfigReply, error) {
 			return g[from].Reply(peer.ConfigArgs{After: after}), nil
--- a/node/configsync/follow.go
+++ b/node/configsync/follow.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/basilferry/basilferry/core/configlog"
-	"github.com/basilferry/basilferry/core/domain"
 	"github.com/basilferry/basilferry/core/platform"
 )
 
@@ -87,7 +86,10 @@
 	before, wasUp := s.state.Current().Version, s.readsUp
 	s.readsUp = true
 	s.retention = reply.Retention
-	s.next = max(s.next, reply.First)
+	if reply.First > s.next {
+		s.state.Lost()
+		s.next = reply.First
+	}
 	for _, rec := range reply.Records {
 		if rec.Offset >= s.next {
 			s.apply(rec)
@@ -118,10 +120,6 @@
 	if len(s.records) > 2*keptRecords {
 		s.records = append([]platform.Record(nil), s.records[len(s.records)-keptRecords:]...)
 	}
-	// A change that is accepted and a snapshot both carry the configuration.
-	if domain.Version(rec.Offset) == s.state.Current().Version || rec.Type == configlog.SnapshotType {
-		s.carried = rec.AppendedAt
-	}
 	if p := s.proposals[rec.ID]; p != nil && d.RecordID == rec.ID {
 		delete(s.proposals, rec.ID)
 		p.decision = d
--- a/node/configsync/snapshot.go
+++ b/node/configsync/snapshot.go
@@ -24,8 +24,8 @@
 	}
 }
 
-// snapshotDue reports whether two thirds of the retention have passed since the
-// configuration was last appended, and the delay of this node.
+// snapshotDue reports whether a snapshot is due and the delay of this node has
+// passed.
 func (s *Sync) snapshotDue(now time.Time) (domain.Configuration, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -34,7 +34,7 @@
 	if c.Version == 0 || !s.readsUp || s.endRead == 0 || s.retention == 0 {
 		return c, false
 	}
-	return c, now.Sub(s.carried) >= s.retention*2/3+s.config.SnapshotDelay
+	return c, s.state.SnapshotDue(now.Add(-s.config.SnapshotDelay), s.retention)
 }
 
 func (s *Sync) appendSnapshot(ctx context.Context, c domain.Configuration) {
--- a/node/configsync/sync.go
+++ b/node/configsync/sync.go
@@ -27,9 +27,6 @@
 	next platform.Offset
 	// records are the latest ones that were applied, for other nodes.
 	records []platform.Record
-	// carried is when the record that carries the configuration in force was
-	// appended, by the log's clock; zero if it is not known.
-	carried time.Time
 	// reads counts reads, endRead is the number of the latest one that reached
 	// the end of the stream.
 	reads, endRead uint64
--- a/node/configsync/sync_test.go
+++ b/node/configsync/sync_test.go
@@ -144,9 +144,27 @@
 	})
 }
 
+// Guards against a stream with steady changes that never gets a snapshot: what
+// its older records set would be lost for a node that starts later.
+func TestSnapshotUnderSteadyChanges(t *testing.T) {
+	inBubble(t, func(t *testing.T, l *memLog, _ group, s *Sync) {
+		for start := time.Now(); time.Since(start) < retention; time.Sleep(retention / 12) {
+			propose(t, s, configlog.Change{TakeOut: &volos})
+			propose(t, s, configlog.Change{BringBack: &volos})
+		}
+		snapshots := 0
+		for _, rec := range l.records {
+			if rec.Type == configlog.SnapshotType {
+				snapshots++
+			}
+		}
+		assert.Equal(t, snapshots, 1)
+	})
+}
+
 // Guards against records kept for other nodes without bound.
 func TestKeptRecords(t *testing.T) {
-	s := New(Config{State: &fakeState{}})
+	s := New(Config{State: newState()})
 	for i := range 5 * keptRecords {
 		s.apply(platform.Record{Offset: platform.Offset(i + 1)})
 	}
--- a/node/engine/members.go
+++ b/node/engine/members.go
@@ -25,7 +25,7 @@
 var _ service.Peers = (*Members)(nil)
 
 // NewMembers returns the membership of a node that starts now. addresses gives
-// the peer address "ip:port" of each node; start is the origin of the node's
+// the HTTP address "ip:port" of each node; start is the origin of the node's
 // Instants.
 func NewMembers(c membership.Config, addresses map[domain.NodeID]string, start time.Time) *Members {
 	return &Members{
--- a/node/service/service.go
+++ b/node/service/service.go
@@ -42,9 +42,10 @@
 
 // NodeStatus describes an entry node as this node sees it.
 type NodeStatus struct {
-	ID      domain.NodeID        `json:"id"`
-	Domain  domain.FailureDomain `json:"domain"`
-	Address string               `json:"address"`
+	ID     domain.NodeID        `json:"id"`
+	Domain domain.FailureDomain `json:"domain"`
+	// Address is the HTTP address "ip:port".
+	Address string `json:"address"`
 	// Live tells whether the node answered within the ping time-out.
 	Live bool `json:"live"`
 	// ConfigVersion is the version that the node said it has in force.
