--- a/node/configsync/sync_test.go
+++ b/node/configsync/sync_test.go
@@ -149,8 +149,10 @@
 func TestSnapshotUnderSteadyChanges(t *testing.T) {
 	inBubble(t, func(t *testing.T, l *memLog, _ group, s *Sync) {
 		for start := time.Now(); time.Since(start) < retention; time.Sleep(retention / 12) {
-			propose(t, s, configlog.Change{TakeOut: &volos})
-			propose(t, s, configlog.Change{BringBack: &volos})
+			d := propose(t, s, configlog.Change{Base: s.Current().Version, TakeOut: &volos})
+			assert.Assert(t, d.Accepted)
+			d = propose(t, s, configlog.Change{Base: s.Current().Version, BringBack: &volos})
+			assert.Assert(t, d.Accepted)
 		}
 		snapshots := 0
 		for _, rec := range l.records {
