--- a/core/shard/machine_test.go
+++ b/core/shard/machine_test.go
@@ -211,3 +211,21 @@
 	assert.Equal(t, offers[0].Request.Task.ID, task.ID)
 	assert.Equal(t, offers[0].Request.Moves, 1)
 }
+
+// Guards against a sum of reservations that drifts from the tasks that hold
+// them.
+func TestReservedSumFollowsTasks(t *testing.T) {
+	for seed := uint64(1); seed <= 20; seed++ {
+		h := newHistory(seed, weakNone)
+		h.play(40)
+		h.heal()
+		m := h.w.latest().machine
+		for _, w := range m.sortedWorkers() {
+			var sum domain.Resources
+			for id := range w.tasks {
+				sum = sum.Add(m.requests[id].reserved)
+			}
+			assert.Equal(t, w.reserved, sum, "seed %d worker %s", seed, w.id)
+		}
+	}
+}
--- a/core/shard/move.go
+++ b/core/shard/move.go
@@ -10,8 +10,9 @@
 // evacuate moves the work of a shard that has to give it up: what runs and can
 // resume is stopped with a checkpoint, what waits moves on.
 func (m *Machine) evacuate() {
+	live := m.sortedLive()
 	for _, kind := range []domain.Kind{domain.KindWatch, domain.KindBatch, domain.KindUrgent} {
-		for _, r := range m.sortedLive() {
+		for _, r := range live {
 			if r.task.Kind == kind {
 				m.evacuateOne(r)
 			}
--- a/core/shard/tick.go
+++ b/core/shard/tick.go
@@ -192,8 +192,7 @@
 	Workers   []WorkerView
 }
 
-// Status returns the machine's state. Its cost grows with the shard's workers
-// and running tasks.
+// Status returns the machine's state. Its cost grows with the shard's workers.
 func (m *Machine) Status() Status {
 	s := Status{Ready: m.ready && !m.draining}
 	for _, w := range m.workers {
@@ -207,14 +206,9 @@
 }
 
 func (m *Machine) view(w *worker) WorkerView {
-	v := WorkerView{ID: w.id, Rack: w.rack, State: string(w.state), Capacity: w.capacity, Tasks: len(w.tasks)}
+	v := WorkerView{ID: w.id, Rack: w.rack, State: string(w.state), Capacity: w.capacity, Reserved: w.reserved, Tasks: len(w.tasks)}
 	if w.leaving {
 		v.State = "leaving"
 	}
-	for id := range w.tasks {
-		if r, ok := m.requests[id]; ok {
-			v.Reserved = v.Reserved.Add(r.reserved)
-		}
-	}
 	return v
 }
--- a/core/shard/worker.go
+++ b/core/shard/worker.go
@@ -67,6 +67,8 @@
 	inFlight       bool
 
 	tasks map[domain.RequestID]bool
+	// reserved is the sum of what tasks hold.
+	reserved domain.Resources
 }
 
 // usable reports whether new tasks may start on the worker.
@@ -374,6 +376,7 @@
 		return
 	}
 	delete(w.tasks, r.task.ID)
+	w.reserved = w.reserved.Sub(r.reserved)
 	m.policy.Release(m.now, w.id, r.task.ID, result, m.now-r.startedAt)
 }
 
@@ -381,6 +384,7 @@
 func (m *Machine) occupy(r *request, w *worker) {
 	r.worker = w.id
 	w.tasks[r.task.ID] = true
+	w.reserved = w.reserved.Add(r.reserved)
 	m.policy.Hold(m.now, w.id, r.demand(m.now), r.reserved)
 }
 
