Count failed urgent requests as late in the comparison

A worker that fails every request after 2 ms made the measured latency of first fit look good. A missed request now counts with its deadline.

--- a/core/policy/sim_test.go
+++ b/core/policy/sim_test.go
@@ -155,6 +155,9 @@
 
 func (s *sim) ended(t *simTask, deadline time.Duration, missed bool) {
 	took := min(s.now-t.arrived, deadline)
+	if missed {
+		took = deadline // a request that failed fast is not a fast answer
+	}
 	s.latencies = append(s.latencies, float64(took)/float64(time.Millisecond))
 	if missed || s.now-t.arrived > deadline {
 		s.misses++
