Keep the preset values in one place

configlog and policy had tables with different values; the command line showed one and nodes started with the other. configlog.Presets now has the values that the policy was measured with. Each shard holds teams to its share of a quota.

--- a/core/configlog/presets.go
+++ b/core/configlog/presets.go
@@ -21,17 +21,17 @@
 }
 
 // Presets returns the built-in values of each preset, in the order of
-// PresetNames.
+// PresetNames. docs/presets.md says what each changes and why.
 func Presets() []domain.Preset {
 	return []domain.Preset{
 		{
 			Name:                PresetOrdinary,
 			IsolatedStarts:      domain.IsolatedUrgent,
-			BatchShare:          0.8,
+			BatchShare:          0.75,
 			UrgentSlots:         2,
 			ReservationQuantile: 0.95,
 			ThrottleSlowdown:    1.2,
-			EvictSlowdown:       1.5,
+			EvictSlowdown:       1.6,
 			RetryBudget:         0.1,
 		},
 		{
@@ -39,20 +39,20 @@
 			IsolatedStarts:      domain.IsolatedUrgent,
 			BatchShare:          0.5,
 			UrgentSlots:         4,
-			ReservationQuantile: 0.95,
+			ReservationQuantile: 0.99,
 			ThrottleSlowdown:    1.1,
 			EvictSlowdown:       1.3,
-			RetryBudget:         0.1,
+			RetryBudget:         0.05,
 		},
 		{
 			Name:                PresetMaintenance,
 			IsolatedStarts:      domain.IsolatedNone,
-			BatchShare:          0.8,
-			UrgentSlots:         2,
+			BatchShare:          0.9,
+			UrgentSlots:         1,
 			ReservationQuantile: 0.95,
-			ThrottleSlowdown:    1.2,
-			EvictSlowdown:       1.5,
-			RetryBudget:         0.1,
+			ThrottleSlowdown:    1.5,
+			EvictSlowdown:       2.5,
+			RetryBudget:         0.2,
 		},
 	}
 }
--- a/core/policy/baseline_test.go
+++ b/core/policy/baseline_test.go
@@ -37,7 +37,7 @@
 const baselineLookahead = 64
 
 func newBaseline(seed uint64, pick func(*baseline, func(*baseWorker) bool) *baseWorker) *baseline {
-	return &baseline{limits: limitsOf(ordinary()), byID: map[domain.WorkerID]*baseWorker{}, pick: pick, random: rand.New(rand.NewPCG(seed, 3))}
+	return &baseline{limits: limitsOf(DefaultPresets()[0]), byID: map[domain.WorkerID]*baseWorker{}, pick: pick, random: rand.New(rand.NewPCG(seed, 3))}
 }
 
 func firstFit(b *baseline, fits func(*baseWorker) bool) *baseWorker {
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/basilferry/basilferry/core/admission"
+	"github.com/basilferry/basilferry/core/configlog"
 	"github.com/basilferry/basilferry/core/domain"
 	"github.com/basilferry/basilferry/core/fairshare"
 	"github.com/basilferry/basilferry/core/interference"
@@ -72,7 +73,7 @@
 		noisyClasses:  bounded.New[domain.Class, noisyState](maxClasses),
 		reported:      newWorkerList(),
 	}
-	p.Configure(0, ordinary(), nil)
+	p.Configure(0, configlog.Initial().Preset, nil)
 	return p
 }
 
--- a/core/policy/policy_rapid_test.go
+++ b/core/policy/policy_rapid_test.go
@@ -49,7 +49,7 @@
 	kinds := []domain.Kind{domain.KindUrgent, domain.KindBatch, domain.KindWatch}
 	rapid.Check(t, func(t *rapid.T) {
 		p := New(Config{Seed: rapid.Uint64().Draw(t, "seed")})
-		preset := ordinary()
+		preset := DefaultPresets()[0]
 		ref := &reference{map[domain.WorkerID]domain.Resources{}, map[domain.WorkerID]map[domain.RequestID]shard.Choice{}, map[domain.RequestID]domain.Kind{}}
 		start := func(now time.Duration, d shard.Demand, c shard.Choice) {
 			p.Hold(now, c.Worker, d, c.Reserved)
--- a/core/policy/policy_test.go
+++ b/core/policy/policy_test.go
@@ -93,7 +93,7 @@
 	p := New(Config{Seed: 1})
 	p.WorkerUp(0, shard.WorkerInfo{ID: "w", Rack: "r", Capacity: bigWorker})
 	quota := domain.Quota{Team: "t", Weight: 1, Limit: domain.Resources{CPUMilli: 10_000}}
-	p.Configure(0, ordinary(), []domain.Quota{quota})
+	p.Configure(0, DefaultPresets()[0], []domain.Quota{quota})
 	for range 10 {
 		p.Observe(0, "w", []platform.Usage{{Class: "c", Used: domain.Resources{CPUMilli: 40_000, MemoryMiB: 200_000}}})
 	}
--- a/core/policy/presets.go
+++ b/core/policy/presets.go
@@ -1,6 +1,9 @@
 package policy
 
-import "github.com/basilferry/basilferry/core/domain"
+import (
+	"github.com/basilferry/basilferry/core/configlog"
+	"github.com/basilferry/basilferry/core/domain"
+)
 
 // DefaultPresets returns the complete presets ordinary, peak and maintenance.
 //
@@ -15,47 +18,5 @@
 //     stops refuse more starts, and an isolated domain starts nothing, so that
 //     a take-out holds without exception.
 func DefaultPresets() []domain.Preset {
-	return []domain.Preset{ordinary(), peak(), maintenance()}
-}
-
-func ordinary() domain.Preset {
-	return domain.Preset{
-		Name:                "ordinary",
-		IsolatedStarts:      domain.IsolatedUrgent,
-		BatchShare:          0.75,
-		UrgentSlots:         2,
-		UrgentPerWorker:     0,
-		ReservationQuantile: 0.95,
-		ThrottleSlowdown:    1.2,
-		EvictSlowdown:       1.6,
-		RetryBudget:         0.1,
-	}
-}
-
-func peak() domain.Preset {
-	return domain.Preset{
-		Name:                "peak",
-		IsolatedStarts:      domain.IsolatedUrgent,
-		BatchShare:          0.5,
-		UrgentSlots:         4,
-		UrgentPerWorker:     0,
-		ReservationQuantile: 0.99,
-		ThrottleSlowdown:    1.1,
-		EvictSlowdown:       1.3,
-		RetryBudget:         0.05,
-	}
-}
-
-func maintenance() domain.Preset {
-	return domain.Preset{
-		Name:                "maintenance",
-		IsolatedStarts:      domain.IsolatedNone,
-		BatchShare:          0.9,
-		UrgentSlots:         1,
-		UrgentPerWorker:     0,
-		ReservationQuantile: 0.95,
-		ThrottleSlowdown:    1.5,
-		EvictSlowdown:       2.5,
-		RetryBudget:         0.2,
-	}
+	return configlog.Presets()
 }
--- a/node/app/adapters.go
+++ b/node/app/adapters.go
@@ -47,16 +47,20 @@
 	return status
 }
 
-func newMachine(cfg engine.MachineConfig) (engine.Machine, []shard.Effect) {
-	m, effects := shard.New(shard.Config{
-		Shard:   cfg.Shard,
-		Node:    cfg.Node,
-		Epoch:   cfg.Epoch,
-		Journal: cfg.Journal.(*journal.Shard),
-		Policy:  policy.New(policy.Config{Seed: uint64(cfg.Epoch)}),
-		Now:     cfg.Now,
-	})
-	return machine{m}, effects
+// newMachine makes machines whose policy holds each team to its share of its
+// quota for the failure domain.
+func newMachine(quotaShare float64) engine.NewMachine {
+	return func(cfg engine.MachineConfig) (engine.Machine, []shard.Effect) {
+		m, effects := shard.New(shard.Config{
+			Shard:   cfg.Shard,
+			Node:    cfg.Node,
+			Epoch:   cfg.Epoch,
+			Journal: cfg.Journal.(*journal.Shard),
+			Policy:  policy.New(policy.Config{Seed: uint64(cfg.Epoch), QuotaShare: quotaShare}),
+			Now:     cfg.Now,
+		})
+		return machine{m}, effects
+	}
 }
 
 // reasons gives the engine an explain.Store.
--- a/node/app/node.go
+++ b/node/app/node.go
@@ -16,7 +16,6 @@
 	"github.com/basilferry/basilferry/core/explain"
 	"github.com/basilferry/basilferry/core/membership"
 	"github.com/basilferry/basilferry/core/platform"
-	"github.com/basilferry/basilferry/core/policy"
 	"github.com/basilferry/basilferry/core/ring"
 	"github.com/basilferry/basilferry/node/configsync"
 	"github.com/basilferry/basilferry/node/engine"
@@ -120,7 +119,7 @@
 		Log:        p.Log,
 		Dial:       p.Dial,
 		NotSent:    p.NotSent,
-		NewMachine: newMachine,
+		NewMachine: newMachine(1 / float64(s.Cluster.ShardsPerDomain)),
 		NewFold:    newFold,
 		Delegator:  late,
 		Reasons:    reasons{node: s.Node.ID, store: explain.NewStore(maxReasons, maxReasonsBytes)},
@@ -131,11 +130,6 @@
 	return e, late
 }
 
-// initialConfiguration is version 0: the preset ordinary, nothing taken out.
-func initialConfiguration() domain.Configuration {
-	return domain.Configuration{Preset: policy.DefaultPresets()[0]}
-}
-
 func newConfig(s settings.Settings, p Platform, pool *peer.Pool, m *engine.Members, logs *telemetry.Logs) *configsync.Sync {
 	index := 0
 	for i, n := range s.Cluster.Nodes {
@@ -146,7 +140,7 @@
 	return configsync.New(configsync.Config{
 		Node:          s.Node.ID,
 		Log:           p.Log,
-		State:         configlog.New(initialConfiguration()),
+		State:         configlog.New(configlog.Initial()),
 		Codec:         configsync.Codec{Change: configlog.EncodeChange, Snapshot: configlog.EncodeSnapshot},
 		Peers:         func() []domain.NodeID { return livePeers(s.Node.ID, m) },
 		Fetch:         fetchConfig(pool),
