Test planned stops, take-outs, operators and connections with processes

A stop under constant calls or health checks lasts until its time-out; both tests are listed in KNOWN-RED.txt.

--- a/node/e2e/cluster_test.go
+++ b/node/e2e/cluster_test.go
@@ -285,13 +285,3 @@
 	}
 	return nil
 }
-
-// other returns another node of the same failure domain.
-func (c *cluster) other(n *entryNode) *entryNode {
-	for _, o := range c.nodes {
-		if o.Domain == n.Domain && o != n {
-			return o
-		}
-	}
-	return nil
-}
--- /dev/null
+++ b/node/e2e/operator_test.go
@@ -0,0 +1,137 @@
+package e2e
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/basilferry/basilferry/core/configlog"
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/node/httpapi"
+)
+
+// change makes a configuration change through a node and returns the HTTP
+// status and the answer.
+func (n *entryNode) change(change configlog.Change) (int, httpapi.ChangeBody, error) {
+	var out httpapi.ChangeBody
+	body, err := json.Marshal(change)
+	if err != nil {
+		return 0, out, err
+	}
+	resp, err := controlClient.Post(n.base()+"/v1/config?wait=5s", "application/json", bytes.NewReader(body))
+	if err != nil {
+		return 0, out, err
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode, out, json.NewDecoder(resp.Body).Decode(&out)
+}
+
+func (n *entryNode) configuration(t *testing.T) domain.Configuration {
+	t.Helper()
+	got, err := get[domain.Configuration](n.base() + "/v1/config")
+	assert.NilError(t, err, string(n.ID))
+	return got
+}
+
+// mustChange makes a change on the version in force and checks that the answer
+// says that it is in force on every node.
+func (n *entryNode) mustChange(t *testing.T, change configlog.Change) domain.Version {
+	t.Helper()
+	change.Base = n.configuration(t).Version
+	change.Operator = "e2e"
+	status, body, err := n.change(change)
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK, "%+v", body)
+	assert.Equal(t, len(body.Missing), 0, "%+v", body)
+	return body.Decision.Version
+}
+
+// awaitVersion waits until every node has the version in force and returns the
+// configurations.
+func (c *cluster) awaitVersion(v domain.Version) []domain.Configuration {
+	c.t.Helper()
+	var all []domain.Configuration
+	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+		all = nil
+		for _, n := range c.nodes {
+			got := n.configuration(c.t)
+			if got.Version != v {
+				return poll.Continue("node %s has version %d in force, not %d", n.ID, got.Version, v)
+			}
+			all = append(all, got)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(progressTimeout), poll.WithDelay(pollDelay))
+	return all
+}
+
+// answer is what one of two operators was told.
+type answer struct {
+	status int
+	body   httpapi.ChangeBody
+	err    error
+	weight float64
+}
+
+// Guards against two accepted changes to one version, against nodes that
+// disagree about the accepted one, and against a rejected operator who is not
+// told what is in force.
+func TestTwoOperators(t *testing.T) {
+	knownRed(t, "TestTwoOperators")
+	c := startCluster(t, options{})
+	const rounds = 6
+	for round := range rounds {
+		base := c.nodes[0].configuration(t).Version
+		c.awaitVersion(base)
+		won, lost := c.race(base, round)
+		assert.Equal(t, won.status, http.StatusOK, "%+v", won)
+		assert.Equal(t, lost.status, http.StatusConflict, "%+v", lost)
+		assert.Equal(t, lost.body.Kind, domain.KindVersionConflict)
+		assert.Assert(t, lost.body.Configuration != nil)
+		assert.Equal(t, lost.body.Configuration.Version, won.body.Decision.Version)
+		assert.Equal(t, weightOf(*lost.body.Configuration), won.weight)
+		for _, got := range c.awaitVersion(won.body.Decision.Version) {
+			assert.Equal(t, weightOf(got), won.weight)
+		}
+		t.Logf("round %d: rejected with %q, remedy %q", round, lost.body.Message, lost.body.Remedy)
+	}
+}
+
+// race makes two changes of one quota at once through nodes of two failure
+// domains, and returns what the winner and the loser were told.
+func (c *cluster) race(base domain.Version, round int) (won, lost answer) {
+	c.t.Helper()
+	answers := make(chan answer, 2)
+	for i, n := range []*entryNode{c.nodeIn(domains[0]), c.nodeIn(domains[1])} {
+		go func() {
+			a := answer{weight: float64(10*round + i + 1)}
+			quota := domain.Quota{Team: "branch-1", Weight: a.weight}
+			a.status, a.body, a.err = n.change(configlog.Change{
+				Base: base, Operator: fmt.Sprintf("operator-%d", i), Quota: &quota,
+			})
+			answers <- a
+		}()
+	}
+	won, lost = <-answers, <-answers
+	if lost.body.Decision.Accepted {
+		won, lost = lost, won
+	}
+	assert.NilError(c.t, won.err)
+	assert.NilError(c.t, lost.err)
+	assert.Assert(c.t, won.body.Decision.Accepted && !lost.body.Decision.Accepted, "%+v %+v", won, lost)
+	return won, lost
+}
+
+func weightOf(cfg domain.Configuration) float64 {
+	for _, q := range cfg.Quotas {
+		if q.Team == "branch-1" {
+			return q.Weight
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/node/e2e/stop_test.go
@@ -0,0 +1,75 @@
+package e2e
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/basilferry/basilferry/core/configlog"
+	"github.com/basilferry/basilferry/core/domain"
+)
+
+// Guards against requests from a load balancer that a planned stop interrupts, and against a node
+// that starts with an older configuration.
+func TestRollingRestart(t *testing.T) {
+	knownRed(t, "TestRollingRestart")
+	c := startCluster(t, options{})
+	quota := domain.Quota{Team: "branch-1", Weight: 3}
+	version := c.nodes[0].mustChange(t, configlog.Change{Quota: &quota})
+	m := usualMix(501)
+	m.ignoreHealth = false
+	tr := startTraffic(c, m)
+	tr.awaitRan(150)
+	for _, n := range c.nodes {
+		assert.Check(t, n.proc.stop(t), "%s did not end its planned stop", n.ID)
+		c.start(n)
+		c.awaitNode(n)
+		for _, seen := range c.nodes {
+			got := seen.configuration(t).Version
+			assert.Check(t, got >= version, "%s has version %d after the restart of %s", seen.ID, got, n.ID)
+		}
+		tr.awaitRan(60)
+	}
+	got, _ := tr.settle()
+	assert.Equal(t, got.failures, 0, "interrupted calls")
+	assert.Equal(t, got.silent, 0, "requests without an outcome")
+	assert.Equal(t, got.states[domain.KindUrgent][domain.OutcomeUnknown], 0)
+	assert.Equal(t, got.states[domain.KindBatch][domain.OutcomeUnknown], 0)
+}
+
+// Guards against a planned stop that lasts until its time-out, or fails, while
+// callers that do not heed the health check go on sending.
+func TestStopUnderConstantCalls(t *testing.T) {
+	knownRed(t, "TestStopUnderConstantCalls")
+	c := startCluster(t, options{})
+	tr := startTraffic(c, usualMix(511))
+	tr.awaitRan(100)
+	n := c.nodes[0]
+	began := time.Now()
+	assert.Check(t, n.proc.stop(t), "%s did not end its planned stop", n.ID)
+	took := time.Since(began)
+	t.Logf("the planned stop took %s", took)
+	assert.Check(t, took < nodeStopTimeout)
+	c.start(n)
+	c.awaitNode(n)
+	tr.awaitRan(60)
+	got, _ := tr.settle()
+	assert.Equal(t, got.failures, 0, "interrupted calls")
+	assert.Equal(t, got.silent, 0, "requests without an outcome")
+	assert.Equal(t, got.states[domain.KindUrgent][domain.OutcomeUnknown], 0)
+}
+
+// Guards against a planned stop that lasts until its time-out because the
+// health checks of load balancers count as requests.
+func TestStopUnderHealthChecks(t *testing.T) {
+	knownRed(t, "TestStopUnderHealthChecks")
+	c := startCluster(t, options{})
+	watchHealth(c, manyChecks)
+	n := c.nodes[0]
+	began := time.Now()
+	assert.Check(t, n.proc.stop(t), "%s did not end its planned stop", n.ID)
+	took := time.Since(began)
+	t.Logf("the planned stop took %s", took)
+	assert.Check(t, took < nodeStopTimeout)
+}
--- /dev/null
+++ b/node/e2e/takeout_test.go
@@ -0,0 +1,191 @@
+package e2e
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/basilferry/basilferry/core/configlog"
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/node/httpapi"
+	"github.com/basilferry/basilferry/platform/vmlist"
+	"github.com/basilferry/basilferry/platform/worker"
+)
+
+const (
+	// maxLateStart is how long after the answer a start may follow (I4, I8).
+	maxLateStart = 3 * time.Second
+	// quietLength is how long starts are looked for after that.
+	quietLength = 6 * time.Second
+	// maxEmptying bounds the time until a domain that was taken out runs
+	// nothing.
+	maxEmptying = 20 * time.Second
+	vmListLag   = 2 * time.Second
+)
+
+// lateStarts returns the runs that began on one of the workers in [from, to).
+func lateStarts(runs []worker.Interval, on func(domain.WorkerID) bool, from, to time.Time) []worker.Interval {
+	var late []worker.Interval
+	for _, r := range runs {
+		if on(r.Worker) && !r.Start.Before(from) && r.Start.Before(to) {
+			late = append(late, r)
+		}
+	}
+	return late
+}
+
+// inDomain selects the workers of a failure domain.
+func (c *cluster) inDomain(d domain.FailureDomain) func(domain.WorkerID) bool {
+	return func(id domain.WorkerID) bool {
+		for _, w := range c.workers {
+			if w.id == id {
+				return w.domain == d
+			}
+		}
+		return false
+	}
+}
+
+// Guards against starts in a failure domain that is taken out, tasks that are
+// lost or repeated when they move, and a domain that forgets its ids.
+func TestTakeOutAndBringBack(t *testing.T) {
+	knownRed(t, "TestTakeOutAndBringBack")
+	c := startCluster(t, options{})
+	out, in := domains[0], domains[1]
+	m := usualMix(601)
+	m.batchMillis = 8000
+	tr := startTraffic(c, m)
+	tr.awaitRan(250)
+	c.nodeIn(in).mustChange(t, configlog.Change{TakeOut: &out})
+	inForce := time.Now()
+	c.awaitEmpty(out, inForce)
+	c.checkAuthority(out, in)
+	hold(quietLength)
+	back := time.Now()
+	c.nodeIn(out).mustChange(t, configlog.Change{BringBack: &out})
+	c.awaitStart(out, back)
+	tr.awaitRan(100)
+	got, runs := tr.settle()
+	late := lateStarts(runs, c.inDomain(out), inForce.Add(maxLateStart), back)
+	assert.Check(t, len(late) == 0, "starts in %s while it was out: %s", out, describe(late))
+	t.Logf("starts in %s within 3 s of the answer: %d", out, len(lateStarts(runs, c.inDomain(out), inForce, inForce.Add(maxLateStart))))
+	assert.Check(t, c.moved(runs, out, in) > 0, "no batch task moved")
+	assert.Equal(t, got.states[domain.KindUrgent][domain.OutcomeUnknown], 0)
+}
+
+// awaitEmpty waits until no task runs in the failure domain.
+func (c *cluster) awaitEmpty(d domain.FailureDomain, since time.Time) {
+	c.t.Helper()
+	in := c.inDomain(d)
+	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+		for _, r := range c.history() {
+			if in(r.Worker) && r.Stop == nil {
+				return poll.Continue("%s runs on %s", r.ID, r.Worker)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(maxEmptying), poll.WithDelay(pollDelay))
+	c.t.Logf("%s runs nothing %s after the take-out", d, time.Since(since))
+}
+
+// awaitStart waits until a task was started in the failure domain.
+func (c *cluster) awaitStart(d domain.FailureDomain, since time.Time) {
+	c.t.Helper()
+	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+		if starts := lateStarts(c.history(), c.inDomain(d), since, time.Now()); len(starts) > 0 {
+			c.t.Logf("%s starts tasks %s after the bring-back was sent", d, starts[0].Start.Sub(since))
+			return poll.Success()
+		}
+		return poll.Continue("%s starts nothing", d)
+	}, poll.WithTimeout(progressTimeout), poll.WithDelay(pollDelay))
+}
+
+// checkAuthority runs a request under an id of the failure domain that is out
+// and looks it up through a node of the other one.
+func (c *cluster) checkAuthority(out, in domain.FailureDomain) {
+	c.t.Helper()
+	var ids httpapi.IDsAnswer
+	assert.NilError(c.t, post(c.nodeIn(out).base()+"/v1/ids", struct{}{}, &ids))
+	id := ids.IDs[0]
+	assert.Equal(c.t, id.Shard.Domain, out)
+	task := urgentTask(0, 10)
+	task.ID = id
+	for _, n := range []*entryNode{c.nodeIn(out), c.nodeIn(in)} {
+		o, err := n.submitAs(id, task)
+		assert.NilError(c.t, err)
+		assert.Equal(c.t, o.State, domain.OutcomeRan, "%+v", o)
+		assert.Check(c.t, bytes.Equal(o.Answer, worker.ExpectedAnswer(task)), "%q", o.Answer)
+		assert.Check(c.t, c.inDomain(in)(o.Worker), "ran on %s", o.Worker)
+	}
+	seen, err := get[domain.Outcome](c.nodeIn(in).base() + "/v1/requests/" + id.String())
+	assert.NilError(c.t, err)
+	assert.Equal(c.t, seen.State, domain.OutcomeRan)
+}
+
+// submitAs sends an urgent request under an id that was drawn before.
+func (n *entryNode) submitAs(id domain.RequestID, task domain.Task) (domain.Outcome, error) {
+	var o domain.Outcome
+	payload := string(task.Payload)
+	body, err := json.Marshal(httpapi.SubmitBody{
+		Kind: task.Kind, Class: task.Class, Team: task.Team,
+		DeadlineMS: task.Deadline.Milliseconds(), Resources: task.Resources, Payload: &payload,
+	})
+	if err != nil {
+		return o, err
+	}
+	req, err := http.NewRequest(http.MethodPost, n.base()+"/v1/requests", bytes.NewReader(body))
+	if err != nil {
+		return o, err
+	}
+	req.Header.Set(httpapi.IDHeader, id.String())
+	resp, err := controlClient.Do(req)
+	if err != nil {
+		return o, err
+	}
+	return o, decode(resp, &o)
+}
+
+// moved counts the batch tasks that ran in one failure domain and then in the
+// other.
+func (c *cluster) moved(runs []worker.Interval, from, to domain.FailureDomain) int {
+	began := map[domain.RequestID]bool{}
+	count := 0
+	for _, r := range runs {
+		began[r.ID] = began[r.ID] || (r.Kind == domain.KindBatch && c.inDomain(from)(r.Worker))
+	}
+	for _, r := range runs {
+		if began[r.ID] && c.inDomain(to)(r.Worker) {
+			count++
+		}
+	}
+	c.t.Logf("%d runs of batch tasks of %s in %s", count, from, to)
+	return count
+}
+
+// Guards against starts on a worker that is about to leave.
+func TestLeavingWorker(t *testing.T) {
+	knownRed(t, "TestLeavingWorker")
+	c := startCluster(t, options{vmListLag: vmListLag})
+	tr := startTraffic(c, usualMix(701))
+	tr.awaitRan(200)
+	leaving := c.workers[0].id
+	on := func(id domain.WorkerID) bool { return id == leaving }
+	before := len(lateStarts(c.history(), on, time.Time{}, time.Now()))
+	assert.Assert(t, before > 0, "no starts on %s before", leaving)
+	marked := time.Now()
+	c.controlVMs(vmlist.Control{Leaving: []domain.WorkerID{leaving}})
+	hold(vmListLag + maxLateStart + quietLength)
+	_, runs := tr.settle()
+	late := lateStarts(runs, on, marked.Add(vmListLag+maxLateStart), time.Now())
+	assert.Check(t, len(late) == 0, "starts on a leaving worker: %s", describe(late))
+	var last time.Duration
+	for _, r := range lateStarts(runs, on, marked, time.Now()) {
+		last = max(last, r.Start.Sub(marked))
+	}
+	t.Logf("%d starts on %s before it was marked, the last %s after the mark (lag %s)", before, leaving, last, vmListLag)
+}
--- a/node/e2e/traffic_test.go
+++ b/node/e2e/traffic_test.go
@@ -72,14 +72,18 @@
 	watchEvery int
 	// count ends the traffic; zero goes on until stop.
 	count int
+	// ignoreHealth sends to nodes whose health check fails as well, as callers
+	// without a load balancer do.
+	ignoreHealth bool
 	// batchMillis is the longest run time of a batch task; half of it the
 	// shortest.
 	batchMillis int64
 }
 
-// usualMix is the load of the fault tests.
+// usualMix is the load of the fault tests. Its callers do not heed the health
+// check, so that more requests meet the fault.
 func usualMix(seed uint64) mix {
-	return mix{seed: seed, interval: 20 * time.Millisecond, batchEvery: 25, watchEvery: 400, batchMillis: 4000}
+	return mix{seed: seed, interval: 20 * time.Millisecond, batchEvery: 25, watchEvery: 400, batchMillis: 4000, ignoreHealth: true}
 }
 
 // traffic sends requests to the nodes in turn and keeps what it was told.
@@ -89,6 +93,7 @@
 	mix      mix
 	rng      *rand.Rand
 	caller   *load.Caller
+	health   *health
 	stopping chan struct{}
 	stopOnce sync.Once
 	sent     atomic.Int64
@@ -106,6 +111,7 @@
 		t: c.t, c: c, mix: m,
 		rng:      rand.New(rand.NewPCG(m.seed, 0)),
 		caller:   load.NewCaller(64),
+		health:   watchHealth(c, healthInterval),
 		stopping: make(chan struct{}),
 	}
 	c.t.Cleanup(tr.end)
@@ -198,7 +204,7 @@
 func (tr *traffic) serve(r *request) {
 	limit := r.began.Add(keepTrying)
 	for try := 0; time.Now().Before(limit); try++ {
-		node := tr.c.nodes[(r.n+try)%len(tr.c.nodes)]
+		node := tr.entry(r.n + try)
 		o, err := tr.caller.Submit(context.Background(), node.base(), r.key, r.task)
 		if err == nil {
 			r.add(o)
@@ -216,6 +222,17 @@
 	}
 }
 
+// entry returns the n-th node in turn of those that are healthy.
+func (tr *traffic) entry(n int) *entryNode {
+	for i := range tr.c.nodes {
+		node := tr.c.nodes[(n+i)%len(tr.c.nodes)]
+		if tr.mix.ignoreHealth || tr.health.ok(node) {
+			return node
+		}
+	}
+	return tr.c.nodes[n%len(tr.c.nodes)]
+}
+
 func (tr *traffic) count(o domain.Outcome) {
 	if o.State == domain.OutcomeRan {
 		tr.ran.Add(1)
