--- a/node/httpapi/middleware.go
+++ b/node/httpapi/middleware.go
@@ -18,8 +18,11 @@
 // stop.
 func (s *Server) withTracking(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.began()
-		defer s.ended()
+		// Health checks go on during a planned stop and do not delay it.
+		if r.URL.Path != healthPath {
+			s.began()
+			defer s.ended()
+		}
 		if s.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
--- a/node/httpapi/routes.go
+++ b/node/httpapi/routes.go
@@ -7,6 +7,9 @@
 	"github.com/gorilla/mux"
 )
 
+// healthPath is the path of the health check.
+const healthPath = "/healthz"
+
 // route is one path and method. Calls of callers take a slot of the in-flight
 // limit; calls of operators need the token and take none, so that an overloaded
 // node can still be operated.
@@ -32,7 +35,7 @@
 		{method: http.MethodGet, path: "/v1/nodes", handler: s.getNodes, operator: true},
 		{method: http.MethodGet, path: "/v1/burn", handler: s.injected(s.cfg.Burn), operator: true},
 		{method: http.MethodGet, path: "/metrics", handler: s.injected(s.cfg.Metrics)},
-		{method: http.MethodGet, path: "/healthz", handler: s.getHealth},
+		{method: http.MethodGet, path: healthPath, handler: s.getHealth},
 	}
 }
 
--- a/node/httpapi/server.go
+++ b/node/httpapi/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,6 +29,9 @@
 	// DefaultQuiet covers a request that is on its way when the load balancer
 	// sees the node leave: callers are 3 ms away.
 	DefaultQuiet = 250 * time.Millisecond
+	// quietLimit bounds the wait for the quiet time. Load balancers check the
+	// health about every second.
+	quietLimit = 3 * time.Second
 )
 
 // Config is what a Server needs.
@@ -60,6 +64,11 @@
 	slots    chan struct{}
 	active   atomic.Int64
 	draining atomic.Bool
+	// listeners are those that Serve was called for.
+	mu        sync.Mutex
+	listeners []*drainListener
+	// serving counts calls of Serve that have not returned.
+	serving sync.WaitGroup
 	// activity has a token after a request started or ended.
 	activity chan struct{}
 }
@@ -93,6 +102,10 @@
 // Serve answers connections until Shutdown; it may be called for several
 // listeners.
 func (s *Server) Serve(l net.Listener) error {
+	if bounded, ok := l.(deadlineListener); ok {
+		l = s.track(bounded)
+		defer s.serving.Done()
+	}
 	err := s.http.Serve(l)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -104,17 +117,40 @@
 	}
 }
 
+// track lets Shutdown empty the listener's backlog.
+func (s *Server) track(l deadlineListener) *drainListener {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := &drainListener{deadlineListener: l}
+	s.listeners = append(s.listeners, d)
+	s.serving.Add(1)
+	return d
+}
+
+// stopListeners closes the listeners after their backlogs are empty.
+func (s *Server) stopListeners() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.listeners {
+		l.stop()
+	}
+	s.serving.Wait()
+}
+
 // Drain starts a planned stop: the health check fails, so that the load
 // balancer sends no further callers, and each answer closes its connection.
 // Requests are served as before.
 func (s *Server) Drain() { s.draining.Store(true) }
 
 // Shutdown drains, waits until no request is active and none has come for the
-// quiet time, and closes the listeners last. If ctx ends first it cuts the
+// quiet time, at most quietLimit, and closes the listeners last, after their
+// backlogs are empty. If ctx ends first it cuts the
 // remaining requests off and returns an *Error of kind KindUnavailable.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Drain()
-	if s.awaitQuiet(ctx) && s.http.Shutdown(ctx) == nil {
+	s.awaitQuiet(ctx)
+	s.stopListeners()
+	if s.http.Shutdown(ctx) == nil {
 		return nil
 	}
 	left := s.active.Load()
@@ -122,8 +158,11 @@
 	return interrupted(left)
 }
 
-// awaitQuiet reports whether the server became quiet before ctx ended.
-func (s *Server) awaitQuiet(ctx context.Context) bool {
+// awaitQuiet waits until the server is quiet, at most quietLimit. Callers that
+// do not heed the health check would otherwise keep the node from stopping.
+func (s *Server) awaitQuiet(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, quietLimit)
+	defer cancel()
 	timer := time.NewTimer(s.cfg.Quiet)
 	defer timer.Stop()
 	for {
@@ -132,10 +171,10 @@
 			timer.Reset(s.cfg.Quiet)
 		case <-timer.C:
 			if s.active.Load() == 0 {
-				return true
+				return
 			}
 		case <-ctx.Done():
-			return false
+			return
 		}
 	}
 }
