Send requests twice and again in the end-to-end tests

Repeats of a request were only sent after a failed call, and few requests were in progress at a fault. Send every tenth keyed request to two nodes at once, send keyed requests with an unknown outcome again, and run longer requests at a higher rate.

--- a/node/e2e/audit_test.go
+++ b/node/e2e/audit_test.go
@@ -143,7 +143,8 @@
 }
 
 // askAgain looks up urgent requests with an unknown outcome, because a later
-// "not run" must be true as well.
+// "not run" must be true as well. Those with a key are sent again through
+// another node, which must not run them twice.
 func (tr *traffic) askAgain() {
 	for i, r := range tr.all() {
 		if r.task.Kind != domain.KindUrgent || r.last().state != domain.OutcomeUnknown {
@@ -152,6 +153,16 @@
 		if o, err := tr.ask(r, i); err == nil {
 			r.add(o)
 		}
+		if r.key != "" {
+			tr.sendAgain(r, i)
+		}
+	}
+}
+
+func (tr *traffic) sendAgain(r *request, from int) {
+	n := tr.c.nodes[from%len(tr.c.nodes)]
+	if o, err := tr.caller.Submit(context.Background(), n.base(), r.key, r.task); err == nil {
+		r.add(o)
 	}
 }
 
@@ -191,6 +202,9 @@
 		}
 		g.checkTold(r, o, runs, completed)
 	}
+	if r.task.Kind == domain.KindBatch && completed > 1 {
+		g.notOnce = append(g.notOnce, fmt.Sprintf("%s: runs %s", r.last().id, describe(runs)))
+	}
 	accepted := r.told[0].state == domain.OutcomeAccepted || r.told[0].state == domain.OutcomeRunning
 	if r.task.Kind == domain.KindBatch && (accepted || r.last().state == domain.OutcomeRan) && completed != 1 {
 		g.notOnce = append(g.notOnce, fmt.Sprintf("%s: told %s, runs %s", r.last().id, r.last().state, describe(runs)))
--- a/node/e2e/emptyshard_test.go
+++ b/node/e2e/emptyshard_test.go
@@ -15,7 +15,7 @@
 func TestShardWithoutWorkers(t *testing.T) {
 	knownRed(t, "TestShardWithoutWorkers")
 	c := startCluster(t, options{shards: []int{0, 0, 0}})
-	tr := startTraffic(c, mix{seed: 102, interval: 20 * time.Millisecond, batchEvery: 10, batchMillis: 1000, count: 100})
+	tr := startTraffic(c, mix{seed: 102, interval: 20 * time.Millisecond, batchEvery: 10, batchMillis: 1000, urgentMillis: 35, count: 100})
 	tr.wait()
 	got, _ := tr.settle()
 	assert.Equal(t, got.states[domain.KindUrgent][domain.OutcomeRan], 90)
--- a/node/e2e/mixed_test.go
+++ b/node/e2e/mixed_test.go
@@ -13,7 +13,7 @@
 // through every node.
 func TestMixedRequests(t *testing.T) {
 	c := startCluster(t, options{})
-	tr := startTraffic(c, mix{seed: 101, interval: 8 * time.Millisecond, batchEvery: 20, watchEvery: 200, batchMillis: 3000, count: 1200})
+	tr := startTraffic(c, mix{seed: 101, interval: 8 * time.Millisecond, batchEvery: 20, watchEvery: 200, batchMillis: 3000, urgentMillis: 35, count: 1200})
 	tr.wait()
 	got, _ := tr.settle()
 	assert.Equal(t, got.failures, 0)
--- a/node/e2e/traffic_test.go
+++ b/node/e2e/traffic_test.go
@@ -16,12 +16,16 @@
 )
 
 const (
-	urgentDeadline = 3 * time.Second
+	urgentDeadline  = 3 * time.Second
+	minUrgentMillis = 5
 	// keepTrying is how long a caller repeats a request that has a key while
 	// it gets no outcome.
 	keepTrying = 20 * time.Second
 	// tryDelay separates the tries of one request.
 	tryDelay = 100 * time.Millisecond
+	// twinEvery makes every so manyth request, if it has a key, go to two
+	// nodes at once.
+	twinEvery = 10
 )
 
 // told is one outcome that a caller was given.
@@ -45,6 +49,12 @@
 	failures []error
 }
 
+func (r *request) fail(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failures = append(r.failures, err)
+}
+
 // last returns the latest outcome, or a zero one.
 func (r *request) last() told {
 	r.mu.Lock()
@@ -72,6 +82,9 @@
 	watchEvery int
 	// count ends the traffic; zero goes on until stop.
 	count int
+	// urgentMillis is the longest run time of an urgent request; the shortest
+	// is 5 ms.
+	urgentMillis int64
 	// ignoreHealth sends to nodes whose health check fails as well, as callers
 	// without a load balancer do.
 	ignoreHealth bool
@@ -83,7 +96,7 @@
 // usualMix is the load of the fault tests. Its callers do not heed the health
 // check, so that more requests meet the fault.
 func usualMix(seed uint64) mix {
-	return mix{seed: seed, interval: 20 * time.Millisecond, batchEvery: 25, watchEvery: 400, batchMillis: 4000, ignoreHealth: true}
+	return mix{seed: seed, interval: 15 * time.Millisecond, batchEvery: 40, watchEvery: 400, batchMillis: 4000, urgentMillis: 120, ignoreHealth: true}
 }
 
 // traffic sends requests to the nodes in turn and keeps what it was told.
@@ -96,7 +109,6 @@
 	health   *health
 	stopping chan struct{}
 	stopOnce sync.Once
-	sent     atomic.Int64
 	ran      atomic.Int64
 	work     sync.WaitGroup
 
@@ -145,8 +157,10 @@
 		tr.mu.Lock()
 		tr.requests = append(tr.requests, r)
 		tr.mu.Unlock()
-		tr.work.Go(func() { tr.serve(r) })
-		tr.sent.Add(1)
+		tr.work.Go(func() { tr.serve(r, 0) })
+		if r.key != "" && n%twinEvery == 1 {
+			tr.work.Go(func() { tr.serve(r, 1) })
+		}
 	}
 }
 
@@ -159,7 +173,7 @@
 	case tr.mix.batchEvery > 0 && n%tr.mix.batchEvery == 3:
 		r.task = tr.batch(n)
 	default:
-		r.task = urgentTask(n, 5+tr.rng.Int64N(30))
+		r.task = urgentTask(n, minUrgentMillis+tr.rng.Int64N(max(1, tr.mix.urgentMillis-minUrgentMillis)))
 	}
 	if n%3 != 0 || r.task.Kind != domain.KindUrgent {
 		r.key = fmt.Sprintf("e2e-%d-%d", tr.mix.seed, n)
@@ -199,12 +213,13 @@
 	}
 }
 
-// serve sends a request until it has an outcome. A request without a key is
+// serve sends a request until it has an outcome, first to the node that is
+// offset places after the one whose turn it is. A request without a key is
 // sent again only if it surely reached no node.
-func (tr *traffic) serve(r *request) {
+func (tr *traffic) serve(r *request, offset int) {
 	limit := r.began.Add(keepTrying)
 	for try := 0; time.Now().Before(limit); try++ {
-		node := tr.entry(r.n + try)
+		node := tr.entry(r.n + offset + try)
 		o, err := tr.caller.Submit(context.Background(), node.base(), r.key, r.task)
 		if err == nil {
 			r.add(o)
@@ -213,7 +228,7 @@
 				return
 			}
 		} else if !errors.Is(err, syscall.ECONNREFUSED) {
-			r.failures = append(r.failures, fmt.Errorf("%s after %s: %w", node.ID, time.Since(r.began), err))
+			r.fail(fmt.Errorf("%s after %s: %w", node.ID, time.Since(r.began), err))
 			if r.key == "" {
 				return
 			}
