Measure the costs of a shard owner by size

There was no way to tell which costs fit the budget at the two-year size. node/capacity measures each cost at three sizes with fabricated events, fits a line and projects it; go run ./node/cmd/capacity prints the table.

--- /dev/null
+++ b/node/capacity/capacity_test.go
@@ -0,0 +1,78 @@
+package capacity
+
+import (
+	"bytes"
+	"math"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func near(a, b float64) bool { return math.Abs(a-b) <= 1e-9*max(1, math.Abs(b)) }
+
+// Guards against a slope, an intercept or a residual that the points do not
+// have.
+func TestLeastSquares(t *testing.T) {
+	cases := []struct {
+		name   string
+		points []Point
+		want   Fit
+	}{
+		{"exact", []Point{{1, 5}, {2, 7}, {4, 11}}, Fit{Intercept: 3, Slope: 2}},
+		{"constant", []Point{{1, 4}, {10, 4}, {100, 4}}, Fit{Intercept: 4}},
+		{"bent", []Point{{0, 0}, {1, 3}, {2, 0}}, Fit{Intercept: 1, Residual: math.Sqrt2}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			got := LeastSquares(tc.points)
+			assert.Assert(t, near(got.Intercept, tc.want.Intercept), "intercept %g", got.Intercept)
+			assert.Assert(t, near(got.Slope, tc.want.Slope), "slope %g", got.Slope)
+			assert.Assert(t, near(got.Residual, tc.want.Residual), "residual %g", got.Residual)
+		})
+	}
+}
+
+// Guards against totals that leave out a line, or that let a noisy negative
+// slope lower the total.
+func TestProjection(t *testing.T) {
+	three := Topology{NodesPerDomain: 3, ShardsPerDomain: 2}
+	size := func(Topology) float64 { return 100 }
+	plain := Result{Line: Line{Resource: CPU, At: size}, Fit: Fit{Intercept: 10, Slope: 2}}
+	slope := Result{Line: Line{Resource: CPU, At: size, SlopeOnly: true}, Fit: Fit{Intercept: 10, Slope: 2}}
+	times := Result{Line: Line{Resource: CPU, At: size, Times: func(Topology) float64 { return 3 }}, Fit: Fit{Slope: 1}}
+	noise := Result{Line: Line{Resource: CPU, At: size}, Fit: Fit{Slope: -1}}
+	memory := Result{Line: Line{Resource: Memory, At: size}, Fit: Fit{Slope: 7}}
+	outage := Result{Line: Line{Resource: CPU, At: size, Outage: true}, Fit: Fit{Slope: 50}}
+	assert.Equal(t, plain.Project(three), 210.0)
+	assert.Equal(t, slope.Project(three), 200.0)
+	assert.Equal(t, times.Project(three), 300.0)
+	assert.Equal(t, noise.Project(three), -100.0)
+	all := []Result{plain, slope, times, noise, memory, outage}
+	assert.Equal(t, Total(all, CPU, three), 710.0)
+	assert.Equal(t, Total(all, Memory, three), 700.0)
+}
+
+// Guards against a share of the busiest node that does not follow from the
+// number of shards.
+func TestTopology(t *testing.T) {
+	assert.Equal(t, Topology{3, 2}.owned(TwoYears.Workers), 375.0)
+	assert.Equal(t, Topology{3, 4}.owned(TwoYears.Workers), 375.0)
+	assert.Equal(t, Topology{3, 4}.Owned(), 2.0)
+	assert.Equal(t, Topology{6, 6}.owned(TwoYears.Workers), 125.0)
+	assert.Equal(t, Topology{3, 2}.Nodes(), 60.0)
+}
+
+// Guards against lines that fail, that have fewer than three sizes, or that the
+// report leaves out.
+func TestQuickRun(t *testing.T) {
+	var out bytes.Buffer
+	results, err := Run(&out, "", Options{Quick: true, Runs: 1})
+	assert.NilError(t, err)
+	assert.Equal(t, len(results), len(Lines()))
+	for _, r := range results {
+		assert.Assert(t, len(r.Points) >= 3 && len(r.Line.Sizes) >= 3, r.Line.Name)
+		assert.Assert(t, strings.Contains(out.String(), r.Line.Name))
+		assert.Assert(t, !math.IsNaN(r.Project(Topologies[0])), r.Line.Name)
+	}
+}
--- /dev/null
+++ b/node/capacity/meter.go
@@ -0,0 +1,48 @@
+package capacity
+
+import (
+	"runtime"
+	"syscall"
+	"time"
+	"unsafe"
+)
+
+// clockProcessCPU is CLOCK_PROCESS_CPUTIME_ID of clock_gettime(2).
+const clockProcessCPU = 2
+
+// cpuTime returns the processor time that the process has used. Unlike the wall
+// clock it does not grow while other processes hold the processors.
+func cpuTime() time.Duration {
+	var t syscall.Timespec
+	_, _, errno := syscall.Syscall(syscall.SYS_CLOCK_GETTIME, clockProcessCPU, uintptr(unsafe.Pointer(&t)), 0)
+	if errno != 0 {
+		panic("clock_gettime: " + errno.Error())
+	}
+	return time.Duration(t.Nano())
+}
+
+// cpuMicros returns the processor time of f in microseconds.
+func cpuMicros(f func()) float64 {
+	runtime.GC()
+	before := cpuTime()
+	f()
+	return float64(cpuTime()-before) / float64(time.Microsecond)
+}
+
+// heapBytes returns the growth of the live heap by what f returns.
+func heapBytes(f func() any) float64 {
+	before := liveHeap()
+	kept := f()
+	grown := liveHeap() - before
+	runtime.KeepAlive(kept)
+	return grown
+}
+
+func liveHeap() float64 {
+	// The second collection frees what finalizers and pools held in the first.
+	runtime.GC()
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return float64(s.HeapAlloc)
+}
--- /dev/null
+++ b/node/capacity/report.go
@@ -0,0 +1,94 @@
+package capacity
+
+import (
+	"fmt"
+	"io"
+	"strings"
+)
+
+// Budget is what control may spend on a node (docs/design.md section 1.4).
+var Budget = map[Resource]float64{
+	CPU:     15_000,    // 1.5% of a core in us/s
+	Memory:  256 << 20, // 256 MB
+	Network: 5_000,     // 5 KB/s
+}
+
+// Lines returns all lines in the order of the report.
+func Lines() []Line { return shardLines() }
+
+// Run measures the lines whose name contains the filter and prints each one.
+func Run(w io.Writer, filter string, o Options) ([]Result, error) {
+	var results []Result
+	for _, l := range Lines() {
+		if !strings.Contains(l.Name, filter) {
+			continue
+		}
+		r, err := l.Run(o)
+		if err != nil {
+			return results, err
+		}
+		r.print(w)
+		results = append(results, r)
+	}
+	printTotals(w, results)
+	return results, nil
+}
+
+func (r Result) print(w io.Writer) {
+	l := r.Line
+	fmt.Fprintf(w, "%s (%s; %s)\n", l.Name, l.Role, l.Mechanism)
+	for _, p := range r.Points {
+		fmt.Fprintf(w, "  %10g %s: %s %s\n", p.Size, l.Size, number(p.Value), l.Unit)
+	}
+	fmt.Fprintf(w, "  slope %s, intercept %s %s, residual %.1f%%\n", number(r.Fit.Slope), number(r.Fit.Intercept), l.Unit, 100*r.Fit.Residual)
+	for _, t := range Topologies {
+		fmt.Fprintf(w, "  %2g nodes and %2g shards a domain: at %s: %s %s\n", t.NodesPerDomain, t.ShardsPerDomain, number(l.At(t)), number(r.Project(t)), r.projectedUnit())
+	}
+}
+
+func (r Result) projectedUnit() string {
+	switch r.Line.Resource {
+	case CPU:
+		return "us/s"
+	case Network:
+		return "B/s"
+	case Memory:
+		return "B"
+	}
+	return r.Line.Unit
+}
+
+// Total adds up what a node spends of a resource. A projection below zero is
+// noise around a cost of nothing and does not lower the sum.
+func Total(results []Result, res Resource, t Topology) float64 {
+	sum := 0.0
+	for _, r := range results {
+		if r.Line.Resource == res && !r.Line.Outage {
+			sum += max(0, r.Project(t))
+		}
+	}
+	return sum
+}
+
+func printTotals(w io.Writer, results []Result) {
+	fmt.Fprintln(w, "busiest entry node at the two-year size, sum of the lines above")
+	for _, t := range Topologies {
+		fmt.Fprintf(w, "  %2g nodes and %2g shards a domain (%g nodes):", t.NodesPerDomain, t.ShardsPerDomain, t.Nodes())
+		for _, res := range []Resource{CPU, Memory, Network} {
+			total := Total(results, res, t)
+			fmt.Fprintf(w, "  %s %s (%.1f x budget)", res, number(total), total/Budget[res])
+		}
+		fmt.Fprintln(w)
+	}
+}
+
+// number prints three to four significant digits without an exponent.
+func number(v float64) string {
+	switch {
+	case v >= 1000 || v <= -1000:
+		return fmt.Sprintf("%.0f", v)
+	case v >= 10 || v <= -10:
+		return fmt.Sprintf("%.1f", v)
+	}
+	return fmt.Sprintf("%.3g", v)
+}
