--- a/node/capacity/report.go
+++ b/node/capacity/report.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 )
 
@@ -14,7 +15,9 @@
 }
 
 // Lines returns all lines in the order of the report.
-func Lines() []Line { return shardLines() }
+func Lines() []Line {
+	return slices.Concat(shardLines(), renewalLines(), peerLines())
+}
 
 // Run measures the lines whose name contains the filter and prints each one.
 func Run(w io.Writer, filter string, o Options) ([]Result, error) {
--- a/node/capacity/shardlines.go
+++ b/node/capacity/shardlines.go
@@ -21,7 +21,12 @@
 var (
 	workerSizes = []float64{50, 250, 1000}
 	taskSizes   = []float64{500, 5000, 50_000}
-	quickSizes  = []float64{20, 60, 200}
+	// cpuSizes are near the sizes at the target; beyond them the processor's
+	// caches no longer hold the state and the cost bends upwards.
+	cpuSizes = []float64{500, 2000, 8000}
+	// recoverySizes stay below what the quadratic cost of a queue allows.
+	recoverySizes = []float64{500, 1500, 4500}
+	quickSizes    = []float64{20, 60, 200}
 )
 
 func shardLine(name, mechanism, size, unit string, r Resource, sizes []float64) Line {
@@ -108,11 +113,11 @@
 	batch := func(t Topology) float64 { return t.owned(TwoYears.RunningBatch) }
 	urgent := func(t Topology) float64 { return t.owned(TwoYears.RunningUrgent) }
 	running := func(t Topology) float64 { return batch(t) + urgent(t) }
-	cpu := shardLine("running-cpu", "core/shard onTick", "running batch tasks", "us/s", CPU, taskSizes)
+	cpu := shardLine("running-cpu", "core/shard onTick", "running batch tasks", "us/s", CPU, cpuSizes)
 	cpu.Measure, cpu.At = perSecondBeside(roomy, domain.KindBatch, false), batch
-	timed := shardLine("urgent-cpu", "core/shard expireWaits, over all timed requests", "running urgent requests", "us/s", CPU, taskSizes)
+	timed := shardLine("urgent-cpu", "core/shard expireWaits, over all timed requests", "running urgent requests", "us/s", CPU, cpuSizes)
 	timed.Measure, timed.At = perSecondBeside(roomy, domain.KindUrgent, true), urgent
-	status := shardLine("status-running-cpu", "core/shard Status, over all running tasks", "running tasks", "us/s", CPU, taskSizes)
+	status := shardLine("status-running-cpu", "core/shard Status, over all running tasks", "running tasks", "us/s", CPU, cpuSizes)
 	status.At = running
 	status.Measure = func(size float64, _ Options) (float64, error) {
 		g := newShardRig(rigWorkers, roomy)
@@ -162,7 +167,7 @@
 	old.At = func(t Topology) float64 { return rememberedRequests(t) - answeredRequests(t) }
 	tick := shardLine("remembered-cpu", "core/shard forget", "requests", "us/s", CPU, taskSizes)
 	tick.Measure, tick.At = perSecondBeside(roomy, domain.KindUrgent, false), rememberedRequests
-	recovery := shardLine("recovery", "core/shard recoverJournal, settleRecovery", "jobs in the journal", "us", Other, taskSizes)
+	recovery := shardLine("recovery", "core/shard recoverJournal, settleRecovery", "jobs in the journal", "us", Other, recoverySizes)
 	recovery.Measure = measureRecovery
 	recovery.At = func(t Topology) float64 { return t.owned(TwoYears.RunningBatch) + pendingTasks(t) }
 	lines := []Line{steps, pending, cpu, answers, old, tick, recovery}
