Measure the log, configuration, placement and bounded stores by size

These lines were missing from the capacity tool. Group commit is measured through Engine.Claim with a stale epoch, which appends without an effect; a cost that is no straight line is projected between its neighbouring points.

--- a/node/capacity/fit.go
+++ b/node/capacity/fit.go
@@ -53,3 +53,19 @@
 	sorted := slices.Sorted(slices.Values(values))
 	return sorted[len(sorted)/2]
 }
+
+// interpolate returns the value at a size between neighbouring points, which
+// are in order of size. Outside of them it returns the nearest point's value.
+func interpolate(points []Point, size float64) float64 {
+	last := points[0]
+	for _, p := range points {
+		if size <= p.Size {
+			if p.Size == last.Size {
+				return p.Value
+			}
+			return last.Value + (p.Value-last.Value)*(size-last.Size)/(p.Size-last.Size)
+		}
+		last = p
+	}
+	return last.Value
+}
--- a/node/capacity/line.go
+++ b/node/capacity/line.go
@@ -38,6 +38,9 @@
 	Times func(t Topology) float64
 	// SlopeOnly leaves the intercept out, because it is the cost of the rig.
 	SlopeOnly bool
+	// Interpolate projects between the neighbouring points, for a cost that is
+	// no straight line; the size must then be within the sizes.
+	Interpolate bool
 	// Outage tells that the line holds during a log outage, and is not added up.
 	Outage bool
 }
@@ -51,9 +54,13 @@
 
 // Project returns the value at the two-year size.
 func (r Result) Project(t Topology) float64 {
-	value := r.Fit.At(r.Line.At(t))
-	if r.Line.SlopeOnly {
-		value = r.Fit.Slope * r.Line.At(t)
+	size := r.Line.At(t)
+	value := r.Fit.At(size)
+	switch {
+	case r.Line.Interpolate:
+		value = interpolate(r.Points, size)
+	case r.Line.SlopeOnly:
+		value = r.Fit.Slope * size
 	}
 	if r.Line.Times != nil {
 		value *= r.Line.Times(t)
--- /dev/null
+++ b/node/capacity/logrig.go
@@ -0,0 +1,327 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/journal"
+	"github.com/basilferry/basilferry/core/membership"
+	"github.com/basilferry/basilferry/core/platform"
+	"github.com/basilferry/basilferry/core/ring"
+	"github.com/basilferry/basilferry/node/engine"
+	"github.com/basilferry/basilferry/node/logclient"
+	"github.com/basilferry/basilferry/platform/logservice"
+)
+
+// appendLatency is the assumed time of one append of the log service.
+const appendLatency = 2 * time.Millisecond
+
+// slowLog delays appends by appendLatency and counts them.
+type slowLog struct {
+	platform.Log
+	mu      sync.Mutex
+	appends int
+	entries int
+}
+
+// Append implements platform.Log.
+func (l *slowLog) Append(ctx context.Context, s platform.Stream, rec platform.Record) (platform.Offset, error) {
+	time.Sleep(appendLatency)
+	entries, err := journal.Decode(rec)
+	l.mu.Lock()
+	l.appends++
+	l.entries += len(entries)
+	l.mu.Unlock()
+	if err != nil {
+		return 0, err
+	}
+	return l.Log.Append(ctx, s, rec)
+}
+
+func (l *slowLog) counts() (appends, entries int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appends, l.entries
+}
+
+// fold gives the engine a journal.Domain, as package app does.
+type fold struct{ domain *journal.Domain }
+
+// Apply implements engine.Fold.
+func (f fold) Apply(offset platform.Offset, at time.Time, entries []journal.Entry) {
+	f.domain.Apply(offset, at, entries)
+}
+
+// Ownership implements engine.Fold.
+func (f fold) Ownership(id domain.ShardID) membership.Ownership {
+	s := f.domain.Shard(id)
+	return membership.Ownership{Shard: id, Owner: s.Owner, Epoch: s.Epoch, Released: s.Released}
+}
+
+// Journal implements engine.Fold.
+func (f fold) Journal(id domain.ShardID) engine.Journal { return f.domain.Shard(id).Clone() }
+
+// newEngine returns a started engine that owns no shard.
+func newEngine(l platform.Log) (*engine.Engine, error) {
+	r, err := ring.New([]domain.FailureDomain{"d01"}, 2)
+	if err != nil {
+		return nil, err
+	}
+	e := engine.New(engine.Config{
+		Node: "d01-n1", Domain: "d01", Ring: r, Log: l,
+		NewFold: func() engine.Fold { return fold{journal.NewDomain()} },
+		Logger:  log.New(io.Discard), Start: time.Now(),
+	})
+	e.Start()
+	return e, nil
+}
+
+// staleEpoch is named by claims that must have no effect.
+const staleEpoch = 1 << 40
+
+// commitRun is one run of the group commit.
+type commitRun struct{ appends, perAppend, p50, p99, failed float64 }
+
+// measureCommit commits entries that arrive at random at a mean rate. The
+// entries are claims of a stale epoch, which have no effect and about the size
+// of an intent.
+func measureCommit(size float64, o Options) (commitRun, error) {
+	l := &slowLog{Log: logservice.New(logservice.Options{})}
+	e, err := newEngine(l)
+	if err != nil {
+		return commitRun{}, err
+	}
+	var mu sync.Mutex
+	failed := 0
+	latency := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+	ctx, cancel := context.WithTimeout(context.Background(), o.window())
+	defer cancel()
+	commit := func() {
+		start, done := time.Now(), make(chan *domain.Error, 1)
+		e.Claim(domain.ShardID{Domain: "d01"}, staleEpoch, func(err *domain.Error) { done <- err })
+		err := <-done
+		mu.Lock()
+		defer mu.Unlock()
+		_ = latency.RecordValue(time.Since(start).Microseconds())
+		if err != nil {
+			failed++
+		}
+	}
+	arrivals(ctx, size, commit)
+	appends, entries := l.counts()
+	e.Stop(context.Background())
+	run := commitRun{
+		appends: float64(appends) / o.window().Seconds(),
+		p50:     float64(latency.ValueAtQuantile(50)) / 1000,
+		p99:     float64(latency.ValueAtQuantile(99)) / 1000,
+		failed:  float64(failed),
+	}
+	if appends > 0 {
+		run.perAppend = float64(entries) / float64(appends)
+	}
+	return run, nil
+}
+
+// serveLog serves a log on counted connections until the returned function is
+// called.
+func serveLog(c *counter, l *logservice.Log) (base string, stop func(), err error) {
+	ln, err := c.listen()
+	if err != nil {
+		return "", nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var serving sync.WaitGroup
+	serving.Go(func() { _ = logservice.Serve(ctx, ln, l) })
+	return "http://" + ln.Addr().String(), func() { cancel(); serving.Wait() }, nil
+}
+
+// writersPerDomain is the number of nodes whose appends the stream reader of
+// the rig sees; each appends at most every 20 ms.
+const writersPerDomain = 2
+
+// writerInterval is the least time between two appends of a node, see
+// node/engine appendInterval.
+const writerInterval = 20 * time.Millisecond
+
+// measureReader lets an engine read a domain's stream over HTTP while two
+// owners append the intents of starts that arrive at a mean rate.
+func measureReader(size float64, o Options) (spent, error) {
+	var c counter
+	l := logservice.New(logservice.Options{})
+	base, stop, err := serveLog(&c, l)
+	if err != nil {
+		return spent{}, err
+	}
+	defer stop()
+	client := logclient.New(base)
+	defer client.Close()
+	e, err := newEngine(client)
+	if err != nil {
+		return spent{}, err
+	}
+	defer e.Stop(context.Background())
+	ctx, cancel := context.WithCancel(context.Background())
+	var writers sync.WaitGroup
+	defer writers.Wait()
+	defer cancel()
+	for i := range writersPerDomain {
+		w := &writer{log: l, shard: i}
+		writers.Go(func() { arrivals(ctx, size/writersPerDomain, w.add) })
+		writers.Go(func() { w.flush(ctx) })
+	}
+	return c.over(o), nil
+}
+
+// writer appends intents in groups, as the committer does.
+type writer struct {
+	log     platform.Log
+	shard   int
+	mu      sync.Mutex
+	pending []journal.Entry
+	seq     uint64
+}
+
+func (w *writer) add() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.seq++
+	w.pending = append(w.pending, rigIntent(w.shard, w.seq))
+}
+
+func rigIntent(index int, seq uint64) journal.Entry {
+	s := domain.ShardID{Domain: "d01", Index: index}
+	id := domain.RequestID{Shard: s, Epoch: 1 << 24, Seq: 1<<32 + seq}
+	return journal.Entry{Shard: s, Epoch: 1 << 24, Intent: &journal.Intent{ID: id, Body: 1<<63 + seq}}
+}
+
+func (w *writer) flush(ctx context.Context) {
+	for pause(ctx, writerInterval) {
+		w.mu.Lock()
+		entries := w.pending
+		w.pending = nil
+		w.mu.Unlock()
+		if len(entries) == 0 {
+			continue
+		}
+		rec, err := journal.Encode(uuid.NewString(), entries)
+		if err != nil {
+			panic(fmt.Sprintf("encode intents: %v", err))
+		}
+		_, _ = w.log.Append(ctx, journal.StreamOf("d01"), rec)
+	}
+}
+
+// measureJournal measures the heap of the folded stream with n entries, decoded
+// from records of 100.
+func measureJournal(entry func(seq uint64) journal.Entry) func(float64, Options) (float64, error) {
+	return func(size float64, _ Options) (float64, error) {
+		var err error
+		bytes := heapBytes(func() any {
+			d := journal.NewDomain()
+			err = foldEntries(d, int(size), entry)
+			return d
+		})
+		return bytes, err
+	}
+}
+
+func foldEntries(d *journal.Domain, n int, entry func(seq uint64) journal.Entry) error {
+	const group = 100
+	// The claim's offset is the epoch of all entries.
+	s := domain.ShardID{Domain: "d01"}
+	at := time.Unix(0, 0)
+	d.Apply(1<<24, at, []journal.Entry{{Shard: s, Claim: &journal.Claim{Shard: s, Node: "d01-n1"}}})
+	for done := 0; done < n; done += group {
+		var entries []journal.Entry
+		for i := done; i < min(n, done+group); i++ {
+			entries = append(entries, entry(uint64(i)))
+		}
+		rec, err := journal.Encode(uuid.NewString(), entries)
+		if err != nil {
+			return err
+		}
+		rec.Offset, rec.AppendedAt = platform.Offset(1<<24+1+done), at
+		if err := d.ApplyRecord(rec); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func rigJob(seq uint64) journal.Entry {
+	e := rigIntent(0, seq)
+	return journal.Entry{Shard: e.Shard, Epoch: e.Epoch, Job: &journal.Job{Task: rigTask(e.Intent.ID, domain.KindBatch)}}
+}
+
+func rigEnd(seq uint64) journal.Entry {
+	e := rigIntent(0, seq)
+	o := domain.Outcome{ID: e.Intent.ID, State: domain.OutcomeRan, Answer: make([]byte, payloadBytes), Worker: "d01-w00001", Attempt: 1}
+	return journal.Entry{Shard: e.Shard, Epoch: e.Epoch, Ended: &journal.Ended{Outcome: o}}
+}
+
+func perDomain(total float64) func(Topology) float64 {
+	return func(Topology) float64 { return total / TwoYears.Domains }
+}
+
+func logLines() []Line {
+	return slices.Concat(commitLines(), streamLines(), journalLines())
+}
+
+func commitLines() []Line {
+	commits := newMemo(measureCommit)
+	line := func(name, unit string, pick func(commitRun) float64) Line {
+		return Line{
+			Name: "commit/" + name, Role: "node that owns shards", Mechanism: "node/engine committer, 2 ms an append", Size: "entries/s",
+			Unit: unit, Resource: Other, Sizes: []float64{5, 20, 40, 100, 1600, 5000}, QuickSizes: []float64{20, 40, 100},
+			Measure: commits.line(pick), Interpolate: true,
+			At: func(t Topology) float64 { return t.owned(TwoYears.StartsPerSecond) },
+		}
+	}
+	system := line("system-appends", "appends/s", func(r commitRun) float64 { return r.appends })
+	system.Times = func(t Topology) float64 { return t.Shards() / t.Owned() }
+	return []Line{
+		system,
+		line("entries-per-append", "entries", func(r commitRun) float64 { return r.perAppend }),
+		line("latency-p50", "ms", func(r commitRun) float64 { return r.p50 }),
+		line("latency-p99", "ms", func(r commitRun) float64 { return r.p99 }),
+		line("failed", "entries", func(r commitRun) float64 { return r.failed }),
+	}
+}
+
+func streamLines() []Line {
+	reads := newMemo(measureReader)
+	line := Line{
+		Role: "every node", Mechanism: "node/engine follower over node/logclient", Size: "starts/s in the domain",
+		Sizes: []float64{20, 80, 320}, QuickSizes: []float64{10, 20, 40}, At: perDomain(TwoYears.StartsPerSecond),
+	}
+	bytes, cpu := line, line
+	bytes.Name, bytes.Unit, bytes.Resource, bytes.Measure = "stream/bytes", "B/s", Network, reads.line(bytesOf)
+	cpu.Name, cpu.Unit, cpu.Resource, cpu.Measure = "stream/cpu", "us/s, both ends", CPU, reads.line(cpuOf)
+	return []Line{bytes, cpu}
+}
+
+func journalLines() []Line {
+	line := func(name, size string, at func(Topology) float64, entry func(uint64) journal.Entry) Line {
+		return Line{
+			Name: "journal/" + name, Role: "every node", Mechanism: "core/journal Domain, all shards of the domain", Size: size, Unit: "B",
+			Resource: Memory, Sizes: taskSizes, QuickSizes: quickSizes, SlopeOnly: true, Measure: measureJournal(entry), At: at,
+		}
+	}
+	hour := journal.KeyRetention.Seconds()
+	day := (24 * time.Hour).Seconds()
+	intent := func(seq uint64) journal.Entry { return rigIntent(0, seq) }
+	return []Line{
+		line("job-memory", "live jobs, payload of 1 KiB", perDomain(2*TwoYears.RunningBatch), rigJob),
+		line("intent-memory", "intents of one hour at the peak", perDomain(TwoYears.StartsPerSecond*hour), intent),
+		line("ended-memory", "ends of one hour, answer of 1 KiB", perDomain(TwoYears.JobsPerDay/day*hour), rigEnd),
+	}
+}
--- /dev/null
+++ b/node/capacity/placementlines.go
@@ -0,0 +1,120 @@
+package capacity
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/basilferry/basilferry/core/burn"
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/explain"
+	"github.com/basilferry/basilferry/core/policy"
+	"github.com/basilferry/basilferry/core/shard"
+)
+
+// standard is a worker of the deployment Agrodaneio.
+var standard = domain.Resources{CPUMilli: 32_000, MemoryMiB: 125_000, Slots: 8, Connections: 64}
+
+// heldSlots is the number of slots in use on each worker of the rig.
+const heldSlots = 4
+
+// filledPolicy returns a policy whose workers are half full.
+func filledPolicy(workers int) *policy.Policy {
+	p := policy.New(policy.Config{Seed: 1})
+	for i, vm := range rigVMs(workers) {
+		p.WorkerUp(0, shard.WorkerInfo{ID: vm.ID, Rack: vm.Rack, Capacity: standard})
+		for slot := range heldSlots {
+			d := rigDemand(uint64(i*heldSlots + slot))
+			p.Hold(0, vm.ID, d, d.Declared)
+		}
+	}
+	return p
+}
+
+func rigDemand(seq uint64) shard.Demand {
+	task := rigTask(domain.RequestID{Shard: domain.ShardID{Domain: "d01"}, Epoch: 1, Seq: seq}, domain.KindUrgent)
+	return shard.Demand{ID: task.ID, Kind: task.Kind, Class: task.Class, Team: task.Team, Declared: task.Resources, Budget: time.Second}
+}
+
+// measurePlacement returns the processor time of a decision with the hold and
+// release that follow it.
+func measurePlacement(size float64, _ Options) (float64, error) {
+	p := filledPolicy(int(size))
+	const decisions = 5000
+	var failed error
+	micros := cpuMicros(func() {
+		for seq := range uint64(decisions) {
+			d := rigDemand(1<<32 + seq)
+			c, refusal := p.Choose(0, d)
+			if refusal != nil {
+				failed = errors.New(refusal.Reason)
+				return
+			}
+			p.Hold(0, c.Worker, d, c.Reserved)
+			p.Release(0, c.Worker, d.ID, shard.ResultSucceeded, time.Second)
+		}
+	})
+	return micros / decisions, failed
+}
+
+func placementLines() []Line {
+	return []Line{{
+		Name: "placement/cpu", Role: "shard owner", Mechanism: "core/policy Choose, Hold, Release; core/placement Find",
+		Size: "workers", Unit: "us/decision", Resource: CPU,
+		Sizes: []float64{50, 1500, 15_000}, QuickSizes: []float64{10, 50, 100}, Measure: measurePlacement, Interpolate: true,
+		At:    func(t Topology) float64 { return t.owned(TwoYears.Workers) },
+		Times: func(t Topology) float64 { return t.owned(TwoYears.StartsPerSecond) },
+	}}
+}
+
+// Bounds of the explain store, see node/app maxReasons and maxReasonsBytes.
+const (
+	maxReasons      = 200_000
+	maxReasonsBytes = 32 << 20
+)
+
+// reasonsPerStart is the number of reasons that a start records.
+const reasonsPerStart = 1
+
+func measureExplain(size float64, _ Options) (float64, error) {
+	return heapBytes(func() any {
+		s := explain.NewStore(maxReasons, maxReasonsBytes)
+		for seq := range uint64(size) {
+			id := domain.RequestID{Shard: domain.ShardID{Domain: "d01"}, Epoch: 1, Seq: seq}
+			reason := fmt.Sprintf("attempt 1 on worker d01-w%05d: least loaded of 8 drawn workers", seq%1000)
+			s.Add(id, explain.Entry{At: time.Unix(0, 0), Node: "d01-n1", Reason: reason})
+		}
+		return s
+	}), nil
+}
+
+func measureBurn(size float64, _ Options) (float64, error) {
+	return heapBytes(func() any {
+		r := burn.NewRecorder([]burn.Objective{
+			{Kind: domain.KindUrgent, Target: 0.999, Latency: time.Second},
+			{Kind: domain.KindBatch, Target: 0.99},
+			{Kind: domain.KindWatch, Target: 0.99},
+		})
+		for i := range int64(size) {
+			r.Record(time.Unix(i, 0), domain.KindUrgent, burn.Good)
+		}
+		return r
+	}), nil
+}
+
+// boundedLines are stores whose memory must not grow with the load.
+func boundedLines() []Line {
+	hour := func(t Topology) float64 {
+		return reasonsPerStart * t.owned(TwoYears.StartsPerSecond) * time.Hour.Seconds()
+	}
+	return []Line{
+		{
+			Name: "explain/memory", Role: "every node", Mechanism: "core/explain Store", Size: "reasons recorded", Unit: "B", Resource: Memory,
+			Sizes: []float64{20_000, 100_000, 400_000}, QuickSizes: quickSizes, Measure: measureExplain, At: hour, Interpolate: true,
+		},
+		{
+			Name: "burn/memory", Role: "every node", Mechanism: "core/burn Recorder, 3 objectives", Size: "events recorded", Unit: "B", Resource: Memory,
+			Sizes: []float64{1000, 10_000, 100_000}, QuickSizes: quickSizes, Measure: measureBurn, At: hour, Interpolate: true,
+		},
+	}
+}
--- a/node/capacity/report.go
+++ b/node/capacity/report.go
@@ -14,9 +14,13 @@
 	Network: 5_000,     // 5 KB/s
 }
 
+// heapFactor is the memory of a process relative to its live heap: the
+// collector lets the heap double before it runs (GOGC=100).
+const heapFactor = 2
+
 // Lines returns all lines in the order of the report.
 func Lines() []Line {
-	return slices.Concat(shardLines(), renewalLines(), peerLines())
+	return slices.Concat(shardLines(), renewalLines(), peerLines(), logLines(), configLines(), placementLines(), boundedLines())
 }
 
 // Run measures the lines whose name contains the filter and prints each one.
@@ -62,7 +66,8 @@
 }
 
 // Total adds up what a node spends of a resource. A projection below zero is
-// noise around a cost of nothing and does not lower the sum.
+// noise around a cost of nothing and does not lower the sum. Memory is that of
+// the process, with garbage.
 func Total(results []Result, res Resource, t Topology) float64 {
 	sum := 0.0
 	for _, r := range results {
@@ -70,6 +75,9 @@
 			sum += max(0, r.Project(t))
 		}
 	}
+	if res == Memory {
+		return heapFactor * sum
+	}
 	return sum
 }
 
--- a/node/capacity/wire.go
+++ b/node/capacity/wire.go
@@ -11,10 +11,10 @@
 
 // window is how long a line at a real rate is measured, after warmUp.
 const (
-	window      = 2 * time.Second
-	warmUp      = time.Second
-	quickWindow = 300 * time.Millisecond
-	quickWarmUp = 100 * time.Millisecond
+	window      = 1500 * time.Millisecond
+	warmUp      = 500 * time.Millisecond
+	quickWindow = 100 * time.Millisecond
+	quickWarmUp = 50 * time.Millisecond
 )
 
 func (o Options) window() time.Duration {
