--- a/core/shard/submit.go
+++ b/core/shard/submit.go
@@ -1,6 +1,8 @@
 package shard
 
 import (
+	"fmt"
+
 	"github.com/basilferry/basilferry/core/domain"
 	"github.com/basilferry/basilferry/core/journal"
 )
@@ -158,6 +160,7 @@
 		m.acceptUrgent(r)
 		return
 	}
+	m.explain(e.Task.ID, fmt.Sprintf("shard %s took it; it waits for a worker", m.shard))
 	m.acceptKept(r)
 }
 
