Notice a task that came back without a log record

An owner had taken it back from another domain without a log record and finished it; the next owner ignored the worker's record, because the log shows the task as moved away. Change: a worker's record with a later move brings the task back.

--- a/core/shard/machine_test.go
+++ b/core/shard/machine_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/journal"
 	"github.com/basilferry/basilferry/core/platform"
 )
 
@@ -229,3 +230,30 @@
 		}
 	}
 }
+
+// Guards against a second run of a task that an earlier owner took back, and
+// finished, without a log record of its return.
+func TestReturnWithoutLogRecordIsNoticed(t *testing.T) {
+	id := domain.RequestID{Shard: domain.ShardID{Domain: "larissa"}, Epoch: 1, Seq: 5}
+	j := journal.NewDomain().Shard(id.Shard)
+	j.Moved[id] = journal.KnownMove{
+		Moved:   journal.Moved{ID: id, Target: domain.ShardID{Domain: "volos"}, Moves: 1},
+		Arrived: true,
+	}
+	s := &single{t: t, now: time.Hour}
+	s.m, s.effects = New(Config{Shard: id.Shard, Node: "n1", Epoch: 2, Journal: j, Policy: newFirstFit(), Now: s.now})
+	s.step(Configured{Configuration: domain.Configuration{Version: 1}})
+	s.step(WorkersListed{VMs: []platform.VM{{ID: singleWorker, Domain: "larissa"}}})
+	task := s.task(domain.KindBatch, 5)
+	s.step(AttachDone{Worker: singleWorker, SentAt: s.now, Reply: platform.AttachReply{
+		Session: 1, Tasks: []platform.TaskStatus{{
+			Task: task, Attempt: 3, Moves: 2, State: platform.TaskSucceeded, Answer: []byte("built"),
+		}},
+	}})
+	s.effects = nil
+	s.step(Queried{Call: 1, ID: id})
+	replies := take[Reply](s)
+	assert.Equal(t, len(replies), 1)
+	assert.Equal(t, replies[0].Outcome.State, domain.OutcomeRan)
+	assert.Equal(t, string(replies[0].Outcome.Answer), "built")
+}
--- a/core/shard/recover.go
+++ b/core/shard/recover.go
@@ -105,6 +105,7 @@
 		return
 	}
 	if known {
+		m.cameBack(r, s)
 		return
 	}
 	r = &request{
@@ -114,6 +115,22 @@
 	m.add(r)
 }
 
+// cameBack notices that a task which the log shows as moved away was taken back
+// by an earlier owner without a log record: the worker has a later move.
+func (m *Machine) cameBack(r *request, s platform.TaskStatus) {
+	left := r.state == stateMoved || r.state == stateMoving
+	if !left || s.Moves <= r.moves {
+		return
+	}
+	m.fire(r, eventReturn)
+	m.fire(r, eventRecover)
+	m.live[r.task.ID] = r
+	delete(m.moving, r.task.ID)
+	r.task, r.body, r.described = s.Task, BodyHash(s.Task), true
+	r.moves, r.inherited = s.Moves, !m.recovered
+	r.arrived, r.logged, r.moveLogged = false, false, false
+}
+
 // settleRecovery decides about requests that no worker has reported, once the
 // workers that may run them cannot do so any more, and notes when requests can
 // be taken.
