Count starts of batch tasks and watches against their objectives

Cause: the burn rate saw only that a batch task was accepted, not when it started. Change: the owner of a shard reports the first start and bad ends. The first start counts once, also after an eviction.

--- a/core/shard/effect.go
+++ b/core/shard/effect.go
@@ -1,6 +1,8 @@
 package shard
 
 import (
+	"time"
+
 	"github.com/basilferry/basilferry/core/domain"
 	"github.com/basilferry/basilferry/core/journal"
 	"github.com/basilferry/basilferry/core/platform"
@@ -91,6 +93,16 @@
 	Reason string
 }
 
+// Measured reports the first start of a batch task or watch, or an end that is
+// bad for its service-level objective.
+type Measured struct {
+	Kind domain.Kind
+	// State is OutcomeRunning for a start, else the final state.
+	State domain.OutcomeState
+	// Took is the time since the shard took the task.
+	Took time.Duration
+}
+
 // StepDown tells that the shard has another owner; the driver drops the
 // machine. It is the last effect of a machine.
 type StepDown struct {
@@ -112,5 +124,6 @@
 func (Redirect) effect()     {}
 func (Reply) effect()        {}
 func (Explain) effect()      {}
+func (Measured) effect()     {}
 func (StepDown) effect()     {}
 func (Drained) effect()      {}
--- a/core/shard/machine_test.go
+++ b/core/shard/machine_test.go
@@ -257,3 +257,26 @@
 	assert.Equal(t, replies[0].Outcome.State, domain.OutcomeRan)
 	assert.Equal(t, string(replies[0].Outcome.Answer), "built")
 }
+
+// Guards against a start of a batch task that its objective does not see, or
+// sees twice after an eviction.
+func TestFirstStartIsMeasuredOnce(t *testing.T) {
+	s := newSingle(t)
+	task := s.task(domain.KindBatch, 1)
+	s.submit(task)
+	s.wait(300 * time.Millisecond)
+	run := func(attempt int, state platform.TaskState) {
+		status := platform.TaskStatus{Task: task, Attempt: attempt, State: state}
+		s.step(StartDone{Worker: singleWorker, ID: task.ID, Attempt: attempt, Status: status})
+	}
+	s.effects = nil
+	run(1, platform.TaskRunning)
+	first := take[Measured](s)
+	assert.Equal(t, len(first), 1)
+	assert.Equal(t, first[0], Measured{Kind: domain.KindBatch, State: domain.OutcomeRunning, Took: 300 * time.Millisecond})
+	run(1, platform.TaskStopped)
+	s.wait(time.Second)
+	s.effects = nil
+	run(2, platform.TaskRunning)
+	assert.Equal(t, len(take[Measured](s)), 0)
+}
--- a/core/shard/request.go
+++ b/core/shard/request.go
@@ -78,7 +78,9 @@
 	worker           domain.WorkerID
 	reserved         domain.Resources
 	acceptedAt       Instant
-	startedAt        Instant
+	// measured tells that the first start was reported.
+	measured  bool
+	startedAt Instant
 	// expiresAt ends the caller's wait; 0 for none.
 	expiresAt Instant
 	// notBefore delays a task that failed repeatedly.
--- a/core/shard/start.go
+++ b/core/shard/start.go
@@ -341,7 +341,11 @@
 		r.startedAt = m.now
 		m.occupy(r, w)
 	}
-	if r.urgent() || r.kept {
+	if r.urgent() {
+		return
+	}
+	m.measureStart(r)
+	if r.kept {
 		return
 	}
 	m.keep(r)
@@ -350,6 +354,15 @@
 	}
 }
 
+// measureStart reports the first start of a task that this owner has accepted.
+func (m *Machine) measureStart(r *request) {
+	if r.measured || r.acceptedAt == 0 || r.moves > 0 {
+		return
+	}
+	r.measured = true
+	m.emit(Measured{Kind: r.task.Kind, State: domain.OutcomeRunning, Took: m.now - r.acceptedAt})
+}
+
 // failed handles a task that ran and failed. A batch task is tried on other
 // workers, since some workers fail everything; a watch is always restarted.
 func (m *Machine) failed(r *request, w *worker, s platform.TaskStatus) {
--- a/core/shard/submit.go
+++ b/core/shard/submit.go
@@ -298,6 +298,9 @@
 	m.ended = append(m.ended, id)
 	m.recordEnd(r)
 	m.reply(r, o)
+	if !r.urgent() && (o.State == domain.OutcomeFailed || o.State == domain.OutcomeNotRun) {
+		m.emit(Measured{Kind: r.task.Kind, State: o.State, Took: m.now - r.acceptedAt})
+	}
 }
 
 // close ends a request that waits and has not run. The end is logged before it
--- a/node/app/node.go
+++ b/node/app/node.go
@@ -17,6 +17,7 @@
 	"github.com/basilferry/basilferry/core/membership"
 	"github.com/basilferry/basilferry/core/platform"
 	"github.com/basilferry/basilferry/core/ring"
+	"github.com/basilferry/basilferry/core/shard"
 	"github.com/basilferry/basilferry/node/configsync"
 	"github.com/basilferry/basilferry/node/engine"
 	"github.com/basilferry/basilferry/node/httpapi"
@@ -109,7 +110,7 @@
 }
 
 func newEngine(
-	s settings.Settings, p Platform, r *ring.Ring, m *engine.Members, c clock, logs *telemetry.Logs,
+	s settings.Settings, p Platform, r *ring.Ring, m *engine.Members, c clock, b *burnRecorder, logs *telemetry.Logs,
 ) (*engine.Engine, *lateDelegator) {
 	late := &lateDelegator{}
 	e := engine.New(engine.Config{
@@ -125,6 +126,7 @@
 		Reasons:    reasons{node: s.Node.ID, store: explain.NewStore(maxReasons, maxReasonsBytes)},
 		Logger:     logs.Component("engine"),
 		Observe:    m.Observe,
+		Measured:   func(ev shard.Measured) { b.observe(ev.Kind, ev.State, ev.Took) },
 		Start:      c.start,
 	})
 	return e, late
--- a/node/app/observe.go
+++ b/node/app/observe.go
@@ -13,7 +13,8 @@
 	"github.com/basilferry/basilferry/node/settings"
 )
 
-// burnRecorder counts the outcomes that this node has told its callers.
+// burnRecorder counts the urgent outcomes that this node has told its callers,
+// and the starts and bad ends of batch tasks and watches of its shards.
 type burnRecorder struct {
 	mu       sync.Mutex
 	recorder *burn.Recorder
@@ -37,7 +38,7 @@
 
 func (b *burnRecorder) handler() http.Handler { return burnreport.Handler(b.report) }
 
-// observed measures the requests of callers.
+// observed measures the urgent requests of callers.
 type observed struct {
 	service.Requests
 	burn *burnRecorder
@@ -47,7 +48,7 @@
 func (o observed) Submit(ctx context.Context, req service.SubmitRequest) (domain.Outcome, error) {
 	start := time.Now()
 	out, err := o.Requests.Submit(ctx, req)
-	if out.State != "" {
+	if out.State != "" && req.Task.Kind == domain.KindUrgent {
 		o.burn.observe(req.Task.Kind, out.State, time.Since(start))
 	}
 	return out, err
--- a/node/engine/config.go
+++ b/node/engine/config.go
@@ -82,9 +82,18 @@
 	// Observe, if set, is told the result of every log read, after it was
 	// applied. It must not block.
 	Observe func(LogRead)
+	// Measured, if set, is told the starts and bad ends of batch tasks and
+	// watches. It must not block.
+	Measured func(shard.Measured)
 	// Start is the origin of the node's Instants.
 	Start time.Time
 }
 
+func (c Config) measure(m shard.Measured) {
+	if c.Measured != nil {
+		c.Measured(m)
+	}
+}
+
 // now returns the node's monotonic time.
 func (c Config) now() shard.Instant { return time.Since(c.Start) }
--- a/node/engine/runner.go
+++ b/node/engine/runner.go
@@ -258,6 +258,8 @@
 		r.redirect(ef)
 	case shard.Explain:
 		r.config.Reasons.Record(ef.ID, ef.Reason)
+	case shard.Measured:
+		r.config.measure(ef)
 	case shard.StepDown:
 		r.config.Logger.Info("shard given up", "shard", r.shard, "epoch", r.epoch, "reason", ef.Reason)
 		r.steppedOut = true
