Renew inherited leases as soon as a new owner may extend them

Cause: a new owner's first renewals extended nothing, and the next came 1 s later; a batch task that had run lapsed 1 ms before it and started again after 9.6 s. Change: sessions are renewed at once when the owner may extend them.

--- a/core/shard/machine.go
+++ b/core/shard/machine.go
@@ -399,8 +399,12 @@
 		m.stepDown("a newer claim is in the log")
 		return
 	}
+	first := !m.ownershipOK
 	m.ownershipOK = true
 	m.ownershipAt = max(m.ownershipAt, e.SentAt)
+	if first {
+		m.renewNow()
+	}
 }
 
 func (m *Machine) stepDown(reason string) {
--- /dev/null
+++ b/core/shard/outage_test.go
@@ -0,0 +1,77 @@
+package shard
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/basilferry/basilferry/core/domain"
+)
+
+// Guards against an outage of the log service that stops urgent service: all
+// requests of a ten-minute outage are answered, also those by a caller's key,
+// and their intents are in the log after it.
+func TestUrgentServiceDuringLogOutage(t *testing.T) {
+	h := newHistory(1, weakNone)
+	w, o := h.w, h.w.latest()
+	w.runFor(2 * time.Second)
+	w.logUp = false
+	const every, outage = 100 * time.Millisecond, 10 * time.Minute
+	sent := 0
+	for range int(outage / every) {
+		sent++
+		id := domain.RequestID{Shard: w.shard, Seq: uint64(sent)}
+		if sent%2 == 0 {
+			id.Epoch = o.machine.epoch
+		}
+		task := domain.Task{ID: id, Kind: domain.KindUrgent, Class: "check", Team: "a"}
+		task.Resources = domain.Resources{CPUMilli: 1000, MemoryMiB: 512, Slots: 1, Connections: 1}
+		h.submit(o, task)
+		w.runFor(every)
+	}
+	w.runFor(3 * time.Second)
+	ran := 0
+	for id := range h.tasks {
+		for _, outcome := range w.told[id] {
+			if outcome.State == domain.OutcomeRan {
+				ran++
+			}
+		}
+	}
+	t.Logf("answered %d of %d requests during a log outage of %s", ran, sent, outage)
+	assert.Equal(t, ran, sent)
+
+	w.logUp = true
+	w.runFor(3 * time.Second)
+	assert.Equal(t, len(w.journal.Shard(w.shard).Intents), sent)
+	assert.Equal(t, len(h.problems()), 0)
+}
+
+// Guards the time until a shard serves again after its owner died: a request
+// with an id of the new owner is answered within 1 s of the claim, and a batch
+// task that ran goes on without a restart.
+func TestTakeoverServesAtOnce(t *testing.T) {
+	h := newHistory(2, weakNone)
+	w, o := h.w, h.w.latest()
+	batch := h.task(domain.RequestID{Shard: w.shard, Epoch: o.machine.epoch, Seq: 1})
+	batch.Kind = domain.KindBatch
+	h.submit(o, batch)
+	w.runFor(time.Second)
+	o.paused = true
+	// The death is noticed after 1 s without an answer to a ping.
+	w.runFor(time.Second)
+	heir := w.claim("n1")
+	began := w.now
+	urgent := h.task(domain.RequestID{Shard: w.shard, Epoch: heir.machine.epoch, Seq: 2})
+	urgent.Kind = domain.KindUrgent
+	h.submit(heir, urgent)
+	for len(w.told[urgent.ID]) == 0 && w.now-began < 5*time.Second {
+		w.runFor(10 * time.Millisecond)
+	}
+	t.Logf("answered %s after the claim", w.now-began)
+	assert.Equal(t, w.told[urgent.ID][0].State, domain.OutcomeRan)
+	assert.Assert(t, w.now-began < time.Second)
+	w.runFor(15 * time.Second)
+	assert.Equal(t, len(h.runs()[batch.ID]), 1)
+}
--- a/core/shard/worker.go
+++ b/core/shard/worker.go
@@ -65,6 +65,8 @@
 	attachFailedAt Instant
 	nextCall       Instant
 	inFlight       bool
+	// extending tells that the last renewal that was sent extends the lease.
+	extending bool
 
 	tasks map[domain.RequestID]bool
 	// reserved is the sum of what tasks hold.
@@ -161,15 +163,19 @@
 	})
 }
 
+// mayExtend reports whether this owner may extend leases now.
+func (m *Machine) mayExtend() bool { return m.confirmed() && m.soleOwner() }
+
 // sendRenew renews the session. An owner that is not confirmed, or that an
 // earlier owner may still outlast, sends no echo, which asks the worker for its
 // epoch and extends nothing: another owner may count on this lease to end.
 func (m *Machine) sendRenew(w *worker) {
 	echo := w.echo
-	if !m.confirmed() || !m.soleOwner() {
+	if !m.mayExtend() {
 		echo = 0
 	}
 	w.inFlight = true
+	w.extending = echo != 0
 	m.emit(SendRenew{
 		Worker: w.id,
 		Request: platform.RenewRequest{
@@ -241,6 +247,9 @@
 		m.announce(w)
 	}
 	w.nextCall = e.SentAt + RenewInterval
+	if !w.extending && m.mayExtend() {
+		w.nextCall = m.now
+	}
 	for _, ev := range e.Reply.Events {
 		w.events = max(w.events, ev.Number)
 		m.reported(w, ev.Status)
@@ -248,6 +257,9 @@
 	if len(e.Reply.Usage) > 0 {
 		m.policy.Observe(m.now, w.id, e.Reply.Usage)
 	}
+	if w.nextCall <= m.now {
+		m.callWorker(w)
+	}
 }
 
 func (m *Machine) renewFailed(w *worker, err *domain.Error) {
@@ -402,9 +414,19 @@
 	}
 	if 2*attached > len(m.workers) {
 		m.majorityAt = m.now
+		m.renewNow()
 	}
 }
 
+// renewNow renews all sessions that were attached before this owner could
+// extend them: most of their lease has passed since the last owner.
+func (m *Machine) renewNow() {
+	for _, w := range m.workers {
+		w.nextCall = min(w.nextCall, m.now)
+	}
+	m.callWorkers()
+}
+
 // recordsComplete reports whether the records of all workers show every task
 // that an earlier owner can have started.
 func (m *Machine) recordsComplete() bool {
