Let urgent requests pass one that waits, and refuse late ones early

Cause: an urgent request that had to wait for its own reasons, such as the retry budget, held up all behind it; and one whose class takes longer than the time that is left was told "not run" only at its deadline. Change: up to eight waiting requests are passed over in a step, and the policy says when waiting is of no use.

--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -98,6 +98,16 @@
 	return fmt.Sprintf("expected wait and service time of the class are %v, but only %v is left", round(need), round(r.Budget))
 }
 
+// TooLate reports whether the service time of the class does not fit the budget
+// any more, so that waiting for a worker is of no use.
+func (c *Controller) TooLate(now time.Duration, r Request) bool {
+	s, ok := c.classes.Get(r.Class)
+	if !ok || s.times.Count() < minSamples || now-s.lastStart >= probeInterval {
+		return false
+	}
+	return s.quantile() > r.Budget
+}
+
 // Started records the start of an urgent request. A first try earns a part of
 // a retry token, a retry spends one.
 func (c *Controller) Started(now time.Duration, class domain.Class, retry bool) {
--- a/core/admission/controller_test.go
+++ b/core/admission/controller_test.go
@@ -48,6 +48,9 @@
 	assert.Equal(t, c.Check(probeInterval, r), "")
 	c.Started(probeInterval, "c", false)
 	assert.Assert(t, c.Check(probeInterval, r) != "")
+	assert.Assert(t, c.TooLate(probeInterval, r))
+	r.Budget = time.Hour
+	assert.Assert(t, !c.TooLate(probeInterval, r))
 }
 
 // Guards against retries that multiply the load when many starts are refused.
--- a/core/policy/choose.go
+++ b/core/policy/choose.go
@@ -37,7 +37,7 @@
 		request.Wait = p.admit.ExpectedWait()
 	}
 	if reason := p.admit.Check(now, request); reason != "" {
-		return shard.Choice{}, &shard.Refusal{Reason: reason}
+		return shard.Choice{}, &shard.Refusal{Reason: reason, Late: p.admit.TooLate(now, request)}
 	}
 	if !ok {
 		return shard.Choice{}, &shard.Refusal{Reason: fmt.Sprintf("no available worker has room; an urgent request ends every %v", p.admit.ExpectedWait().Round(time.Millisecond))}
--- a/core/shard/machine_test.go
+++ b/core/shard/machine_test.go
@@ -280,3 +280,35 @@
 	run(2, platform.TaskRunning)
 	assert.Equal(t, len(take[Measured](s)), 0)
 }
+
+// choosy refuses one request for its own reasons.
+type choosy struct {
+	*firstFit
+	refused domain.RequestID
+	late    bool
+}
+
+func (c choosy) Choose(now Instant, d Demand) (Choice, *Refusal) {
+	if d.ID == c.refused {
+		return Choice{}, &Refusal{Reason: "refused by the test", Late: c.late}
+	}
+	return c.firstFit.Choose(now, d)
+}
+
+// Guards against one urgent request that holds up those behind it, and against
+// a late "not run" when an early one was possible.
+func TestUrgentRequestsPassOneThatWaits(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		s := newSingle(t)
+		first, second := s.task(domain.KindUrgent, 1), s.task(domain.KindUrgent, 2)
+		s.m.policy = choosy{firstFit: s.m.policy.(*firstFit), refused: first.ID, late: late}
+		s.effects = nil
+		s.step(Submitted{Call: 1, Task: first, Budget: time.Second})
+		replies := take[Reply](s)
+		assert.Equal(t, len(replies) == 1, late)
+		s.step(Submitted{Call: 2, Task: second, Budget: time.Second})
+		starts := take[SendStart](s)
+		assert.Equal(t, len(starts), 1)
+		assert.Equal(t, starts[0].Request.Task.ID, second.ID)
+	}
+}
--- a/core/shard/policy.go
+++ b/core/shard/policy.go
@@ -40,7 +40,10 @@
 // Refusal tells why a task is not started now.
 type Refusal struct {
 	// Never tells that no worker could ever hold the task.
-	Never  bool
+	Never bool
+	// Late tells that an urgent request cannot be answered by its deadline any
+	// more, also if a worker became free now.
+	Late   bool
 	Reason string
 }
 
--- a/core/shard/start.go
+++ b/core/shard/start.go
@@ -27,30 +27,46 @@
 	}
 }
 
-// scheduleUrgent starts waiting urgent requests in order of arrival. It stops
-// at the first one that has to wait, so that one Step stays short.
+// maxPassed bounds the waiting urgent requests that one Step passes over. A
+// request that has to wait for its own reasons, such as the retry budget, must
+// not hold up those behind it.
+const maxPassed = 8
+
+// scheduleUrgent starts waiting urgent requests in order of arrival.
 func (m *Machine) scheduleUrgent() {
 	if !m.mayStart(domain.KindUrgent) {
 		return
 	}
-	for len(m.waiting) > 0 {
-		r, ok := m.requests[m.waiting[0]]
-		if !ok || r.state != stateQueued {
-			m.waiting = m.waiting[1:]
-			continue
-		}
-		c, refusal := m.policy.Choose(m.now, r.demand(m.now))
-		if refusal != nil {
-			if refusal.Never {
-				m.waiting = m.waiting[1:]
-				m.refuseUrgent(r, refusal.Reason)
-				continue
-			}
-			return
+	list, looked := m.waiting, 0
+	var passed []domain.RequestID
+	for looked < len(list) && len(passed) < maxPassed {
+		if m.mustWait(list[looked]) {
+			passed = append(passed, list[looked])
 		}
-		m.waiting = m.waiting[1:]
+		looked++
+	}
+	// The ones passed over go back in front, in the places that were looked at.
+	m.waiting = list[looked-len(passed):]
+	copy(m.waiting, passed)
+}
+
+// mustWait starts or refuses a waiting urgent request; it reports whether the
+// request goes on waiting.
+func (m *Machine) mustWait(id domain.RequestID) bool {
+	r, ok := m.requests[id]
+	if !ok || r.state != stateQueued {
+		return false
+	}
+	c, refusal := m.policy.Choose(m.now, r.demand(m.now))
+	switch {
+	case refusal == nil:
 		m.start(r, c)
+		return false
+	case refusal.Never, refusal.Late:
+		m.refuseUrgent(r, refusal.Reason)
+		return false
 	}
+	return true
 }
 
 func (m *Machine) refuseUrgent(r *request, reason string) {
