--- a/core/shard/start.go
+++ b/core/shard/start.go
@@ -61,7 +61,7 @@
 	switch {
 	case refusal == nil:
 		m.start(r, c)
-		return false
+		return r.state == stateQueued
 	case refusal.Never, refusal.Late:
 		m.refuseUrgent(r, refusal.Reason)
 		return false
@@ -138,13 +138,13 @@
 	})
 }
 
-// requeueQueued puts a request that is already in state queued back in line.
+// requeueQueued lets a request that is in state queued, and was not started,
+// wait for the next tick. An urgent one keeps its place in line.
 func (m *Machine) requeueQueued(r *request) {
-	r.notBefore = m.now + TickInterval
 	if r.urgent() {
-		m.waiting = append(m.waiting, r.task.ID)
 		return
 	}
+	r.notBefore = m.now + TickInterval
 	m.delayed[r.task.ID] = true
 }
 
