Check that answers about one request are linearizable

A porcupine model of a request's fate (open, ran, closed) is checked over random histories with all faults.

--- /dev/null
+++ b/core/shard/linearizable_test.go
@@ -0,0 +1,102 @@
+package shard
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/basilferry/basilferry/core/domain"
+)
+
+// fate is the state of one request in the model: it is open until it ran or was
+// closed, and neither changes again.
+type fate int
+
+const (
+	fateOpen fate = iota
+	fateRan
+	fateClosed
+)
+
+// outcomeModel says which answers about one request fit together.
+var outcomeModel = porcupine.Model{
+	Partition: partitionByID,
+	Init:      func() any { return fateOpen },
+	Step: func(state, _, output any) (bool, any) {
+		f := state.(fate)
+		switch output.(domain.OutcomeState) {
+		case domain.OutcomeRan:
+			return f != fateClosed, fateRan
+		case domain.OutcomeNotRun:
+			return f != fateRan, fateClosed
+		}
+		return true, f
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+func partitionByID(ops []porcupine.Operation) [][]porcupine.Operation {
+	byID := map[domain.RequestID][]porcupine.Operation{}
+	for _, op := range ops {
+		id := op.Input.(domain.RequestID)
+		byID[id] = append(byID[id], op)
+	}
+	var parts [][]porcupine.Operation
+	for _, id := range sortedIDs(byID) {
+		parts = append(parts, byID[id])
+	}
+	return parts
+}
+
+// operations returns the urgent calls of a world that were answered.
+func (h *history) operations() []porcupine.Operation {
+	var ops []porcupine.Operation
+	for call, a := range h.w.answers {
+		id := h.w.calls[call]
+		if h.tasks[id].Kind != domain.KindUrgent {
+			continue
+		}
+		ops = append(ops, porcupine.Operation{
+			ClientId: int(call),
+			Input:    id,
+			Call:     int64(h.w.sent[call]),
+			Output:   a.outcome.State,
+			Return:   int64(a.at),
+		})
+	}
+	return ops
+}
+
+// Guards against answers about one request that contradict each other, from
+// whichever owner they come: once one caller was told "ran", none is told "not
+// run" by a call made later, and the other way round.
+func TestOutcomesAreLinearizable(t *testing.T) {
+	for seed := uint64(1); seed <= *faultSeeds; seed++ {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			h := newHistory(seed, weakNone)
+			h.play(40)
+			h.heal()
+			ops := h.operations()
+			if len(ops) == 0 {
+				t.Fatal("no call was answered")
+			}
+			if porcupine.CheckOperationsTimeout(outcomeModel, ops, time.Minute) != porcupine.Ok {
+				t.Error("the answers have no order that explains them")
+			}
+		})
+	}
+}
+
+// Guards against a model that accepts everything.
+func TestOutcomeModelRejectsContradictions(t *testing.T) {
+	id := domain.RequestID{Seq: 1}
+	ops := []porcupine.Operation{
+		{ClientId: 1, Input: id, Call: 0, Output: domain.OutcomeNotRun, Return: 1},
+		{ClientId: 2, Input: id, Call: 2, Output: domain.OutcomeRan, Return: 3},
+	}
+	if porcupine.CheckOperations(outcomeModel, ops) {
+		t.Error("a run after \"not run\" was accepted")
+	}
+}
--- a/core/shard/world_test.go
+++ b/core/shard/world_test.go
@@ -26,7 +26,10 @@
 	logUp   bool
 	config  domain.Configuration
 
-	calls    map[CallID]domain.RequestID
+	calls map[CallID]domain.RequestID
+	// sent and answers hold when each call was made and answered.
+	sent     map[CallID]time.Duration
+	answers  map[CallID]answer
 	lastCall CallID
 	told     map[domain.RequestID][]domain.Outcome
 	// trace holds the recorded reasons of every owner by request.
@@ -55,6 +58,12 @@
 	return &simClock{rng: rand.New(rand.NewPCG(seed, 1)), now: time.Hour}
 }
 
+// answer is what a caller was told, and when.
+type answer struct {
+	at      time.Duration
+	outcome domain.Outcome
+}
+
 // outage is a time in which a failure domain was taken out; to is zero while
 // it lasts.
 type outage struct{ from, to time.Duration }
@@ -118,6 +127,8 @@
 		journal:     journal.NewDomain(),
 		logUp:       true,
 		calls:       map[CallID]domain.RequestID{},
+		sent:        map[CallID]time.Duration{},
+		answers:     map[CallID]answer{},
 		told:        map[domain.RequestID][]domain.Outcome{},
 		trace:       map[domain.RequestID][]string{},
 		onReply:     map[CallID]func(Reply){},
@@ -340,6 +351,7 @@
 		}
 		if id, ok := w.calls[e.Call]; ok && e.Outcome.State != "" {
 			w.told[id] = append(w.told[id], e.Outcome)
+			w.answers[e.Call] = answer{at: w.now, outcome: e.Outcome}
 		}
 	case Explain:
 		w.trace[e.ID] = append(w.trace[e.ID], fmt.Sprintf("%s %s: %s", w.now-time.Hour, o.node, e.Reason))
@@ -494,6 +506,7 @@
 func (w *world) submit(o *simOwner, task domain.Task) {
 	w.lastCall++
 	w.calls[w.lastCall] = task.ID
+	w.sent[w.lastCall] = w.now
 	ev := Submitted{Call: w.lastCall, Task: task}
 	if task.Kind == domain.KindUrgent {
 		ev.Budget = 2 * time.Second
