--- a/node/capacity/capacity_test.go
+++ b/node/capacity/capacity_test.go
@@ -62,6 +62,8 @@
 	all := []Result{plain, slope, times, noise, memory, outage}
 	assert.Equal(t, Total(all, CPU, three), 710.0)
 	assert.Equal(t, Total(all, Memory, three), 1400.0)
+	perVM := Result{Line: Line{Resource: CPU, At: size, PerVM: 12}, Fit: Fit{Intercept: 9, Slope: 2}}
+	assert.Equal(t, TotalPerVM(append(all, perVM), CPU), 24.0)
 }
 
 // Guards against a share of the busiest node that does not follow from the
--- a/node/capacity/configrig.go
+++ b/node/capacity/configrig.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -219,7 +220,11 @@
 	go func() {
 		defer close(done)
 		w := &quotaWriter{teams: 1000}
+		var mu sync.Mutex
 		arrivals(ctx, size, func() {
+			// A change needs the version that the one before it made.
+			mu.Lock()
+			defer mu.Unlock()
 			_, _ = g.writer.Propose(ctx, w.change(g.writer.Current().Version))
 		})
 	}()
@@ -364,7 +369,7 @@
 	stream := newMemo(measureConfigStream)
 	apply := Line{Name: "config/apply-cpu", Mechanism: "core/configlog Apply", Size: "quotas", Unit: "us/change", Resource: CPU, Sizes: quotas, QuickSizes: quickSizes, Measure: measureApply, At: teams, Times: rate}
 	memory := Line{Name: "config/memory", Mechanism: "core/configlog State with its history", Size: "quotas", Unit: "B", Resource: Memory, Sizes: quotas, QuickSizes: quickSizes, Measure: measureConfigMemory, At: teams}
-	bytes := Line{Name: "config/stream-bytes", Mechanism: "node/configsync follow over node/logclient", Size: "changes/s", Unit: "B/s", Resource: Network, Sizes: []float64{1, 4, 16}, QuickSizes: []float64{4, 8, 16}, Measure: stream.line(bytesOf), At: rate}
+	bytes := Line{Name: "config/stream-bytes", Mechanism: "node/configsync follow over node/logclient", Size: "changes/s", Unit: "B/s", Resource: Network, Sizes: []float64{4, 16, 64}, QuickSizes: []float64{4, 8, 16}, Measure: stream.line(bytesOf), At: rate}
 	cpu := bytes
 	cpu.Name, cpu.Unit, cpu.Resource, cpu.Measure = "config/stream-cpu", "us/s, both ends", CPU, stream.line(cpuOf)
 	force := Line{Name: "config/in-force-log", Mechanism: "node/configsync follow", Size: "nodes", Unit: "ms", Resource: Other, Sizes: []float64{15, 30, 60}, QuickSizes: []float64{2, 4, 8}, Measure: measureInForce, At: nodes}
--- a/node/capacity/line.go
+++ b/node/capacity/line.go
@@ -33,6 +33,8 @@
 	Measure           func(size float64, o Options) (float64, error)
 	// At is the size on the busiest entry node at the two-year size.
 	At func(t Topology) float64
+	// PerVM is the size on one worker VM, zero if it has no part in the line.
+	PerVM float64
 	// Times is the factor from the fitted value to a second's or a node's
 	// spending; nil is 1.
 	Times func(t Topology) float64
--- a/node/capacity/logrig.go
+++ b/node/capacity/logrig.go
@@ -281,7 +281,7 @@
 	line := func(name, unit string, pick func(commitRun) float64) Line {
 		return Line{
 			Name: "commit/" + name, Role: "node that owns shards", Mechanism: "node/engine committer, 2 ms an append", Size: "entries/s",
-			Unit: unit, Resource: Other, Sizes: []float64{5, 20, 40, 100, 1600, 5000}, QuickSizes: []float64{20, 40, 100},
+			Unit: unit, Resource: Other, Sizes: []float64{2, 5, 20, 40, 100, 1600, 5000}, QuickSizes: []float64{20, 40, 100},
 			Measure: commits.line(pick), Interpolate: true,
 			At: func(t Topology) float64 { return t.owned(TwoYears.StartsPerSecond) },
 		}
--- a/node/capacity/report.go
+++ b/node/capacity/report.go
@@ -81,6 +81,17 @@
 	return sum
 }
 
+// TotalPerVM adds up what the connection to one worker VM spends.
+func TotalPerVM(results []Result, res Resource) float64 {
+	sum := 0.0
+	for _, r := range results {
+		if r.Line.Resource == res {
+			sum += r.Fit.Slope * r.Line.PerVM
+		}
+	}
+	return sum
+}
+
 func printTotals(w io.Writer, results []Result) {
 	fmt.Fprintln(w, "busiest entry node at the two-year size, sum of the lines above")
 	for _, t := range Topologies {
@@ -91,6 +102,12 @@
 		}
 		fmt.Fprintln(w)
 	}
+	fmt.Fprint(w, "one worker VM, both ends of its connection:")
+	for _, res := range []Resource{CPU, Memory, Network} {
+		total := TotalPerVM(results, res)
+		fmt.Fprintf(w, "  %s %s (%.2f x budget)", res, number(total), total/Budget[res])
+	}
+	fmt.Fprintln(w)
 }
 
 // number prints three to four significant digits without an exponent.
--- a/node/capacity/shardlines.go
+++ b/node/capacity/shardlines.go
@@ -25,7 +25,7 @@
 	// caches no longer hold the state and the cost bends upwards.
 	cpuSizes = []float64{500, 2000, 8000}
 	// recoverySizes stay below what the quadratic cost of a queue allows.
-	recoverySizes = []float64{500, 1500, 4500}
+	recoverySizes = []float64{500, 1500, 3000}
 	quickSizes    = []float64{20, 60, 200}
 )
 
@@ -149,13 +149,13 @@
 
 func requestLines() []Line {
 	steps := shardLine("pending-step-cpu", "core/policy Next, over all pending tasks", "pending batch tasks", "us/Step", CPU,
-		[]float64{50, 500, 5000})
+		[]float64{50, 500, 2000})
 	steps.Measure, steps.At = measurePendingStep, pendingTasks
 	// Ticks, renewals and four events of each start.
 	steps.Times = func(t Topology) float64 {
 		return 10 + t.owned(TwoYears.Workers) + 4*t.owned(TwoYears.StartsPerSecond)
 	}
-	pending := shardLine("pending-memory", "core/shard request, core/policy pending", "pending batch tasks", "B", Memory, []float64{50, 500, 2000})
+	pending := shardLine("pending-memory", "core/shard request, core/policy pending", "pending batch tasks", "B", Memory, []float64{50, 500, 1500})
 	pending.Measure, pending.At = heapBeside(full, domain.KindBatch, false), pendingTasks
 	cpu := shardLine("start-cpu", "core/shard Step: submit, log, start, end", "urgent starts/s", "us/s", CPU, []float64{1000, 4000, 16_000})
 	cpu.Measure = measureStarts
--- a/node/capacity/wire.go
+++ b/node/capacity/wire.go
@@ -11,7 +11,7 @@
 
 // window is how long a line at a real rate is measured, after warmUp.
 const (
-	window      = 1500 * time.Millisecond
+	window      = 1200 * time.Millisecond
 	warmUp      = 500 * time.Millisecond
 	quickWindow = 100 * time.Millisecond
 	quickWarmUp = 50 * time.Millisecond
--- a/node/capacity/workerrig.go
+++ b/node/capacity/workerrig.go
@@ -15,6 +15,10 @@
 	"github.com/basilferry/basilferry/platform/worker"
 )
 
+// usageLag is shorter than that of a real worker, so that reports come before
+// the measurement begins. Their size and number do not depend on it.
+const usageLag = 100 * time.Millisecond
+
 // workerRig holds simulated workers, each on its own HTTP/2 connection.
 type workerRig struct {
 	counter  counter
@@ -50,7 +54,9 @@
 	if err != nil {
 		return err
 	}
-	w := worker.New(worker.Config{ID: domain.WorkerID(fmt.Sprintf("d01-w%05d", i)), Domain: "d01", Rack: "d01-r001", Capacity: roomy})
+	w := worker.New(worker.Config{
+		ID: domain.WorkerID(fmt.Sprintf("d01-w%05d", i)), Domain: "d01", Rack: "d01-r001", Capacity: roomy, UsageLag: usageLag,
+	})
 	g.running.Go(func() {
 		defer w.Close()
 		_ = worker.Serve(g.ctx, l, w)
@@ -63,10 +69,11 @@
 }
 
 func (g *workerRig) close() {
-	g.cancel()
+	// The servers wait for connections that are still open.
 	for _, s := range g.sessions {
 		s.client.Close()
 	}
+	g.cancel()
 	g.running.Wait()
 }
 
@@ -135,8 +142,7 @@
 	}
 	g.renewAll()
 	if !o.Quick {
-		// The first reports come after the usage interval and its lag.
-		time.Sleep(worker.DefaultUsageInterval + worker.DefaultUsageLag)
+		time.Sleep(worker.DefaultUsageInterval)
 	}
 	return g.counter.over(o), nil
 }
@@ -183,7 +189,7 @@
 	running := func(t Topology) float64 { return t.owned(TwoYears.RunningUrgent + TwoYears.RunningBatch) }
 	starts := func(t Topology) float64 { return t.owned(TwoYears.StartsPerSecond) }
 	renewals, usage, runs := newMemo(measureRenewals), newMemo(measureUsage), newMemo(measureRuns)
-	line := func(name, mechanism, size string, r Resource, sizes []float64, at func(Topology) float64, m func(float64, Options) (float64, error)) Line {
+	line := func(name, mechanism, size string, r Resource, sizes []float64, at func(Topology) float64, perVM float64, m func(float64, Options) (float64, error)) Line {
 		unit := "us/s"
 		switch r {
 		case Network:
@@ -193,18 +199,20 @@
 		}
 		return Line{
 			Name: "renewal/" + name, Role: "shard owner to workers", Mechanism: mechanism, Size: size, Unit: unit, Resource: r,
-			Sizes: sizes, QuickSizes: []float64{2, 4, 8}, Measure: m, At: at, SlopeOnly: true,
+			Sizes: sizes, QuickSizes: []float64{2, 4, 8}, Measure: m, At: at, PerVM: perVM, SlopeOnly: true,
 		}
 	}
 	const renew, runCall = "node/workerclient Renew every second", "node/workerclient Run"
+	tasksPerVM := (TwoYears.RunningUrgent + TwoYears.RunningBatch) / TwoYears.Workers
+	startsPerVM := TwoYears.StartsPerSecond / TwoYears.Workers
 	tasks, rates := []float64{50, 200, 800}, []float64{20, 80, 320}
 	return []Line{
-		line("bytes", renew, "workers", Network, connectionSizes, workers, renewals.line(bytesOf)),
-		line("cpu", renew+", both ends", "workers", CPU, connectionSizes, workers, renewals.line(cpuOf)),
-		line("memory", "HTTP/2 connection, heap and stacks of both ends", "workers", Memory, connectionSizes, workers, measureConnections),
-		line("usage-bytes", "usage reports in renewals", "running tasks", Network, tasks, running, usage.line(bytesOf)),
-		line("usage-cpu", "usage reports in renewals, both ends", "running tasks", CPU, tasks, running, usage.line(cpuOf)),
-		line("start-bytes", runCall+", payload of 1 KiB", "starts/s", Network, rates, starts, runs.line(bytesOf)),
-		line("start-cpu", runCall+", both ends", "starts/s", CPU, rates, starts, runs.line(cpuOf)),
+		line("bytes", renew, "workers", Network, connectionSizes, workers, 1, renewals.line(bytesOf)),
+		line("cpu", renew+", both ends", "workers", CPU, connectionSizes, workers, 1, renewals.line(cpuOf)),
+		line("memory", "HTTP/2 connection, heap and stacks of both ends", "workers", Memory, connectionSizes, workers, 1, measureConnections),
+		line("usage-bytes", "usage reports in renewals", "running tasks", Network, tasks, running, tasksPerVM, usage.line(bytesOf)),
+		line("usage-cpu", "usage reports in renewals, both ends", "running tasks", CPU, tasks, running, tasksPerVM, usage.line(cpuOf)),
+		line("start-bytes", runCall+", payload of 1 KiB", "starts/s", Network, rates, starts, startsPerVM, runs.line(bytesOf)),
+		line("start-cpu", runCall+", both ends", "starts/s", CPU, rates, starts, startsPerVM, runs.line(cpuOf)),
 	}
 }
