Bound the cost of a tick by what is due

Cause: docs/CAPACITY.md named costs that grow with the wrong quantity: each tick walked every open deadline, sorted all workers twice, and an owner without the log counted all workers for each event. Change: deadlines are a heap, the ordered workers are kept, and the workers' confirmation is computed once a Step.

--- a/core/shard/machine.go
+++ b/core/shard/machine.go
@@ -102,6 +102,8 @@
 	out       []Effect
 
 	workers map[domain.WorkerID]*worker
+	// ordered holds the workers by id; nil after workers came or went.
+	ordered []*worker
 	listed  bool
 	// empty tells that the VM list has no worker of this shard.
 	empty bool
@@ -120,8 +122,8 @@
 	delayed map[domain.RequestID]bool
 	// avoiding holds requests that avoid workers.
 	avoiding map[domain.RequestID]bool
-	// timed holds requests whose caller's wait can end.
-	timed map[domain.RequestID]bool
+	// waits holds when the waits of callers end.
+	waits deadlines
 	// moving holds requests whose target has not confirmed the move.
 	moving map[domain.RequestID]Instant
 	// ended holds ended requests, oldest first.
@@ -147,6 +149,9 @@
 	nextTarget  int
 	ownershipAt Instant
 	ownershipOK bool
+	// workersConfirm is the answer of the workers, computed at most once in a
+	// Step; askedWorkers tells that it was.
+	workersConfirm, askedWorkers bool
 
 	nextSeq      uint64
 	lastReaction Instant
@@ -184,7 +189,6 @@
 		live:      map[domain.RequestID]*request{},
 		delayed:   map[domain.RequestID]bool{},
 		avoiding:  map[domain.RequestID]bool{},
-		timed:     map[domain.RequestID]bool{},
 		moving:    map[domain.RequestID]Instant{},
 		appends:   map[AppendToken]pendingAppend{},
 		nextSeq:   1,
@@ -199,6 +203,7 @@
 		return nil
 	}
 	m.now = max(m.now, now)
+	m.askedWorkers = false
 	m.dispatch(ev)
 	if m.down {
 		return m.take()
@@ -339,14 +344,12 @@
 	return list
 }
 
-// sortedWorkers returns the workers ordered by id.
+// sortedWorkers returns the workers ordered by id. The list must not be changed.
 func (m *Machine) sortedWorkers() []*worker {
-	list := make([]*worker, 0, len(m.workers))
-	for _, w := range m.workers {
-		list = append(list, w)
+	if m.ordered == nil {
+		m.ordered = slices.SortedFunc(maps.Values(m.workers), func(a, b *worker) int { return cmp.Compare(a.id, b.id) })
 	}
-	slices.SortFunc(list, func(a, b *worker) int { return cmp.Compare(a.id, b.id) })
-	return list
+	return m.ordered
 }
 
 // sortedIDs returns the keys of a set in a fixed order.
@@ -433,7 +436,16 @@
 // confirmed reports whether this node surely was the owner within the confirm
 // window: the log showed no newer claim, or more than half of the workers
 // answered at this epoch.
-func (m *Machine) confirmed() bool { return m.confirmedSince(m.now - ConfirmWindow) }
+func (m *Machine) confirmed() bool {
+	if m.ownershipOK && m.ownershipAt >= m.now-ConfirmWindow {
+		return true
+	}
+	if !m.askedWorkers {
+		m.askedWorkers = true
+		m.workersConfirm = m.confirmedSince(m.now - ConfirmWindow)
+	}
+	return m.workersConfirm
+}
 
 // confirmedSince reports whether this node surely was the owner at the time
 // given or later.
--- a/core/shard/move.go
+++ b/core/shard/move.go
@@ -161,7 +161,6 @@
 	m.fire(r, eventDepart)
 	r.arrived = true
 	delete(m.moving, r.task.ID)
-	delete(m.timed, r.task.ID)
 	delete(m.live, r.task.ID)
 	m.record(journal.Entry{Arrived: &journal.Arrived{ID: r.task.ID, Moves: r.moves}})
 }
@@ -199,8 +198,7 @@
 	// The log holds the move away, not the return.
 	r.logged, r.moveLogged = false, false
 	if r.urgent() {
-		r.expiresAt = m.now + e.Budget
-		m.timed[e.Task.ID] = true
+		m.waitUntil(r, m.now+e.Budget)
 		m.acceptUrgent(r)
 		return
 	}
--- a/core/shard/submit.go
+++ b/core/shard/submit.go
@@ -102,8 +102,7 @@
 	default:
 		r.calls = append(r.calls, e.Call)
 		if r.urgent() {
-			r.expiresAt = max(r.expiresAt, m.now+e.Budget)
-			m.timed[e.Task.ID] = true
+			m.waitUntil(r, max(r.expiresAt, m.now+e.Budget))
 		}
 	}
 }
@@ -155,8 +154,7 @@
 		return
 	}
 	if r.urgent() {
-		r.expiresAt = m.now + e.Budget
-		m.timed[e.Task.ID] = true
+		m.waitUntil(r, m.now+e.Budget)
 		m.acceptUrgent(r)
 		return
 	}
@@ -194,8 +192,7 @@
 // worker has started it.
 func (m *Machine) acceptKept(r *request) {
 	if !m.logUsable() {
-		r.expiresAt = m.now + acceptWithoutLog
-		m.timed[r.task.ID] = true
+		m.waitUntil(r, m.now+acceptWithoutLog)
 		m.queue(r)
 		return
 	}
@@ -234,8 +231,7 @@
 	if ok {
 		m.keep(r)
 	} else {
-		r.expiresAt = m.now + acceptWithoutLog
-		m.timed[r.task.ID] = true
+		m.waitUntil(r, m.now+acceptWithoutLog)
 	}
 	m.queue(r)
 }
@@ -244,7 +240,6 @@
 func (m *Machine) keep(r *request) {
 	r.kept = true
 	r.expiresAt = 0
-	delete(m.timed, r.task.ID)
 	m.reply(r, r.current())
 }
 
@@ -292,7 +287,6 @@
 	id := r.task.ID
 	o.ID, o.Worker, o.Attempt = id, r.worker, r.attempt
 	r.outcome, r.endedAt = o, m.now
-	delete(m.timed, id)
 	delete(m.moving, id)
 	delete(m.live, id)
 	m.ended = append(m.ended, id)
--- a/core/shard/tick.go
+++ b/core/shard/tick.go
@@ -27,25 +27,6 @@
 	m.evacuate()
 }
 
-// expireWaits answers callers whose time is over.
-func (m *Machine) expireWaits() {
-	late := map[domain.RequestID]*request{}
-	for id := range m.timed {
-		r, known := m.requests[id]
-		if !known {
-			delete(m.timed, id)
-			continue
-		}
-		if r.late(m.now) {
-			late[id] = r
-		}
-	}
-	for _, id := range sortedIDs(late) {
-		delete(m.timed, id)
-		m.expireWait(late[id])
-	}
-}
-
 func (m *Machine) expireWait(r *request) {
 	if !r.urgent() {
 		m.refuseUnlogged(r)
@@ -69,8 +50,7 @@
 		return
 	}
 	if r.state != stateQueued {
-		r.expiresAt = m.now + acceptWithoutLog
-		m.timed[r.task.ID] = true
+		m.waitUntil(r, m.now+acceptWithoutLog)
 		return
 	}
 	if r.mayHaveRun || r.appended || !m.canClose(r) {
--- a/core/shard/worker.go
+++ b/core/shard/worker.go
@@ -123,6 +123,7 @@
 			tasks: map[domain.RequestID]bool{},
 		}
 		m.workers[vm.ID] = w
+		m.ordered = nil
 	}
 	if w.listed && w.address == vm.Address && w.leaving == (vm.State == platform.VMLeaving) {
 		return
@@ -291,6 +292,7 @@
 			m.loseTasks(w)
 		case !w.listed && len(w.tasks) == 0 && m.now-w.ackAt >= LapseWait:
 			delete(m.workers, w.id)
+			m.ordered = nil
 			m.policy.WorkerRemoved(m.now, w.id)
 		case w.leaving && w.state == workerAttached:
 			m.emptyWorker(w)
