--- a/node/e2e/takeout_test.go
+++ b/node/e2e/takeout_test.go
@@ -13,6 +13,7 @@
 	"github.com/basilferry/basilferry/core/configlog"
 	"github.com/basilferry/basilferry/core/domain"
 	"github.com/basilferry/basilferry/node/httpapi"
+	"github.com/basilferry/basilferry/platform/logservice"
 	"github.com/basilferry/basilferry/platform/vmlist"
 	"github.com/basilferry/basilferry/platform/worker"
 )
@@ -26,6 +27,9 @@
 	// nothing.
 	maxEmptying = 20 * time.Second
 	vmListLag   = 2 * time.Second
+	// maxProvisional bounds the answer to a provisional take-out: 5 s of wait
+	// for the nodes and the time to notice that the log service is down.
+	maxProvisional = 8 * time.Second
 )
 
 // lateStarts returns the runs that began on one of the workers in [from, to).
@@ -189,3 +193,51 @@
 	}
 	t.Logf("%d starts on %s before it was marked, the last %s after the mark (lag %s)", before, leaving, last, vmListLag)
 }
+
+// Guards against starts in a failure domain after a provisional take-out, which
+// is all that a node can do while the log service is down.
+func TestProvisionalTakeOut(t *testing.T) {
+	knownRed(t, "TestProvisionalTakeOut")
+	c := startCluster(t, options{})
+	out, in := domains[0], domains[1]
+	tr := startTraffic(c, usualMix(611))
+	tr.awaitRan(150)
+	c.controlLog(logservice.Control{Outage: ptr(logservice.ModeHang)})
+	hold(noticeOutage)
+	sent := time.Now()
+	status, body, err := c.nodeIn(in).change(configlog.Change{
+		Base: c.nodeIn(in).configuration(t).Version, Operator: "e2e", TakeOut: &out,
+	})
+	answered := time.Now()
+	assert.NilError(t, err)
+	t.Logf("answer to the provisional take-out after %s: %+v", answered.Sub(sent), body)
+	assert.Equal(t, status, http.StatusAccepted, "%+v", body)
+	assert.Assert(t, body.Provisional, "%+v", body)
+	assert.Check(t, answered.Sub(sent) < maxProvisional)
+	assert.Check(t, len(body.Missing) == 0, "reachable nodes without the provisional take-out: %v", body.Missing)
+	hold(maxLateStart + quietLength)
+	logBack := time.Now()
+	c.controlLog(logservice.Control{Outage: ptr(logservice.ModePass)})
+	c.awaitTakenOut(out)
+	c.awaitEmpty(out, logBack)
+	back := time.Now()
+	c.nodeIn(out).mustChange(t, configlog.Change{BringBack: &out})
+	c.awaitStart(out, back)
+	tr.awaitRan(100)
+	_, runs := tr.settle()
+	late := lateStarts(runs, c.inDomain(out), answered.Add(maxLateStart), back)
+	assert.Check(t, len(late) == 0, "starts in %s after the provisional take-out: %s", out, describe(late))
+}
+
+// awaitTakenOut waits until the take-out is in force on every node.
+func (c *cluster) awaitTakenOut(d domain.FailureDomain) {
+	c.t.Helper()
+	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+		for _, n := range c.nodes {
+			if got := n.configuration(c.t); !got.TakenOut(d) {
+				return poll.Continue("%s is not taken out on %s: %+v", d, n.ID, got)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(progressTimeout), poll.WithDelay(pollDelay))
+}
