--- a/spec/domain.pml
+++ b/spec/domain.pml
@@ -22,8 +22,8 @@
 
 /* The config stream. Version 0 has the domain in service. */
 byte head = 0;
-byte base[VERSIONS + 1];
-bool takesOut[VERSIONS + 1];   /* what the record asks for */
+byte base[VERSIONS + 2];
+bool takesOut[VERSIONS + 2];   /* what the record asks for */
 byte inForce[VERSIONS + 1];    /* the version in force at each offset */
 byte outAge = 0;               /* since the take-out in force was appended */
 
