Stop proposing a change when the log stops answering

Cause: a take-out sent 1 s after the log began to hang was answered after 15 s with every other node missing, because the proposal used up the call's time. Change: the proposal ends when reads fail, and the read after an unclear append is bounded. Also: a renewal counts as extending by the owner's right to extend, not by the echo's value, since an echo of zero made renewals follow each other without end in the capacity rig.

--- a/core/shard/worker.go
+++ b/core/shard/worker.go
@@ -172,11 +172,11 @@
 // epoch and extends nothing: another owner may count on this lease to end.
 func (m *Machine) sendRenew(w *worker) {
 	echo := w.echo
-	if !m.mayExtend() {
+	w.extending = m.mayExtend()
+	if !w.extending {
 		echo = 0
 	}
 	w.inFlight = true
-	w.extending = echo != 0
 	m.emit(SendRenew{
 		Worker: w.id,
 		Request: platform.RenewRequest{
--- a/node/configsync/propose.go
+++ b/node/configsync/propose.go
@@ -35,7 +35,8 @@
 		return configlog.Decision{}, domain.AsError(err)
 	}
 	p := s.expect(id)
-	for ctx.Err() == nil {
+	// Without the log a further try only uses up the caller's time.
+	for tried := false; ctx.Err() == nil && (!tried || s.LogUp()); tried = true {
 		if s.appendDecided(ctx, rec, p) {
 			return p.decision, nil
 		}
@@ -87,7 +88,9 @@
 		return true
 	case <-callCtx.Done():
 	}
-	s.catchUp(ctx)
+	readCtx, cancelRead := context.WithTimeout(ctx, readTimeout+pollWait)
+	defer cancelRead()
+	s.catchUp(readCtx)
 	return p.done()
 }
 
