Start nothing on a restarted worker before a later log read

Cause: the model check found that an owner which was replaced within the last 2 s could start a task on a worker that had restarted and forgotten the newer owner, after that owner had answered "not run". Change: a worker whose records are not complete takes new tasks only once the log has shown no newer claim after it accepted the epoch.

--- a/core/shard/machine.go
+++ b/core/shard/machine.go
@@ -405,6 +405,7 @@
 	first := !m.ownershipOK
 	m.ownershipOK = true
 	m.ownershipAt = max(m.ownershipAt, e.SentAt)
+	m.announceRestarted()
 	if first {
 		m.renewNow()
 	}
@@ -433,6 +434,16 @@
 	return o
 }
 
+// announceRestarted offers workers to the policy that had to wait for a log
+// read after their restart.
+func (m *Machine) announceRestarted() {
+	for _, w := range m.sortedWorkers() {
+		if w.restarted && !w.announced && m.usable(w) {
+			m.announce(w)
+		}
+	}
+}
+
 // confirmed reports whether this node surely was the owner within the confirm
 // window: the log showed no newer claim, or more than half of the workers
 // answered at this epoch.
--- a/core/shard/machine_test.go
+++ b/core/shard/machine_test.go
@@ -312,3 +312,21 @@
 		assert.Equal(t, starts[0].Request.Task.ID, second.ID)
 	}
 }
+
+// Guards I6 and I7, after a counterexample of the model: a worker that has
+// restarted forgets a newer owner, so this owner starts nothing on it before
+// the log has shown that there is none.
+func TestRestartedWorkerWaitsForLogRead(t *testing.T) {
+	s := newSingle(t)
+	s.step(RenewDone{Worker: singleWorker, SentAt: s.now, Err: &domain.Error{Kind: domain.KindStaleEpoch}})
+	s.now += TickInterval
+	s.step(AttachDone{Worker: singleWorker, SentAt: s.now, Reply: platform.AttachReply{
+		Session: 2, Incarnation: 1, Capacity: domain.Resources{CPUMilli: 4000, MemoryMiB: 4096, Slots: 4, Connections: 4},
+	}})
+	s.submit(s.task(domain.KindUrgent, 1))
+	s.step(Tick{})
+	assert.Equal(t, len(take[SendStart](s)), 0)
+	s.now += TickInterval
+	s.own()
+	assert.Equal(t, len(take[SendStart](s)), 1)
+}
--- a/core/shard/start.go
+++ b/core/shard/start.go
@@ -101,7 +101,7 @@
 
 func (m *Machine) start(r *request, c Choice) {
 	w, ok := m.workers[c.Worker]
-	if !ok || !w.usable() {
+	if !ok || !m.usable(w) {
 		m.explain(r.task.ID, fmt.Sprintf("internal: the policy chose worker %s, which takes no tasks", c.Worker))
 		m.requeueQueued(r)
 		return
--- a/core/shard/tick.go
+++ b/core/shard/tick.go
@@ -177,7 +177,7 @@
 	s := Status{Ready: m.ready && !m.draining}
 	for _, w := range m.workers {
 		v := m.view(w)
-		if w.usable() {
+		if m.usable(w) {
 			s.FreeSlots += v.Capacity.Slots - v.Reserved.Slots
 		}
 		s.Workers = append(s.Workers, v)
--- a/core/shard/worker.go
+++ b/core/shard/worker.go
@@ -47,6 +47,11 @@
 	// for confirmation once the log has shown no newer claim after that: a
 	// process that restarted may have forgotten a newer owner.
 	witnessSince Instant
+	// restarted tells that the worker's records were not complete when it was
+	// last attached.
+	restarted bool
+	// announced tells that the policy may choose the worker.
+	announced bool
 	// complete tells that its records went back long enough when it was first
 	// attached.
 	complete bool
@@ -73,8 +78,13 @@
 	reserved domain.Resources
 }
 
-// usable reports whether new tasks may start on the worker.
-func (w *worker) usable() bool {
+// usable reports whether new tasks may start on the worker. One that has
+// restarted lately may have forgotten a newer owner that it had accepted, so
+// the log must have shown none after it accepted this epoch.
+func (m *Machine) usable(w *worker) bool {
+	if w.restarted && !m.witness(w) {
+		return false
+	}
 	return w.state == workerAttached && w.listed && !w.leaving
 }
 
@@ -89,7 +99,8 @@
 
 // announce tells the policy whether the worker takes new tasks.
 func (m *Machine) announce(w *worker) {
-	if w.usable() {
+	w.announced = m.usable(w)
+	if w.announced {
 		m.policy.WorkerUp(m.now, WorkerInfo{ID: w.id, Rack: w.rack, Capacity: w.capacity})
 		return
 	}
@@ -207,6 +218,7 @@
 	if first {
 		w.complete = e.Reply.RecordsComplete
 	}
+	w.restarted = !e.Reply.RecordsComplete
 	if first || w.incarnation != e.Reply.Incarnation {
 		w.incarnation = e.Reply.Incarnation
 		w.witnessSince = m.now
