--- a/core/shard/machine_test.go
+++ b/core/shard/machine_test.go
@@ -281,14 +281,14 @@
 	assert.Equal(t, len(take[Measured](s)), 0)
 }
 
-// choosy refuses one request for its own reasons.
-type choosy struct {
+// refusingPolicy refuses one request for its own reasons.
+type refusingPolicy struct {
 	*firstFit
 	refused domain.RequestID
 	late    bool
 }
 
-func (c choosy) Choose(now Instant, d Demand) (Choice, *Refusal) {
+func (c refusingPolicy) Choose(now Instant, d Demand) (Choice, *Refusal) {
 	if d.ID == c.refused {
 		return Choice{}, &Refusal{Reason: "refused by the test", Late: c.late}
 	}
@@ -301,7 +301,7 @@
 	for _, late := range []bool{false, true} {
 		s := newSingle(t)
 		first, second := s.task(domain.KindUrgent, 1), s.task(domain.KindUrgent, 2)
-		s.m.policy = choosy{firstFit: s.m.policy.(*firstFit), refused: first.ID, late: late}
+		s.m.policy = refusingPolicy{firstFit: s.m.policy.(*firstFit), refused: first.ID, late: late}
 		s.effects = nil
 		s.step(Submitted{Call: 1, Task: first, Budget: time.Second})
 		replies := take[Reply](s)
--- a/core/shard/outage_test.go
+++ b/core/shard/outage_test.go
@@ -61,11 +61,11 @@
 	o.paused = true
 	// The death is noticed after 1 s without an answer to a ping.
 	w.runFor(time.Second)
-	heir := w.claim("n1")
+	successor := w.claim("n1")
 	began := w.now
-	urgent := h.task(domain.RequestID{Shard: w.shard, Epoch: heir.machine.epoch, Seq: 2})
+	urgent := h.task(domain.RequestID{Shard: w.shard, Epoch: successor.machine.epoch, Seq: 2})
 	urgent.Kind = domain.KindUrgent
-	h.submit(heir, urgent)
+	h.submit(successor, urgent)
 	for len(w.told[urgent.ID]) == 0 && w.now-began < 5*time.Second {
 		w.runFor(10 * time.Millisecond)
 	}
--- a/core/shard/simworker_test.go
+++ b/core/shard/simworker_test.go
@@ -157,7 +157,7 @@
 	t.status = platform.TaskStatus{Task: req.Task, Attempt: req.Attempt, State: platform.TaskRunning, Reserved: req.Reserved, Moves: req.Moves}
 	t.progress, _ = time.ParseDuration(req.Checkpoint)
 	k.records[id] = t
-	k.world.forgive(id)
+	k.world.markLostResults(id)
 	t.history = len(k.history)
 	k.history = append(k.history, interval{
 		id: id, worker: k.id, attempt: req.Attempt, from: k.world.now, reserved: req.Reserved,
--- a/core/shard/worker.go
+++ b/core/shard/worker.go
@@ -307,14 +307,14 @@
 			m.ordered = nil
 			m.policy.WorkerRemoved(m.now, w.id)
 		case w.leaving && w.state == workerAttached:
-			m.emptyWorker(w)
+			m.drainWorker(w)
 		}
 	}
 }
 
-// emptyWorker moves what can resume away from a worker that is leaving; urgent
+// drainWorker moves what can resume away from a worker that is leaving; urgent
 // requests end there.
-func (m *Machine) emptyWorker(w *worker) {
+func (m *Machine) drainWorker(w *worker) {
 	for _, id := range sortedIDs(w.tasks) {
 		r, known := m.requests[id]
 		if known && r.state == stateRunning && !r.urgent() {
--- a/core/shard/world_test.go
+++ b/core/shard/world_test.go
@@ -230,21 +230,21 @@
 	return ever && w.now-last < 2*time.Second
 }
 
-// forgive marks results of earlier runs that no owner can know of when a later
+// markLostResults marks results of earlier runs that no owner can know of when a later
 // run starts or the task moves to the other domain: the log has no end, and the worker that has the result is out of
 // reach. Without another run the task would be lost if the worker never
 // returned.
-func (w *world) forgive(id domain.RequestID) {
+func (w *world) markLostResults(id domain.RequestID) {
 	if w.endLogged(id) || w.other != nil && w.other.endLogged(id) {
 		return
 	}
-	w.forgiveHere(id)
+	w.markLostResultsHere(id)
 	if w.other != nil {
-		w.other.forgiveHere(id)
+		w.other.markLostResultsHere(id)
 	}
 }
 
-func (w *world) forgiveHere(id domain.RequestID) {
+func (w *world) markLostResultsHere(id domain.RequestID) {
 	for _, k := range w.workers {
 		for i := range k.history {
 			iv := &k.history[i]
@@ -437,7 +437,7 @@
 		}
 		for _, entry := range e.Entries {
 			if entry.Moved != nil {
-				w.forgive(entry.Moved.ID)
+				w.markLostResults(entry.Moved.ID)
 			}
 		}
 		w.appendRecord(e.Entries)
