--- a/node/app/embedded_test.go
+++ b/node/app/embedded_test.go
@@ -4,36 +4,23 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/node/internal/testport"
 	"github.com/basilferry/basilferry/node/settings"
 	"github.com/basilferry/basilferry/platform/worker"
 )
 
-// freeAddresses returns n loopback addresses that were free just now.
-func freeAddresses(t *testing.T, n int) []string {
-	t.Helper()
-	var list []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		defer l.Close()
-		list = append(list, l.Addr().String())
-	}
-	return list
-}
-
 // smallSettings has two failure domains with two nodes and four workers each.
 func smallSettings(t *testing.T) settings.Settings {
 	s := settings.Defaults()
 	s.Cluster.Domains = []domain.FailureDomain{"larissa", "volos"}
 	s.Goals = settings.DefaultGoals()
-	addresses := freeAddresses(t, 8)
+	addresses := testport.Free(t, 8)
 	for i := range 4 {
 		s.Cluster.Nodes = append(s.Cluster.Nodes, settings.NodeAddress{
 			ID:          domain.NodeID(fmt.Sprintf("n%d", i+1)),
--- a/node/e2e/cluster_test.go
+++ b/node/e2e/cluster_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -16,6 +15,7 @@
 	"github.com/basilferry/basilferry/core/domain"
 	"github.com/basilferry/basilferry/core/ring"
 	"github.com/basilferry/basilferry/node/httpapi"
+	"github.com/basilferry/basilferry/node/internal/testport"
 	"github.com/basilferry/basilferry/node/settings"
 	"github.com/basilferry/basilferry/platform/worker"
 )
@@ -135,7 +135,7 @@
 
 func startWorker(t *testing.T, id domain.WorkerID, d domain.FailureDomain) *workerVM {
 	t.Helper()
-	control := freeAddresses(t, 1)[0]
+	control := testport.Free(t, 1)[0]
 	s := startStandin(t, string(id), "worker",
 		"--control-listen", control,
 		"--id", string(id),
@@ -149,22 +149,9 @@
 	return &workerVM{standin: *s, id: id, domain: d, control: "http://" + control}
 }
 
-// freeAddresses returns n addresses that were free a moment ago.
-func freeAddresses(t *testing.T, n int) []string {
-	t.Helper()
-	var free []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		defer l.Close()
-		free = append(free, l.Addr().String())
-	}
-	return free
-}
-
 // configure writes the settings files of the nodes.
 func (c *cluster) configure() {
-	free := freeAddresses(c.t, 2*nodesPerDomain*len(domains))
+	free := testport.Free(c.t, 2*nodesPerDomain*len(domains))
 	c.cfg = settings.Settings{
 		Cluster:  settings.Cluster{Domains: domains, ShardsPerDomain: shardsPerDomain},
 		Platform: settings.Platform{LogURL: "http://" + c.log.addr, VMListURL: "http://" + c.vms.addr},
