--- a/node/engine/config.go
+++ b/node/engine/config.go
@@ -16,7 +16,7 @@
 // Limits and intervals of the engine.
 const (
 	// TickInterval is how often each machine gets shard.Tick.
-	TickInterval = 100 * time.Millisecond
+	TickInterval = shard.TickInterval
 	// AppendTimeout bounds the wait for AppendDone.
 	AppendTimeout = 300 * time.Millisecond
 	// appendAttemptTimeout bounds one append call. It is longer than
