Learn which filling images disturb which serving images, pace and move them

Change: core/sharing learns the pairs by sharing the blame, slows suspects down, moves those with checkpoints, and the planner keeps harmful pairs apart.

--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -1,8 +1,6 @@
 package dispatch
 
 import (
-	"time"
-
 	"github.com/basilferry/basilferry/core/domain"
 	"github.com/basilferry/basilferry/core/fleet"
 	"github.com/basilferry/basilferry/core/job"
@@ -34,6 +32,7 @@
 	failed  []failure
 	chosen  []Placement
 	perRack map[string]int
+	rules   Rules
 }
 
 // failure is a demand that no worker could take in this round. A demand that
@@ -44,12 +43,18 @@
 	need    domain.Resources
 }
 
-// Plan assigns waiting tasks to workers, in the order of the demands. Usable
-// tells whether a worker may get new runs of the service.
-func (p *Planner) Plan(
-	demands []Demand, workers []*fleet.Worker, now time.Duration, usable func(*fleet.Worker) bool,
-) []Placement {
-	p.snapshot(workers, usable)
+// Rules are what the caller knows beside the room of the workers.
+type Rules struct {
+	// Usable tells whether a worker may get new runs.
+	Usable func(*fleet.Worker) bool
+	// Disturbs tells whether a filling image disturbs a serving image.
+	Disturbs func(fill, serve string) bool
+}
+
+// Plan assigns waiting tasks to workers, in the order of the demands.
+func (p *Planner) Plan(demands []Demand, workers []*fleet.Worker, rules Rules) []Placement {
+	p.rules = rules
+	p.snapshot(workers)
 	p.failed = p.failed[:0]
 	p.chosen = p.chosen[:0]
 	for i := range demands {
@@ -58,14 +63,19 @@
 	return p.chosen
 }
 
-func (p *Planner) snapshot(workers []*fleet.Worker, usable func(*fleet.Worker) bool) {
+// servingUse is the share of their processor demand that serving tasks use on
+// average; filling tasks can have the rest.
+const servingUse = 0.55
+
+func (p *Planner) snapshot(workers []*fleet.Worker) {
 	p.slots = p.slots[:0]
 	for _, w := range workers {
-		if !usable(w) {
+		if !p.rules.Usable(w) {
 			continue
 		}
 		free := w.Free()
-		p.slots = append(p.slots, slot{worker: w, free: free, spare: free.CPUMilli - w.FillCPU})
+		unused := int64((1 - servingUse) * float64(w.ServingCPU))
+		p.slots = append(p.slots, slot{worker: w, free: free, spare: free.CPUMilli + unused - w.FillCPU})
 	}
 }
 
@@ -185,10 +195,10 @@
 	best, bestScore := -1, 0.0
 	for i := range p.slots {
 		s := &p.slots[i]
-		if !s.allows(d) || !need.Fits(s.free) || (rack != "" && s.worker.Rack() != rack) || !s.takes(d) {
+		if !s.allows(d) || !need.Fits(s.free) || (rack != "" && s.worker.Rack() != rack) || !s.takes(d) || p.conflicts(s, d) {
 			continue
 		}
-		if score := s.score(d); best < 0 || score > bestScore {
+		if score := p.score(s, d); best < 0 || score > bestScore {
 			best, bestScore = i, score
 		}
 	}
@@ -227,6 +237,20 @@
 	return count
 }
 
+// conflicts reports whether a filling task of the demand would disturb a
+// serving task on the worker.
+func (p *Planner) conflicts(s *slot, d *Demand) bool {
+	if !d.Step.Fills || !s.worker.Serving() {
+		return false
+	}
+	for _, r := range s.worker.Runs {
+		if r.Step != nil && r.Step.Target > 0 && p.rules.Disturbs(d.Step.Image, r.Step.Image) {
+			return true
+		}
+	}
+	return false
+}
+
 // minFillShare is the share of its processor demand that a filling task must
 // find unused: with less it takes a multiple of its time.
 const minFillShare = 0.6
--- a/core/fleet/worker.go
+++ b/core/fleet/worker.go
@@ -46,8 +46,14 @@
 	// Percent and Observed are the worker's last figures.
 	Percent  int
 	Observed int64
-	// Pace is the share of full speed that was ordered last, in percent.
-	Pace int
+	// Pace is the share of full speed that was ordered last, in percent, since
+	// PaceAt. PaceKnown is not set for a run of a former owner, whose orders are
+	// not known.
+	Pace      int
+	PaceAt    Instant
+	PaceKnown bool
+	// Pacing tells that an order for the pace is under way.
+	Pacing bool
 	// OverSince is since when the tail latency has been over the target; 0 if
 	// it is not.
 	OverSince Instant
@@ -87,8 +93,12 @@
 	Failures int
 	// Health rates what the worker does with what it is given.
 	Health Health
-	// serving counts the runs with a tail latency target.
-	serving int
+	// serving counts the runs with a tail latency target, and ServingCPU is
+	// their processor demand.
+	serving    int
+	ServingCPU int64
+	// filling counts the runs that use what others leave.
+	filling int
 }
 
 func newWorker(entry platform.RegistryEntry) *Worker {
@@ -116,6 +126,9 @@
 // Serving reports whether a run with a tail latency target is on the worker.
 func (w *Worker) Serving() bool { return w.serving > 0 }
 
+// Shared reports whether filling and serving runs are on the worker together.
+func (w *Worker) Shared() bool { return w.serving > 0 && w.filling > 0 }
+
 // Accepts reports whether the worker takes new runs as far as its own state is
 // concerned.
 func (w *Worker) Accepts(now Instant) bool {
@@ -144,9 +157,11 @@
 	}
 	if r.Step.Fills {
 		w.FillCPU += r.Step.Need.CPUMilli
+		w.filling++
 	}
 	if r.Step.Target > 0 {
 		w.serving++
+		w.ServingCPU += r.Step.Need.CPUMilli
 	}
 }
 
@@ -162,8 +177,10 @@
 	}
 	if r.Step.Fills {
 		w.FillCPU -= r.Step.Need.CPUMilli
+		w.filling--
 	}
 	if r.Step.Target > 0 {
 		w.serving--
+		w.ServingCPU -= r.Step.Need.CPUMilli
 	}
 }
--- a/core/scheduler/hold.go
+++ b/core/scheduler/hold.go
@@ -32,12 +32,24 @@
 			},
 		}
 		if w.Held && w.Taken == w.Stored {
-			o.Hold.Wait = m.settings.HoldWait
+			o.Hold.Wait = m.holdWait(w)
 		}
 		m.orders = append(m.orders, o)
 	}
 }
 
+// sharedWait is how long a worker may wait that has filling and serving tasks:
+// a tail over its target must be answered within the platform's 4 s, and the
+// figures are those of the last half second.
+const sharedWait = 450 * time.Millisecond
+
+func (m *Machine) holdWait(w *fleet.Worker) time.Duration {
+	if w.Shared() {
+		return min(sharedWait, m.settings.HoldWait)
+	}
+	return m.settings.HoldWait
+}
+
 // Answered takes the answer to an order.
 func (m *Machine) Answered(a Answer, now fleet.Instant) {
 	w := m.fleet.Worker(a.Order.Worker)
@@ -52,6 +64,8 @@
 		m.answeredStart(w, a, now)
 	case OrderStop:
 		m.answeredStop(w, a, now)
+	case OrderPace:
+		m.answeredPace(w, a, now)
 	}
 }
 
@@ -160,7 +174,7 @@
 		// by itself or has refused the newer one.
 		return
 	}
-	r := &fleet.Run{ID: id, Run: row.Run, Phase: fleet.RunStarted, StartedAt: now, Pace: fullPace}
+	r := &fleet.Run{ID: id, Run: row.Run, Phase: fleet.RunStarted, StartedAt: now}
 	if e := m.ledger.Entry(id.Job); e != nil && id.Step < len(e.Job.Steps) {
 		r.Need = e.Job.Steps[id.Step].Occupies()
 	}
--- a/core/scheduler/machine.go
+++ b/core/scheduler/machine.go
@@ -9,6 +9,7 @@
 	"github.com/basilferry/basilferry/core/job"
 	"github.com/basilferry/basilferry/core/ledger"
 	"github.com/basilferry/basilferry/core/platform"
+	"github.com/basilferry/basilferry/core/sharing"
 )
 
 // Settings are the figures that the platform gives.
@@ -64,6 +65,7 @@
 	ledger   *ledger.Ledger
 	fleet    *fleet.Fleet
 	planner  dispatch.Planner
+	sharing  *sharing.Model
 
 	config    *platform.OperatorConfig
 	routes    map[string]*platform.Route
@@ -118,6 +120,7 @@
 		token:     token,
 		ledger:    ledger.New(),
 		fleet:     fleet.New(),
+		sharing:   sharing.NewModel(),
 		evacuated: map[domain.FailureDomain]bool{},
 		contacts:  map[domain.WorkerID]*contact{},
 		stops:     map[*fleet.Run]*stopState{},
@@ -183,7 +186,7 @@
 			step := &e.Job.Steps[id.Step]
 			w.Add(&fleet.Run{
 				ID: id, Run: t.Run, Phase: fleet.RunInherited, Step: step, Need: step.Occupies(),
-				PlacedAt: now, StartedAt: now, Pace: fullPace,
+				PlacedAt: now, StartedAt: now,
 			})
 			w.Lease.Extend(now + m.inheritedLease())
 		})
--- a/core/scheduler/pace.go
+++ b/core/scheduler/pace.go
@@ -1,9 +1,104 @@
 package scheduler
 
-import "github.com/basilferry/basilferry/core/fleet"
+import (
+	"time"
+
+	"github.com/basilferry/basilferry/core/fleet"
+	"github.com/basilferry/basilferry/core/sharing"
+)
 
 // fullPace is the pace of a run in percent when it starts.
 const fullPace = 100
 
-// pace is a placeholder until the sharing controller is written.
-func (m *Machine) pace(_ *fleet.Worker, _ fleet.Instant) {}
+// atWork is the percent of a long-running task that is at work; before, its
+// tail latency tells nothing.
+const atWork = 100
+
+// pace lets the model of sharing learn from a worker's report and adjusts the
+// filling runs.
+func (m *Machine) pace(w *fleet.Worker, now fleet.Instant) {
+	if !w.Shared() {
+		return
+	}
+	serving := m.servingOn(w, now)
+	runs, filling := m.fillingOn(w, now)
+	m.sharing.Learn(serving, filling)
+	for i, advice := range m.sharing.Control(serving, filling) {
+		r := runs[i]
+		if advice.Move && !r.Stopping {
+			m.stop(w, r, "it disturbs a serving task", now)
+		}
+		if advice.Pace != r.Pace || !r.PaceKnown {
+			m.orderPace(w, r, advice.Pace, now)
+		}
+	}
+}
+
+func (m *Machine) servingOn(w *fleet.Worker, now fleet.Instant) []sharing.Serving {
+	var out []sharing.Serving
+	for _, r := range w.Runs {
+		if r.Step == nil || r.Step.Target == 0 {
+			continue
+		}
+		s := sharing.Serving{Image: r.Step.Image, Target: r.Step.Target}
+		if r.Phase == fleet.RunStarted && r.Percent >= atWork {
+			s.Tail = time.Duration(r.Observed) * time.Millisecond
+		}
+		switch {
+		case s.Tail <= s.Target:
+			r.OverSince = 0
+		case r.OverSince == 0:
+			r.OverSince = now
+		default:
+			s.OverFor = now - r.OverSince
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+func (m *Machine) fillingOn(w *fleet.Worker, now fleet.Instant) ([]*fleet.Run, []sharing.Filling) {
+	var runs []*fleet.Run
+	var out []sharing.Filling
+	for _, r := range w.Runs {
+		if r.Step == nil || !r.Step.Fills || r.Phase != fleet.RunStarted {
+			continue
+		}
+		f := sharing.Filling{
+			Image: r.Step.Image, Pace: r.Pace, AtWork: now - max(r.StartedAt, r.PaceAt), Movable: r.Step.SavesProgress,
+		}
+		if !r.PaceKnown {
+			f.Pace = fullPace
+		}
+		runs = append(runs, r)
+		out = append(out, f)
+	}
+	return runs, out
+}
+
+func (m *Machine) orderPace(w *fleet.Worker, r *fleet.Run, percent int, now fleet.Instant) {
+	if r.Pacing || r.Stopping {
+		return
+	}
+	r.Pacing = true
+	m.Counters.Paced++
+	m.orders = append(m.orders, &Order{
+		Kind: OrderPace, Worker: w.ID, To: w.Endpoint(), Token: m.token, Issued: now,
+		Task: r.ID, Run: r.Run, Percent: percent, life: w.Life,
+	})
+}
+
+// answeredPace takes note of a pace that is in force. One without an answer is
+// ordered again with the next report.
+func (m *Machine) answeredPace(w *fleet.Worker, a Answer, now fleet.Instant) {
+	r := w.Runs[a.Order.Task]
+	if r == nil || r.Run != a.Order.Run {
+		return
+	}
+	r.Pacing = false
+	if a.Err != nil {
+		r.PaceKnown = false
+		return
+	}
+	r.Pace, r.PaceAt, r.PaceKnown = a.Order.Percent, now, true
+}
--- a/core/scheduler/plan.go
+++ b/core/scheduler/plan.go
@@ -19,8 +19,11 @@
 		return
 	}
 	dispatch.Order(demands, now)
-	usable := func(w *fleet.Worker) bool { return m.usable(w, now) }
-	for _, p := range m.planner.Plan(demands, m.fleet.All(), now, usable) {
+	rules := dispatch.Rules{
+		Usable:   func(w *fleet.Worker) bool { return m.usable(w, now) },
+		Disturbs: m.sharing.Harmful,
+	}
+	for _, p := range m.planner.Plan(demands, m.fleet.All(), rules) {
 		m.place(p, now)
 	}
 }
@@ -49,7 +52,7 @@
 	}
 	m.ledger.Place(p.Task, run, p.Worker.ID)
 	r := &fleet.Run{
-		ID: p.Task, Run: run, Phase: fleet.RunUnsent, Step: p.Step, Need: p.Step.Occupies(), PlacedAt: now, Pace: fullPace,
+		ID: p.Task, Run: run, Phase: fleet.RunUnsent, Step: p.Step, Need: p.Step.Occupies(), PlacedAt: now, Pace: fullPace, PaceKnown: true,
 	}
 	p.Worker.Add(r)
 	m.unsent = append(m.unsent, placed{worker: p.Worker, run: r, ticket: p.Ticket})
--- a/node/entry/settings.go
+++ b/node/entry/settings.go
@@ -16,7 +16,9 @@
 type Millis float64
 
 // Duration returns the value as a time.Duration.
-func (m Millis) Duration() time.Duration { return time.Duration(float64(m) * float64(time.Millisecond)) }
+func (m Millis) Duration() time.Duration {
+	return time.Duration(float64(m) * float64(time.Millisecond))
+}
 
 // Settings are the settings of an entry node on the platform. The file is JSON
 // with comments; fields that are not known are ignored, because the platform
