--- a/node/dispatcher/office.go
+++ b/node/dispatcher/office.go
@@ -41,9 +41,8 @@
 	ctx, cancel := context.WithCancel(d.ctx)
 	o := &office{
 		d: d, token: token, ctx: ctx, cancel: cancel, since: d.cfg.Clock.Now(), fencedEnd: -1,
-		// The claim was the first append of the epoch.
-		requests: storelog.NewOwnerWriter(p.Store, p.Requests, token, 2),
-		states:   storelog.NewOwnerWriter(p.Store, p.States, token, 1),
+		requests: storelog.NewOwnerWriter(p.Store, p.Requests, token),
+		states:   storelog.NewOwnerWriter(p.Store, p.States, token),
 	}
 	d.office = o
 	d.cfg.Owning(true)
--- a/node/dispatcher/records.go
+++ b/node/dispatcher/records.go
@@ -20,7 +20,7 @@
 }
 
 func (d *Dispatcher) claimOnce(record platform.Keyed, at int64) error {
-	return storelog.Claim(d.ctx, d.cfg.Platform.Store, d.cfg.Platform.Requests, record, at, ownership.TokenAt(at))
+	return storelog.Claim(d.ctx, d.cfg.Platform.Store, d.cfg.Platform.Requests, record, at)
 }
 
 // Request takes a record of the requests partition, from its follower or from
--- a/node/storelog/writer.go
+++ b/node/storelog/writer.go
@@ -21,22 +21,19 @@
 // of a new one fences the former one.
 const ownerProducer = "owner"
 
-// NewOwnerWriter returns a writer for the token. Next is the sequence number of
-// its first append: a claim is the first of its epoch.
-func NewOwnerWriter(store platform.Store, p platform.Partition, token platform.Token, next int64) *OwnerWriter {
+// NewOwnerWriter returns a writer for the token.
+func NewOwnerWriter(store platform.Store, p platform.Partition, token platform.Token) *OwnerWriter {
 	return &OwnerWriter{
 		store: store, partition: p,
-		producer: platform.Producer{Name: ownerProducer, Epoch: int64(token), Seq: next},
+		producer: platform.Producer{Name: ownerProducer, Epoch: int64(token), Seq: 1},
 	}
 }
 
-// Claim appends a claim if the partition still ends at the offset at, and
-// thereby fences all former owners.
-func Claim(ctx context.Context, store platform.Store, p platform.Partition, record platform.Keyed, at int64, token platform.Token) error {
-	_, err := store.Append(ctx, platform.Append{
-		Partition: p, Records: []platform.Keyed{record}, At: &at,
-		Producer: &platform.Producer{Name: ownerProducer, Epoch: int64(token), Seq: 1},
-	})
+// Claim appends a claim if the partition still ends at the offset at. It names
+// no producer: the store takes two claims with one producer, epoch and sequence
+// number for one, and would confirm both.
+func Claim(ctx context.Context, store platform.Store, p platform.Partition, record platform.Keyed, at int64) error {
+	_, err := store.Append(ctx, platform.Append{Partition: p, Records: []platform.Keyed{record}, At: &at})
 	return err
 }
 
