Learn by regression how filling images lift tails, and place by it

Change: a non-negative regression for each serving image; pacing and placement follow its effects; serving tasks of one image share workers, which leaves workers that an image does not disturb.

--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -24,6 +24,8 @@
 	spare int64
 	// placed counts tasks by step, for bounds on one worker and for spreading.
 	placed map[job.StepID]int
+	// planned lists the steps of the tasks that this plan puts here.
+	planned []*job.Step
 }
 
 // Planner keeps the buffers of a plan between rounds.
@@ -47,8 +49,12 @@
 type Rules struct {
 	// Usable tells whether a worker may get new runs.
 	Usable func(*fleet.Worker) bool
-	// Disturbs tells whether a filling image disturbs a serving image.
-	Disturbs func(fill, serve string) bool
+	// Fits tells whether a filling task can run at full speed on a worker
+	// beside what runs and what is planned there.
+	Fits func(w *fleet.Worker, planned []*job.Step, step *job.Step) bool
+	// Disturbed tells whether filling tasks on the worker are known to disturb
+	// a serving image.
+	Disturbed func(w *fleet.Worker, image string) bool
 }
 
 // Plan assigns waiting tasks to workers, in the order of the demands.
@@ -123,6 +129,7 @@
 				s.free = s.free.Add(c.Step.Occupies())
 				s.spare += spareUse(c.Step)
 				s.placed[c.Task.StepID]--
+				s.planned = s.planned[:len(s.planned)-1]
 				break
 			}
 		}
@@ -240,15 +247,7 @@
 // conflicts reports whether a filling task of the demand would disturb a
 // serving task on the worker.
 func (p *Planner) conflicts(s *slot, d *Demand) bool {
-	if !d.Step.Fills || !s.worker.Serving() {
-		return false
-	}
-	for _, r := range s.worker.Runs {
-		if r.Step != nil && r.Step.Target > 0 && p.rules.Disturbs(d.Step.Image, r.Step.Image) {
-			return true
-		}
-	}
-	return false
+	return d.Step.Fills && s.worker.Serving() && !p.rules.Fits(s.worker, s.planned, d.Step)
 }
 
 // minFillShare is the share of its processor demand that a filling task must
@@ -270,4 +269,5 @@
 		s.placed = map[job.StepID]int{}
 	}
 	s.placed[d.ID]++
+	s.planned = append(s.planned, d.Step)
 }
--- a/core/dispatch/score.go
+++ b/core/dispatch/score.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "github.com/basilferry/basilferry/core/fleet"
+import (
+	"github.com/basilferry/basilferry/core/fleet"
+	"github.com/basilferry/basilferry/core/job"
+)
 
 // Weights of a worker's score; one unit is the worker's whole processor.
 const (
@@ -12,10 +15,11 @@
 	spreadPenalty = 0.5
 	// servingPenalty keeps filling tasks away from tasks with a latency target.
 	servingPenalty = 0.3
-	// sameImage is the gain of a worker that serves the image already: tasks of
-	// one image are disturbed by the same filling images, so workers without
-	// that image stay open to these.
-	sameImage = 0.4
+	// sameImage is the gain of a worker that serves the image already, and
+	// otherImage the cost of one that serves another image: tasks of one image
+	// are disturbed by the same filling images.
+	sameImage  = 2.0
+	otherImage = 2.0
 	// disturbedPenalty keeps a serving task away from filling tasks that are
 	// known to disturb it.
 	disturbedPenalty = 1.0
@@ -54,20 +58,31 @@
 	return slowPenalty * max(0, w.Health.Ratio()-1)
 }
 
-// company rates what runs on the worker beside a serving task.
+// company rates what serves on the worker beside a serving task. Workers that
+// serve one image only can take every filling image that does not disturb it.
 func (p *Planner) company(s *slot, d *Demand) float64 {
 	if d.Step.Target == 0 {
 		return 0
 	}
-	same, disturbed := 0.0, 0.0
-	for _, r := range s.worker.Runs {
+	same, other := 0.0, 0.0
+	count := func(step *job.Step) {
 		switch {
-		case r.Step == nil:
-		case r.Step.Target > 0 && r.Step.Image == d.Step.Image:
+		case step == nil || step.Target == 0:
+		case step.Image == d.Step.Image:
 			same = sameImage
-		case r.Step.Fills && p.rules.Disturbs(r.Step.Image, d.Step.Image):
-			disturbed = disturbedPenalty
+		default:
+			other = otherImage
 		}
 	}
-	return same - disturbed
+	for _, r := range s.worker.Runs {
+		count(r.Step)
+	}
+	for _, step := range s.planned {
+		count(step)
+	}
+	rating := same - other
+	if p.rules.Disturbed(s.worker, d.Step.Image) {
+		rating -= disturbedPenalty
+	}
+	return rating
 }
--- a/core/fleet/worker.go
+++ b/core/fleet/worker.go
@@ -46,11 +46,10 @@
 	// Percent and Observed are the worker's last figures.
 	Percent  int
 	Observed int64
-	// Pace is the share of full speed that was ordered last, in percent, since
-	// PaceAt. PaceKnown is not set for a run of a former owner, whose orders are
-	// not known.
+	// Pace is the share of full speed that was ordered last, in percent.
+	// PaceKnown is not set for a run of a former owner, whose orders are not
+	// known.
 	Pace      int
-	PaceAt    Instant
 	PaceKnown bool
 	// Pacing tells that an order for the pace is under way.
 	Pacing bool
@@ -97,8 +96,10 @@
 	// their processor demand.
 	serving    int
 	ServingCPU int64
-	// filling counts the runs that use what others leave.
-	filling int
+	// filling counts the runs that use what others leave, and FillChangedAt is
+	// when one of them started, ended or changed its pace last.
+	filling       int
+	FillChangedAt Instant
 }
 
 func newWorker(entry platform.RegistryEntry) *Worker {
--- a/core/scheduler/hold.go
+++ b/core/scheduler/hold.go
@@ -217,6 +217,9 @@
 	m.planWanted = true
 	if r := w.Runs[id]; r != nil && r.Run == end.Run {
 		m.rate(w, r, end.How, now)
+		if r.Step != nil && r.Step.Fills {
+			w.FillChangedAt = now
+		}
 		m.remove(w, r)
 	}
 	e := m.ledger.Entry(id.Job)
--- a/core/scheduler/pace.go
+++ b/core/scheduler/pace.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/basilferry/basilferry/core/fleet"
+	"github.com/basilferry/basilferry/core/job"
 	"github.com/basilferry/basilferry/core/sharing"
 )
 
@@ -21,8 +22,8 @@
 		return
 	}
 	serving := m.servingOn(w, now)
-	runs, filling := m.fillingOn(w, now)
-	m.sharing.Learn(serving, filling)
+	runs, filling := m.fillingOn(w)
+	m.sharing.Learn(serving, filling, now-w.FillChangedAt)
 	for i, advice := range m.sharing.Control(serving, filling) {
 		r := runs[i]
 		if advice.Move && !r.Stopping {
@@ -57,16 +58,14 @@
 	return out
 }
 
-func (m *Machine) fillingOn(w *fleet.Worker, now fleet.Instant) ([]*fleet.Run, []sharing.Filling) {
+func (m *Machine) fillingOn(w *fleet.Worker) ([]*fleet.Run, []sharing.Filling) {
 	var runs []*fleet.Run
 	var out []sharing.Filling
 	for _, r := range w.Runs {
 		if r.Step == nil || !r.Step.Fills || r.Phase != fleet.RunStarted {
 			continue
 		}
-		f := sharing.Filling{
-			Image: r.Step.Image, Pace: r.Pace, AtWork: now - max(r.StartedAt, r.PaceAt), Movable: r.Step.SavesProgress,
-		}
+		f := fillingOf(r)
 		if !r.PaceKnown {
 			f.Pace = fullPace
 		}
@@ -76,6 +75,13 @@
 	return runs, out
 }
 
+func fillingOf(r *fleet.Run) sharing.Filling {
+	return sharing.Filling{
+		Image: r.Step.Image, Pace: r.Pace, Movable: r.Step.SavesProgress,
+		Cores: float64(r.Step.Need.CPUMilli) / milli, Used: float64(r.Observed) / milli,
+	}
+}
+
 func (m *Machine) orderPace(w *fleet.Worker, r *fleet.Run, percent int, now fleet.Instant) {
 	if r.Pacing || r.Stopping {
 		return
@@ -100,5 +106,53 @@
 		r.PaceKnown = false
 		return
 	}
-	r.Pace, r.PaceAt, r.PaceKnown = a.Order.Percent, now, true
+	r.Pace, r.PaceKnown = a.Order.Percent, true
+	w.FillChangedAt = now
+}
+
+// startPace slows a filling run down that has just started beside tasks that
+// it is known to disturb.
+func (m *Machine) startPace(w *fleet.Worker, r *fleet.Run, now fleet.Instant) {
+	if !r.Step.Fills || !w.Serving() {
+		return
+	}
+	pace := m.sharing.StartPace(m.servingOn(w, now), fillingOf(r))
+	if pace < fullPace {
+		m.orderPace(w, r, pace, now)
+	}
+}
+
+// fits reports whether a filling task of the image can run at full speed on
+// the worker, the planned ones included.
+func (m *Machine) fits(w *fleet.Worker, planned []*job.Step, step *job.Step) bool {
+	var serving []sharing.Serving
+	var filling []sharing.Filling
+	for _, r := range w.Runs {
+		switch {
+		case r.Step == nil:
+		case r.Step.Target > 0:
+			serving = append(serving, sharing.Serving{Image: r.Step.Image})
+		case r.Step.Fills:
+			f := fillingOf(r)
+			f.Pace = fullPace
+			filling = append(filling, f)
+		}
+	}
+	for _, s := range planned {
+		if s.Fills {
+			filling = append(filling, sharing.Filling{Image: s.Image, Pace: fullPace, Cores: float64(s.Need.CPUMilli) / milli})
+		}
+	}
+	return m.sharing.Fits(serving, filling, step.Image, float64(step.Need.CPUMilli)/milli)
+}
+
+// disturbed reports whether a filling run on the worker is known to disturb
+// the serving image.
+func (m *Machine) disturbed(w *fleet.Worker, image string) bool {
+	for _, r := range w.Runs {
+		if r.Step != nil && r.Step.Fills && m.sharing.Harmful(r.Step.Image, image, float64(r.Step.Need.CPUMilli)/milli) {
+			return true
+		}
+	}
+	return false
 }
--- a/core/scheduler/plan.go
+++ b/core/scheduler/plan.go
@@ -20,8 +20,9 @@
 	}
 	dispatch.Order(demands, now)
 	rules := dispatch.Rules{
-		Usable:   func(w *fleet.Worker) bool { return m.usable(w, now) },
-		Disturbs: m.sharing.Harmful,
+		Usable:    func(w *fleet.Worker) bool { return m.usable(w, now) },
+		Fits:      m.fits,
+		Disturbed: m.disturbed,
 	}
 	for _, p := range m.planner.Plan(demands, m.fleet.All(), rules) {
 		m.place(p, now)
--- a/core/sharing/control.go
+++ b/core/sharing/control.go
@@ -16,8 +16,8 @@
 	Image string
 	// Pace is its share of full speed in percent.
 	Pace int
-	// AtWork is how long it has been at work at this pace.
-	AtWork time.Duration
+	// Cores is what it uses at full speed, and Used what it used last.
+	Cores, Used float64
 	// Movable tells that it can be stopped without losing work.
 	Movable bool
 }
@@ -31,92 +31,117 @@
 }
 
 const (
-	// settled is how long a filling task must have been at work at its pace
-	// before a tail latency, which covers the last half second, tells about it.
+	// settled is how long the filling tasks of a worker must have been the same,
+	// at the same pace, before a tail latency tells about them: it covers the
+	// last half second.
 	settled = 700 * time.Millisecond
 	// nearTarget and calmTarget are the shares of the target at which a worker
 	// slows filling tasks down, and lets them speed up again. The distance
 	// between them damps.
-	nearTarget = 0.9
+	nearTarget = 0.95
 	calmTarget = 0.6
 	// allStop is how long a tail may be over its target before all filling
 	// tasks stand still, whatever the model says: the platform bounds it to 4 s.
 	allStop = 2 * time.Second
-	// paceStep is by how much a filling task speeds up in each calm look.
-	paceStep = 25
+	// slowStep is by how much a harmful filling task speeds up in a calm look.
+	slowStep = 15
 	fullPace = 100
 )
 
-// Learn lets the model learn from one look at a worker.
-func (m *Model) Learn(serving []Serving, filling []Filling) {
-	var fills []string
-	for _, f := range filling {
-		if f.Pace > 0 && f.AtWork >= settled {
-			fills = append(fills, f.Image)
-		} else if f.Pace > 0 {
-			// The tail may be the newcomer's doing, so it shows nothing of
-			// the others.
-			return
-		}
-	}
-	if len(fills) == 0 {
+// Learn lets the model learn from one look at a worker. Unchanged is how long
+// the filling tasks have been the same.
+func (m *Model) Learn(serving []Serving, filling []Filling, unchanged time.Duration) {
+	if unchanged < settled {
 		return
 	}
+	cores := make(map[string]float64, len(filling))
+	for _, f := range filling {
+		cores[f.Image] += f.Used
+	}
 	for _, s := range serving {
 		if s.Tail > 0 {
-			m.Observe(s.Image, fills, s.Tail > s.Target)
+			m.fit(s.Image).observe(cores, float64(s.Tail)/float64(s.Target))
 		}
 	}
 }
 
 // Control returns the advice for each filling task of a worker.
 func (m *Model) Control(serving []Serving, filling []Filling) []Advice {
-	images := make([]string, len(filling))
 	out := make([]Advice, len(filling))
-	calm := true
 	for i, f := range filling {
-		images[i] = f.Image
-		out[i].Pace = f.Pace
+		out[i].Pace = m.faster(serving, f)
 	}
 	for _, s := range serving {
 		ratio := float64(s.Tail) / float64(s.Target)
-		if ratio > calmTarget {
-			calm = false
-		}
 		if ratio <= nearTarget {
 			continue
 		}
-		for _, i := range m.yielding(s, images) {
-			out[i].Pace = 0
-			out[i].Move = filling[i].Movable && m.Harmful(images[i], s.Image)
+		for _, i := range m.yielding(s, filling) {
+			out[i] = m.slower(s, filling[i], out[i], ratio)
 		}
 	}
-	if calm {
-		for i, f := range filling {
-			out[i].Pace = min(fullPace, f.Pace+paceStep)
+	return out
+}
+
+// faster returns the pace of a filling task if nothing speaks against it:
+// full speed beside tasks that it is known not to disturb, otherwise faster
+// only while their tails are far from the target.
+func (m *Model) faster(serving []Serving, f Filling) int {
+	step := fullPace
+	for _, s := range serving {
+		if m.Harmless(f.Image, s.Image, f.Cores) {
+			continue
+		}
+		if float64(s.Tail) > calmTarget*float64(s.Target) {
+			return f.Pace
+		}
+		if m.Harmful(f.Image, s.Image, f.Cores) {
+			step = slowStep
 		}
 	}
-	return out
+	return min(fullPace, f.Pace+step)
+}
+
+// slower returns the advice for a filling task that is suspected to bring a
+// tail near or over its target.
+func (m *Model) slower(s Serving, f Filling, before Advice, ratio float64) Advice {
+	if ratio <= 1 {
+		return Advice{Pace: min(before.Pace, f.Pace/2), Move: before.Move}
+	}
+	return Advice{Move: before.Move || (f.Movable && m.Harmful(f.Image, s.Image, f.Cores))}
 }
 
-func (m *Model) yielding(s Serving, images []string) []int {
-	if s.OverFor < allStop {
-		return m.Suspects(s.Image, images)
+// yielding returns the indexes of the filling tasks that should make way for a
+// serving task: those that are known to matter, or, if none is, those of which
+// too little is known.
+func (m *Model) yielding(s Serving, filling []Filling) []int {
+	var matter, unknown, all []int
+	for i, f := range filling {
+		all = append(all, i)
+		switch {
+		case m.Harmless(f.Image, s.Image, f.Cores):
+		case m.rise(f.Image, s.Image, f.Cores) > harmlessRise:
+			matter = append(matter, i)
+		default:
+			unknown = append(unknown, i)
+		}
 	}
-	all := make([]int, len(images))
-	for i := range all {
-		all[i] = i
+	switch {
+	case s.OverFor >= allStop:
+		return all
+	case len(matter) > 0:
+		return matter
 	}
-	return all
+	return unknown
 }
 
-// Conflicts reports whether the filling image is known to disturb one of the
-// serving images.
-func (m *Model) Conflicts(fill string, serving func(yield func(image string) bool)) bool {
-	for image := range serving {
-		if m.Harmful(fill, image) {
-			return true
+// StartPace returns the pace of a filling task that starts beside the serving
+// tasks: slow if it is known to disturb one of them.
+func (m *Model) StartPace(serving []Serving, f Filling) int {
+	for _, s := range serving {
+		if m.Harmful(f.Image, s.Image, f.Cores) {
+			return slowStep
 		}
 	}
-	return false
+	return fullPace
 }
--- a/core/sharing/sharing_test.go
+++ b/core/sharing/sharing_test.go
@@ -1,6 +1,7 @@
 package sharing
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -9,74 +10,88 @@
 
 const target = 150 * time.Millisecond
 
-// Guards against blaming all filling images for what one of them does: two
-// images always run together, and only one of them disturbs.
-func TestBlameFindsTheOneCulprit(t *testing.T) {
-	m := NewModel()
-	for range 5 {
-		m.Observe("checks", []string{"quiet"}, false)
-	}
-	for range 3 {
-		m.Observe("checks", []string{"quiet", "loud"}, true)
-	}
-	assert.Assert(t, m.Harmful("loud", "checks"))
-	assert.Assert(t, !m.Harmful("quiet", "checks"))
+func fill(image string, pace int) Filling {
+	return Filling{Image: image, Pace: pace, Cores: 2, Used: 2 * float64(pace) / fullPace, Movable: true}
+}
+
+func tail(share float64) []Serving {
+	return []Serving{{Image: "checks", Tail: time.Duration(share * float64(target)), Target: target}}
 }
 
-// Guards against avoiding a pair because of one peak of the serving task's own
-// load.
-func TestRarePeakIsNoHarm(t *testing.T) {
+// learn shows the model looks at workers with random neighbours, of which only
+// "loud" lifts the tail: one core of it by a whole target.
+func learn(looks int) *Model {
 	m := NewModel()
-	for range 40 {
-		m.Observe("checks", []string{"quiet"}, false)
+	random := rand.New(rand.NewPCG(1, 2))
+	for range looks {
+		filling := []Filling{fill("quiet", 100)}
+		share := 0.2 + 0.3*random.Float64()
+		if random.IntN(3) == 0 {
+			filling = append(filling, fill("loud", 100))
+			share += 2
+		}
+		if random.IntN(2) == 0 {
+			filling = append(filling, fill("calm", 100))
+		}
+		m.Learn(tail(share), filling, time.Second)
 	}
-	m.Observe("checks", []string{"quiet"}, true)
-	assert.Assert(t, !m.Harmful("quiet", "checks"))
+	return m
+}
+
+// Guards against blaming all filling images for what one of them does: the
+// quiet one runs beside the loud one each time.
+func TestRegressionFindsTheOneCulprit(t *testing.T) {
+	m := learn(100)
+	assert.Assert(t, m.Harmful("loud", "checks", 2))
+	assert.Assert(t, m.Harmless("quiet", "checks", 2))
+	assert.Assert(t, m.Harmless("calm", "checks", 2))
+	assert.Assert(t, !m.Fits(tail(0.3), nil, "loud", 2))
+	assert.Assert(t, m.Fits(tail(0.3), []Filling{fill("quiet", 100)}, "calm", 2))
 }
 
 // Guards against a filling task that works on beside a serving task that is
-// over its target: the rule allows 4 s.
+// over its target: the rule allows 4 s. Of an unknown image the pace is taken
+// away; a known culprit also moves.
 func TestTailOverTargetStopsTheSuspect(t *testing.T) {
-	m := NewModel()
-	serving := []Serving{{Image: "checks", Tail: 2 * target, Target: target}}
-	filling := []Filling{{Image: "loud", Pace: 100, AtWork: time.Second, Movable: true}}
-	m.Learn(serving, filling)
-	advice := m.Control(serving, filling)
-	assert.Equal(t, advice[0].Pace, 0)
-	assert.Assert(t, advice[0].Move)
+	advice := NewModel().Control(tail(2), []Filling{fill("new", 100)})
+	assert.DeepEqual(t, advice, []Advice{{Pace: 0}})
+	advice = learn(100).Control(tail(2), []Filling{fill("quiet", 100), fill("loud", 100)})
+	assert.DeepEqual(t, advice, []Advice{{Pace: 100}, {Pace: 0, Move: true}})
 }
 
 // Guards against a harmful image that the model takes for harmless: after two
 // seconds over the target all filling tasks stand still.
 func TestLongOverTargetStopsAll(t *testing.T) {
-	m := NewModel()
-	for range 50 {
-		m.Observe("checks", []string{"a"}, false)
-		m.Observe("checks", []string{"b"}, false)
-	}
-	m.Observe("checks", []string{"b"}, true)
-	serving := []Serving{{Image: "checks", Tail: 2 * target, Target: target, OverFor: allStop}}
-	filling := []Filling{{Image: "a", Pace: 100, AtWork: time.Minute}, {Image: "b", Pace: 50, AtWork: time.Minute}}
-	for _, a := range m.Control(serving, filling) {
+	m := learn(100)
+	serving := tail(2)
+	serving[0].OverFor = allStop
+	for _, a := range m.Control(serving, []Filling{fill("quiet", 100), fill("calm", 50)}) {
 		assert.Equal(t, a.Pace, 0)
 	}
 }
 
-// Guards against swings: between the two bounds the pace stays as it is.
+// Guards against swings: between the two bounds the pace stays as it is, and a
+// harmful image speeds up in small steps.
 func TestPaceIsDampedBetweenBounds(t *testing.T) {
-	m := NewModel()
-	filling := []Filling{{Image: "a", Pace: 50, AtWork: time.Second}}
-	between := []Serving{{Image: "checks", Tail: target * 3 / 4, Target: target}}
-	assert.Equal(t, m.Control(between, filling)[0].Pace, 50)
-	calm := []Serving{{Image: "checks", Tail: target / 4, Target: target}}
-	assert.Equal(t, m.Control(calm, filling)[0].Pace, 75)
+	m := learn(100)
+	assert.Equal(t, m.Control(tail(0.75), []Filling{fill("loud", 50)})[0].Pace, 50)
+	assert.Equal(t, m.Control(tail(0.2), []Filling{fill("loud", 50)})[0].Pace, 50+slowStep)
+	assert.Equal(t, m.Control(tail(0.2), []Filling{fill("new", 50)})[0].Pace, 100)
 }
 
-// Guards against learning from a task that has just started: its effect does
+// Guards against slowing a filling task down for a peak of the serving task's
+// own load.
+func TestHarmlessImageKeepsFullSpeed(t *testing.T) {
+	advice := learn(100).Control(tail(1.2), []Filling{fill("quiet", 100)})
+	assert.Equal(t, advice[0].Pace, 100)
+}
+
+// Guards against learning from tasks that have just changed: their effect does
 // not show in the tail of the last half second yet.
-func TestNewcomerTeachesNothing(t *testing.T) {
+func TestUnsettledLookTeachesNothing(t *testing.T) {
 	m := NewModel()
-	serving := []Serving{{Image: "checks", Tail: 2 * target, Target: target}}
-	m.Learn(serving, []Filling{{Image: "a", Pace: 100, AtWork: time.Second}, {Image: "b", Pace: 100, AtWork: 0}})
-	assert.Assert(t, !m.Harmful("a", "checks"))
+	for range 50 {
+		m.Learn(tail(3), []Filling{fill("a", 100)}, settled/2)
+	}
+	assert.Assert(t, !m.Harmful("a", "checks", 2))
 }
--- a/node/dispatcher/office.go
+++ b/node/dispatcher/office.go
@@ -31,6 +31,7 @@
 	renewing   bool
 	appending  bool
 	lastAppend time.Duration
+	lastLoad   time.Duration
 	counters   scheduler.Counters
 }
 
@@ -163,6 +164,7 @@
 		go o.execute(order)
 	}
 	o.report()
+	o.summarize(now)
 	o.judge(now)
 }
 
