--- a/core/scheduler/load.go
+++ b/core/scheduler/load.go
@@ -12,6 +12,9 @@
 	// Waiting and Running count tasks that could run, by sort.
 	WaitingServing, WaitingFilling, WaitingOther int
 	RunningServing, RunningFilling, RunningOther int
+	// ServingOver counts the serving tasks whose tail was over its target at
+	// the last look, and OverAlone those of them with no filling task beside.
+	ServingOver, OverAlone int
 	// Pace is the mean pace of the running filling tasks in percent.
 	Pace int
 	// FillCores is the processor time that filling tasks use, in cores, and
@@ -40,6 +43,12 @@
 			case r.Step == nil:
 			case r.Step.Target > 0:
 				l.RunningServing++
+				if r.Percent >= atWork && r.Observed > r.Step.Target.Milliseconds() {
+					l.ServingOver++
+					if !w.Shared() {
+						l.OverAlone++
+					}
+				}
 			case r.Step.Fills:
 				l.RunningFilling++
 				paces += r.Pace
--- a/core/sharing/model.go
+++ b/core/sharing/model.go
@@ -30,7 +30,7 @@
 	// at full speed lifts a tail. Harmful tasks lift it to a multiple of the
 	// target, harmless ones by less than a tenth.
 	harmfulRise  = 0.5
-	harmlessRise = 0.15
+	harmlessRise = 0.1
 )
 
 // Harmful reports whether the filling task at full speed is known to bring the
@@ -46,9 +46,14 @@
 	return f != nil && f.known(fill) && f.effect(fill)*cores <= harmlessRise
 }
 
-// fullTail is the share of the target that a serving image's expected tail may
-// reach; the load of serving tasks swings by half of its mean.
-const fullTail = 0.8
+const (
+	// riseBudget is the share of the target by which all filling tasks of a
+	// worker together may lift the mean tail of a serving task. The load of
+	// serving tasks swings by half of its mean, which doubles tails.
+	riseBudget = 0.2
+	// noRise is the share below which a task does not count.
+	noRise = 0.02
+)
 
 // Fits reports whether a filling task can run at full speed on a worker beside
 // its serving and filling tasks.
@@ -58,15 +63,14 @@
 		if f == nil {
 			continue
 		}
-		own := f.effect(image) * cores
-		if own <= harmlessRise {
+		rise := f.effect(image) * cores
+		if rise <= noRise {
 			continue
 		}
-		tail := f.effects[0] + own
 		for _, other := range filling {
-			tail += f.effect(other.Image) * other.Cores * float64(other.Pace) / fullPace
+			rise += f.effect(other.Image) * other.Cores * float64(other.Pace) / fullPace
 		}
-		if tail > fullTail {
+		if rise > riseBudget {
 			return false
 		}
 	}
--- a/node/dispatcher/load.go
+++ b/node/dispatcher/load.go
@@ -19,6 +19,7 @@
 		slog.Int("jobs", l.Jobs),
 		slog.Int("waiting_serving", l.WaitingServing), slog.Int("waiting_filling", l.WaitingFilling), slog.Int("waiting_other", l.WaitingOther),
 		slog.Int("running_serving", l.RunningServing), slog.Int("running_filling", l.RunningFilling), slog.Int("running_other", l.RunningOther),
+		slog.Int("serving_over", l.ServingOver), slog.Int("over_alone", l.OverAlone),
 		slog.Int("fill_pace", l.Pace), slog.Int("fill_cores", int(l.FillCores)), slog.Int("fill_demand", int(l.FillDemand)),
 		slog.Int("free_cores", int(l.FreeCores)), slog.Int("workers", l.Workers), slog.Int("listed", l.Listed))
 	m := o.d.cfg.Metrics
@@ -29,6 +30,7 @@
 	m.Gauge("tasks_running_serving", float64(l.RunningServing))
 	m.Gauge("tasks_running_filling", float64(l.RunningFilling))
 	m.Gauge("tasks_running_other", float64(l.RunningOther))
+	m.Gauge("tasks_serving_over_target", float64(l.ServingOver))
 	m.Gauge("fill_pace_percent", float64(l.Pace))
 	m.Gauge("cores_free", l.FreeCores)
 	m.Gauge("workers_usable", float64(l.Workers))
