Place short work before long-running work of the same priority

Cause: with a zone out, serving tasks hold nearly all room and up to 240 short tasks waited behind restarted serving tasks. Also: a failed claim is repeated only after the log was read again (five calls in 50 ms on each node before), and an owner resigns once.

--- a/core/dispatch/order.go
+++ b/core/dispatch/order.go
@@ -54,14 +54,27 @@
 }
 
 // Order sorts demands so that the first gains most: by tier, then by the
-// queue's priority, then by the latest time at which the work must start.
-// Demands of a later tier come later but are never dropped.
+// queue's priority, then short work before long-running work, then by the
+// latest time at which the work must start. Demands of a later tier come later
+// but are never dropped.
+//
+// Short work comes first because it holds its room for about a second: a
+// long-running task waits little for it, while the other way round the short
+// work waits until the long-running task ends.
 func Order(demands []Demand, now time.Duration) {
 	slices.SortStableFunc(demands, func(a, b Demand) int {
 		return cmp.Or(
 			cmp.Compare(a.tier(now), b.tier(now)),
 			cmp.Compare(a.Priority, b.Priority),
+			cmp.Compare(lasting(a), lasting(b)),
 			cmp.Compare(a.Due-a.Remaining, b.Due-b.Remaining),
 		)
 	})
 }
+
+func lasting(d Demand) int {
+	if d.Step.LongRunning {
+		return 1
+	}
+	return 0
+}
--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -68,6 +68,9 @@
 	lifeAt Instant
 	// renewedAt is when this owner last sent a sign of life.
 	renewedAt Instant
+	// failedAt is when the last claim failed; the log is read again before the
+	// next one.
+	failedAt Instant
 	// restUntil keeps a node that resigned from claiming again.
 	restUntil Instant
 }
@@ -145,7 +148,10 @@
 func (o *Ownership) ObserveLife(now Instant) { o.lifeAt = now }
 
 // ClaimFailed takes note that a claim was not appended.
-func (o *Ownership) ClaimFailed() { o.move(claimFailed) }
+func (o *Ownership) ClaimFailed(now Instant) {
+	o.failedAt = now
+	o.move(claimFailed)
+}
 
 // Replaced takes note that the store has refused this owner's epoch.
 func (o *Ownership) Replaced(now Instant) {
@@ -188,7 +194,7 @@
 const freshRead = 500 * time.Millisecond
 
 func (o *Ownership) mayClaim(now, heard Instant) bool {
-	if now < o.restUntil || now-heard > freshRead {
+	if now < o.restUntil || now-heard > freshRead || heard < o.failedAt {
 		return false
 	}
 	silence := now - o.lifeAt
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -103,7 +103,7 @@
 	switch d.ownership.Decide(now, heard) {
 	case ownership.Claim:
 		if d.stopping || d.claiming {
-			d.ownership.ClaimFailed()
+			d.ownership.ClaimFailed(d.cfg.Clock.Now())
 			return
 		}
 		d.claim()
@@ -131,7 +131,7 @@
 			d.cfg.RequestsFollower.Hurry()
 			if err != nil {
 				d.cfg.Logger.Info("claim not made", "at", at, "err", err)
-				d.ownership.ClaimFailed()
+				d.ownership.ClaimFailed(d.cfg.Clock.Now())
 				return
 			}
 			// The log shows the claim as well; its answer is here first.
--- a/node/dispatcher/office.go
+++ b/node/dispatcher/office.go
@@ -235,7 +235,7 @@
 // judge resigns if this owner reaches less than half of the workers while it
 // reaches the store: another node may reach them.
 func (o *office) judge(now time.Duration) {
-	if now-o.since < unfitOffice || !o.machine.Connected(now) {
+	if _, owning := o.d.ownership.Owning(); !owning || now-o.since < unfitOffice || !o.machine.Connected(now) {
 		return
 	}
 	silent, listed := o.machine.Silent(now, unfitAfter)
