Learn pressures instead of tails, from every look, and pace in proportion

Cause: tails grow like a queue's, so a regression of tails was ruled by few large values, and looks at busy workers were left out because their filling tasks change all the time (855f5b beside fa772b stayed at effect 0 while over its target five times and more). Change: the pressure 1 - t0/t is fitted, each filling task counts with the cores that it used in the same half second, only looks after an end are left out, and unknown images yield when nothing known explains a tail.

--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -49,9 +49,9 @@
 type Rules struct {
 	// Usable tells whether a worker may get new runs.
 	Usable func(*fleet.Worker) bool
-	// Fits tells whether a filling task can run at full speed on a worker
-	// beside what runs and what is planned there.
-	Fits func(w *fleet.Worker, planned []*job.Step, step *job.Step) bool
+	// Speed returns the share of full speed, from 0 to 1, that a filling task
+	// can be expected to reach on a worker beside what runs and is planned there.
+	Speed func(w *fleet.Worker, planned []*job.Step, step *job.Step) float64
 	// Disturbed tells whether filling tasks on the worker are known to disturb
 	// a serving image.
 	Disturbed func(w *fleet.Worker, image string) bool
@@ -202,10 +202,14 @@
 	best, bestScore := -1, 0.0
 	for i := range p.slots {
 		s := &p.slots[i]
-		if !s.allows(d) || !need.Fits(s.free) || (rack != "" && s.worker.Rack() != rack) || !s.takes(d) || p.conflicts(s, d) {
+		if !s.allows(d) || !need.Fits(s.free) || (rack != "" && s.worker.Rack() != rack) || !s.takes(d) {
 			continue
 		}
-		if score := p.score(s, d); best < 0 || score > bestScore {
+		speed := p.speed(s, d)
+		if speed < minSpeed {
+			continue
+		}
+		if score := p.score(s, d) + speed; best < 0 || score > bestScore {
 			best, bestScore = i, score
 		}
 	}
@@ -244,10 +248,17 @@
 	return count
 }
 
-// conflicts reports whether a filling task of the demand would disturb a
-// serving task on the worker.
-func (p *Planner) conflicts(s *slot, d *Demand) bool {
-	return d.Step.Fills && s.worker.Serving() && !p.rules.Fits(s.worker, s.planned, d.Step)
+// minSpeed is the share of full speed that a filling task must expect: with
+// less it takes room for long and finishes late.
+const minSpeed = 0.9
+
+// speed returns the share of full speed that a task of the demand can expect
+// on the worker.
+func (p *Planner) speed(s *slot, d *Demand) float64 {
+	if !d.Step.Fills || !s.worker.Serving() {
+		return 1
+	}
+	return p.rules.Speed(s.worker, s.planned, d.Step)
 }
 
 // minFillShare is the share of its processor demand that a filling task must
--- a/core/fleet/worker.go
+++ b/core/fleet/worker.go
@@ -96,10 +96,11 @@
 	// their processor demand.
 	serving    int
 	ServingCPU int64
-	// filling counts the runs that use what others leave, and FillChangedAt is
-	// when one of them started, ended or changed its pace last.
-	filling       int
-	FillChangedAt Instant
+	// filling counts the runs that use what others leave, and FillEndedAt is
+	// when one of them ended last: its use is in the tails of the last half
+	// second and not in the list of runs any more.
+	filling     int
+	FillEndedAt Instant
 }
 
 func newWorker(entry platform.RegistryEntry) *Worker {
--- a/core/scheduler/hold.go
+++ b/core/scheduler/hold.go
@@ -68,7 +68,7 @@
 	case OrderStop:
 		m.answeredStop(w, a, now)
 	case OrderPace:
-		m.answeredPace(w, a, now)
+		m.answeredPace(w, a)
 	}
 }
 
@@ -218,7 +218,7 @@
 	if r := w.Runs[id]; r != nil && r.Run == end.Run {
 		m.rate(w, r, end.How, now)
 		if r.Step != nil && r.Step.Fills {
-			w.FillChangedAt = now
+			w.FillEndedAt = now
 		}
 		m.remove(w, r)
 	}
--- a/core/scheduler/pace.go
+++ b/core/scheduler/pace.go
@@ -23,7 +23,7 @@
 	}
 	serving := m.servingOn(w, now)
 	runs, filling := m.fillingOn(w)
-	m.sharing.Learn(serving, filling, now-w.FillChangedAt)
+	m.sharing.Learn(serving, filling, now-w.FillEndedAt)
 	for i, advice := range m.sharing.Control(serving, filling) {
 		r := runs[i]
 		if advice.Move && !r.Stopping {
@@ -96,7 +96,7 @@
 
 // answeredPace takes note of a pace that is in force. One without an answer is
 // ordered again with the next report.
-func (m *Machine) answeredPace(w *fleet.Worker, a Answer, now fleet.Instant) {
+func (m *Machine) answeredPace(w *fleet.Worker, a Answer) {
 	r := w.Runs[a.Order.Task]
 	if r == nil || r.Run != a.Order.Run {
 		return
@@ -107,52 +107,70 @@
 		return
 	}
 	r.Pace, r.PaceKnown = a.Order.Percent, true
-	w.FillChangedAt = now
 }
 
 // startPace slows a filling run down that has just started beside tasks that
-// it is known to disturb.
+// it is known to press.
 func (m *Machine) startPace(w *fleet.Worker, r *fleet.Run, now fleet.Instant) {
 	if !r.Step.Fills || !w.Serving() {
 		return
 	}
-	pace := m.sharing.StartPace(m.servingOn(w, now), fillingOf(r))
-	if pace < fullPace {
+	serving, filling := m.company(w, r, nil)
+	if pace := m.sharing.StartPace(serving, filling, fillingOf(r)); pace < fullPace {
 		m.orderPace(w, r, pace, now)
 	}
 }
 
-// fits reports whether a filling task of the image can run at full speed on
-// the worker, the planned ones included.
-func (m *Machine) fits(w *fleet.Worker, planned []*job.Step, step *job.Step) bool {
+// company lists the serving and filling tasks on a worker, the planned ones
+// included and one run left out.
+func (m *Machine) company(w *fleet.Worker, except *fleet.Run, planned []*job.Step) ([]sharing.Serving, []sharing.Filling) {
 	var serving []sharing.Serving
 	var filling []sharing.Filling
 	for _, r := range w.Runs {
 		switch {
-		case r.Step == nil:
+		case r.Step == nil || r == except || r.Stopping:
 		case r.Step.Target > 0:
 			serving = append(serving, sharing.Serving{Image: r.Step.Image})
 		case r.Step.Fills:
-			f := fillingOf(r)
-			f.Pace = fullPace
-			filling = append(filling, f)
+			filling = append(filling, fillingOf(r))
 		}
 	}
 	for _, s := range planned {
-		if s.Fills {
-			filling = append(filling, sharing.Filling{Image: s.Image, Pace: fullPace, Cores: float64(s.Need.CPUMilli) / milli})
+		switch {
+		case s.Target > 0:
+			serving = append(serving, sharing.Serving{Image: s.Image})
+		case s.Fills:
+			filling = append(filling, fillingStep(s))
 		}
 	}
-	return m.sharing.Fits(serving, filling, step.Image, float64(step.Need.CPUMilli)/milli)
+	return serving, filling
+}
+
+func fillingStep(s *job.Step) sharing.Filling {
+	return sharing.Filling{Image: s.Image, Pace: fullPace, Cores: float64(s.Need.CPUMilli) / milli}
+}
+
+// speed returns the share of full speed that a filling task of the step can be
+// expected to reach on the worker.
+func (m *Machine) speed(w *fleet.Worker, planned []*job.Step, step *job.Step) float64 {
+	serving, filling := m.company(w, nil, planned)
+	for i := range filling {
+		filling[i].Pace = fullPace
+	}
+	return m.sharing.Speed(serving, filling, fillingStep(step))
 }
 
-// disturbed reports whether a filling run on the worker is known to disturb
-// the serving image.
+// disturbed reports whether a filling run on the worker is known to press the
+// serving image.
 func (m *Machine) disturbed(w *fleet.Worker, image string) bool {
+	serving := []sharing.Serving{{Image: image}}
 	for _, r := range w.Runs {
-		if r.Step != nil && r.Step.Fills && m.sharing.Harmful(r.Step.Image, image, float64(r.Step.Need.CPUMilli)/milli) {
+		if r.Step != nil && r.Step.Fills && m.sharing.Speed(serving, nil, fillingStep(r.Step)) < 1 {
 			return true
 		}
 	}
 	return false
 }
+
+// Effects returns what was learned of images that share workers.
+func (m *Machine) Effects() []sharing.Effect { return m.sharing.Effects() }
--- a/core/scheduler/plan.go
+++ b/core/scheduler/plan.go
@@ -21,7 +21,7 @@
 	dispatch.Order(demands, now)
 	rules := dispatch.Rules{
 		Usable:    func(w *fleet.Worker) bool { return m.usable(w, now) },
-		Fits:      m.fits,
+		Speed:     m.speed,
 		Disturbed: m.disturbed,
 	}
 	for _, p := range m.planner.Plan(demands, m.fleet.All(), rules) {
--- a/core/scheduler/start.go
+++ b/core/scheduler/start.go
@@ -94,9 +94,6 @@
 	if r.Phase == fleet.RunSent {
 		r.Phase = fleet.RunStarted
 		r.StartedAt = now
-		if r.Step.Fills {
-			w.FillChangedAt = now
-		}
 		m.startPace(w, r, now)
 	}
 	m.note(Decision{
--- a/core/sharing/control.go
+++ b/core/sharing/control.go
@@ -1,6 +1,9 @@
 package sharing
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Serving is a serving task on a worker with its newest tail latency.
 type Serving struct {
@@ -11,6 +14,9 @@
 	OverFor time.Duration
 }
 
+// ratio returns the tail in multiples of the target.
+func (s *Serving) ratio() float64 { return float64(s.Tail) / float64(s.Target) }
+
 // Filling is a filling task on a worker.
 type Filling struct {
 	Image string
@@ -31,27 +37,30 @@
 }
 
 const (
-	// settled is how long the filling tasks of a worker must have been the same,
-	// at the same pace, before a tail latency tells about them: it covers the
-	// last half second.
-	settled = 700 * time.Millisecond
-	// nearTarget and calmTarget are the shares of the target at which a worker
-	// slows filling tasks down, and lets them speed up again. The distance
-	// between them damps.
-	nearTarget = 0.95
-	calmTarget = 0.6
+	fullPace = 100
+	// settled is how long ago the last end of a filling task on a worker must be
+	// before its tails tell about those that are left: a tail, like the use of a
+	// filling task, covers the last half second.
+	settled = 550 * time.Millisecond
 	// allStop is how long a tail may be over its target before all filling
 	// tasks stand still, whatever the model says: the platform bounds it to 4 s.
 	allStop = 2 * time.Second
-	// slowStep is by how much a harmful filling task speeds up in a calm look.
-	slowStep = 15
-	fullPace = 100
+	// saturated is the share of the way from the pressure at the target to 1
+	// from which on the tail no longer tells how far the pressure is over.
+	saturated = 0.6
+	// speedUp is the share of the room that a look lets filling tasks take; the
+	// rest damps.
+	speedUp = 0.6
+	// paceStep is the smallest change of a pace that is worth an order.
+	paceStep = 10
+	// moveSpeed is the expected speed below which a filling task moves.
+	moveSpeed = 0.4
 )
 
-// Learn lets the model learn from one look at a worker. Unchanged is how long
-// the filling tasks have been the same.
-func (m *Model) Learn(serving []Serving, filling []Filling, unchanged time.Duration) {
-	if unchanged < settled {
+// Learn lets the model learn from one look at a worker. SinceEnd is how long
+// ago a filling task ended there.
+func (m *Model) Learn(serving []Serving, filling []Filling, sinceEnd time.Duration) {
+	if sinceEnd < settled {
 		return
 	}
 	cores := make(map[string]float64, len(filling))
@@ -60,7 +69,7 @@
 	}
 	for _, s := range serving {
 		if s.Tail > 0 {
-			m.fit(s.Image).observe(cores, float64(s.Tail)/float64(s.Target))
+			m.fit(s.Image).observe(cores, s.ratio())
 		}
 	}
 }
@@ -68,80 +77,104 @@
 // Control returns the advice for each filling task of a worker.
 func (m *Model) Control(serving []Serving, filling []Filling) []Advice {
 	out := make([]Advice, len(filling))
-	for i, f := range filling {
-		out[i].Pace = m.faster(serving, f)
+	for i := range out {
+		out[i].Pace = fullPace
 	}
 	for _, s := range serving {
-		ratio := float64(s.Tail) / float64(s.Target)
-		if ratio <= nearTarget {
-			continue
-		}
-		for _, i := range m.yielding(s, filling) {
-			out[i] = m.slower(s, filling[i], out[i], ratio)
+		if s.Tail > 0 {
+			m.limitBeside(s, filling, out)
 		}
 	}
+	for i, f := range filling {
+		out[i].Pace = damp(f.Pace, out[i].Pace)
+	}
 	return out
 }
 
-// faster returns the pace of a filling task if nothing speaks against it:
-// full speed beside tasks that it is known not to disturb, otherwise faster
-// only while their tails are far from the target.
-func (m *Model) faster(serving []Serving, f Filling) int {
-	step := fullPace
-	for _, s := range serving {
-		if m.Harmless(f.Image, s.Image, f.Cores) {
-			continue
-		}
-		if float64(s.Tail) > calmTarget*float64(s.Target) {
-			return f.Pace
-		}
-		if m.Harmful(f.Image, s.Image, f.Cores) {
-			step = slowStep
+// damp keeps a pace that would change little.
+func damp(now, want int) int {
+	if want == 0 || want == fullPace {
+		return want
+	}
+	if change := want - now; change > -paceStep && change < paceStep {
+		return now
+	}
+	return want
+}
+
+// limitBeside lowers the paces in out to what one serving task allows.
+func (m *Model) limitBeside(s Serving, filling []Filling, out []Advice) {
+	fit := m.fit(s.Image)
+	if s.OverFor >= allStop {
+		for i := range out {
+			out[i].Pace = 0
 		}
 	}
-	return min(fullPace, f.Pace+step)
+	look := fit.look(s.ratio(), filling)
+	for i, f := range filling {
+		out[i] = look.limit(f, out[i])
+	}
 }
 
-// slower returns the advice for a filling task that is suspected to bring a
-// tail near or over its target.
-func (m *Model) slower(s Serving, f Filling, before Advice, ratio float64) Advice {
-	if ratio <= 1 {
-		return Advice{Pace: min(before.Pace, f.Pace/2), Move: before.Move}
+// look is what one tail says about the pressure on a serving task.
+type look struct {
+	fit *fit
+	// room is the pressure that is left; negative if the tail is near or over
+	// the target.
+	room float64
+	// explained is the part of the pressure that known filling tasks put on.
+	explained float64
+	// unexplained tells that neither they nor a load peak explain the tail.
+	unexplained bool
+	// stuck tells that the tail is so high that it no longer tells how far the
+	// pressure is over.
+	stuck bool
+	over  bool
+}
+
+func (f *fit) look(tail float64, filling []Filling) look {
+	l := look{fit: f, over: tail > 1}
+	for _, other := range filling {
+		l.explained += f.effect(other.Image) * other.Used
 	}
-	return Advice{Move: before.Move || (f.Movable && m.Harmful(f.Image, s.Image, f.Cores))}
+	pressure := f.pressure(tail)
+	l.room = f.limit()*margin - pressure
+	l.unexplained = pressure > f.base()+peak*math.Sqrt(f.variance)+l.explained
+	l.stuck = pressure > f.limit()+saturated*(1-f.limit())
+	return l
 }
 
-// yielding returns the indexes of the filling tasks that should make way for a
-// serving task: those that are known to matter, or, if none is, those of which
-// too little is known.
-func (m *Model) yielding(s Serving, filling []Filling) []int {
-	var matter, unknown, all []int
-	for i, f := range filling {
-		all = append(all, i)
-		switch {
-		case m.Harmless(f.Image, s.Image, f.Cores):
-		case m.rise(f.Image, s.Image, f.Cores) > harmlessRise:
-			matter = append(matter, i)
-		default:
-			unknown = append(unknown, i)
+// limit lowers the advice for one filling task to what the look allows.
+func (l look) limit(f Filling, before Advice) Advice {
+	own := l.fit.effect(f.Image) * f.Cores
+	if own <= harmless {
+		if l.over && l.unexplained && !l.fit.known(f.Image) {
+			before.Pace = 0
 		}
+		return before
 	}
-	switch {
-	case s.OverFor >= allStop:
-		return all
-	case len(matter) > 0:
-		return matter
+	before.Pace = min(before.Pace, l.pace(f, own))
+	before.Move = before.Move || (f.Movable && l.over && l.fit.room()/own < moveSpeed)
+	return before
+}
+
+// pace returns the pace at which a filling task with a known effect leaves no
+// more than the room.
+func (l look) pace(f Filling, own float64) int {
+	if l.room >= 0 {
+		return f.Pace + int(speedUp*l.room/own*fullPace)
 	}
-	return unknown
+	if l.stuck || l.explained == 0 {
+		return 0
+	}
+	return max(0, int((1+l.room/l.explained)*float64(f.Pace)))
 }
 
+// minStartPace is the slowest pace at which a filling task starts.
+const minStartPace = 10
+
 // StartPace returns the pace of a filling task that starts beside the serving
-// tasks: slow if it is known to disturb one of them.
-func (m *Model) StartPace(serving []Serving, f Filling) int {
-	for _, s := range serving {
-		if m.Harmful(f.Image, s.Image, f.Cores) {
-			return slowStep
-		}
-	}
-	return fullPace
+// and filling tasks.
+func (m *Model) StartPace(serving []Serving, filling []Filling, f Filling) int {
+	return max(minStartPace, int(fullPace*m.Speed(serving, filling, f)))
 }
--- a/node/dispatcher/load.go
+++ b/node/dispatcher/load.go
@@ -1,13 +1,23 @@
 package dispatcher
 
 import (
+	"fmt"
 	"log/slog"
+	"slices"
 	"time"
 )
 
 // loadInterval is the time between two summaries of the load.
 const loadInterval = time.Second
 
+const (
+	// effectsEvery is how many summaries come between two lists of the learned
+	// effects.
+	effectsEvery = 5
+	// loggedPressure is the smallest effect in the list, per core.
+	loggedPressure = 0.01
+)
+
 // summarize logs the load and sets the gauges, once in a while.
 func (o *office) summarize(now time.Duration) {
 	if now-o.lastLoad < loadInterval {
@@ -22,6 +32,9 @@
 		slog.Int("serving_over", l.ServingOver), slog.Int("over_alone", l.OverAlone),
 		slog.Int("fill_pace", l.Pace), slog.Int("fill_cores", int(l.FillCores)), slog.Int("fill_demand", int(l.FillDemand)),
 		slog.Int("free_cores", int(l.FreeCores)), slog.Int("workers", l.Workers), slog.Int("listed", l.Listed))
+	if o.summaries++; o.summaries%effectsEvery == 0 {
+		o.logEffects()
+	}
 	m := o.d.cfg.Metrics
 	m.Gauge("jobs_open", float64(l.Jobs))
 	m.Gauge("tasks_waiting_serving", float64(l.WaitingServing))
@@ -36,3 +49,16 @@
 	m.Gauge("workers_usable", float64(l.Workers))
 	m.Gauge("workers_listed", float64(l.Listed))
 }
+
+// logEffects logs which filling images were learned to disturb which serving
+// images: they decide placements and paces.
+func (o *office) logEffects() {
+	var rows []string
+	for _, e := range o.machine.Effects() {
+		if e.Pressure >= loggedPressure {
+			rows = append(rows, fmt.Sprintf("%s<%s:%.3f", e.Serving, e.Filling, e.Pressure))
+		}
+	}
+	slices.Sort(rows)
+	o.d.cfg.Logger.Info("effects", slog.Any("pressure_per_core", rows))
+}
--- a/node/dispatcher/office.go
+++ b/node/dispatcher/office.go
@@ -33,6 +33,7 @@
 	lastAppend time.Duration
 	lastLoad   time.Duration
 	counters   scheduler.Counters
+	summaries  int
 }
 
 // takeOffice begins the time as owner: the former owner's writes are fenced,
