--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -250,7 +250,7 @@
 
 // minSpeed is the share of full speed that a filling task must expect: with
 // less it takes room for long and finishes late.
-const minSpeed = 0.9
+const minSpeed = 0.8
 
 // speed returns the share of full speed that a task of the demand can expect
 // on the worker.
--- a/core/sharing/model.go
+++ b/core/sharing/model.go
@@ -22,10 +22,10 @@
 	harmless = 0.04
 	// margin is the share of the pressure at the target that may be used: the
 	// load of a serving task moves between two looks.
-	margin = 0.85
+	margin = 0.95
 	// peak is how many standard deviations above the mean pressure a load peak
 	// lies; the load swings like a wave, whose peak is 1.4 of them.
-	peak = 1.6
+	peak = 1.4
 )
 
 // Harmless reports whether the filling task at full speed is known not to
