Put the jobs with the least gain behind when not all can be on time

Pattern: a burst of large jobs; earliest-objective-first then finishes most of them late. Change: Moore and Hodgson's rule over the waiting filling work with the rate at which such work ends.

--- a/core/dispatch/order.go
+++ b/core/dispatch/order.go
@@ -25,6 +25,11 @@
 	// left, and Work the processor time that is left, in core-seconds.
 	Remaining time.Duration
 	Work      float64
+	// TotalWork is that of the whole occurrence, and MeanWork the mean of the
+	// queue's jobs, in core-seconds.
+	TotalWork, MeanWork float64
+	// behind is set by Select for jobs that give way to others.
+	behind bool
 	// Tickets names the workers that a policy service allows, with the
 	// permission for each; nil if the queue has no such service.
 	Tickets map[string]string
@@ -45,7 +50,7 @@
 func (d *Demand) tier(now time.Duration) tier {
 	end := now + d.Remaining
 	switch {
-	case d.Step.LongRunning || end <= d.Due:
+	case d.Step.LongRunning || (end <= d.Due && !d.behind):
 		return onTime
 	case end <= d.Late:
 		return delayed
--- a/core/scheduler/hold.go
+++ b/core/scheduler/hold.go
@@ -274,6 +274,9 @@
 	switch how {
 	case platform.EndDone:
 		w.Health.Done(now-r.StartedAt, r.Step.Estimate)
+		if r.Step.Fills {
+			m.rates.done(r.Step, now-r.StartedAt, now)
+		}
 	case platform.EndFailed:
 		if pause := w.Health.Failed(); pause > 0 {
 			w.AvoidUntil = now + pause
--- a/core/scheduler/machine.go
+++ b/core/scheduler/machine.go
@@ -65,6 +65,7 @@
 	fleet    *fleet.Fleet
 	planner  dispatch.Planner
 	sharing  *sharing.Model
+	rates    *rates
 
 	config    *platform.OperatorConfig
 	routes    map[string]*platform.Route
@@ -120,6 +121,7 @@
 		ledger:    ledger.New(),
 		fleet:     fleet.New(),
 		sharing:   sharing.NewModel(),
+		rates:     newRates(now),
 		evacuated: map[domain.FailureDomain]bool{},
 		contacts:  map[domain.WorkerID]*contact{},
 		stops:     map[*fleet.Run]*stopState{},
@@ -178,6 +180,7 @@
 	m.ledger = jobs
 	for _, e := range jobs.Open() {
 		m.accepted[e.Job.ID] = now
+		m.rates.accepted(e.Job)
 	}
 	jobs.Each(func(e *ledger.Entry) {
 		e.EachPlaced(func(id job.TaskID, t ledger.Task) {
@@ -203,6 +206,7 @@
 	}
 	m.ledger.Accept(j)
 	m.accepted[j.ID] = now
+	m.rates.accepted(j)
 	m.planWanted = true
 }
 
--- a/core/scheduler/plan.go
+++ b/core/scheduler/plan.go
@@ -18,6 +18,7 @@
 	if len(demands) == 0 {
 		return
 	}
+	dispatch.Select(demands, m.rates.capacity(now), now)
 	dispatch.Order(demands, now)
 	rules := dispatch.Rules{
 		Usable:    func(w *fleet.Worker) bool { return m.usable(w, now) },
@@ -115,7 +116,7 @@
 			ID: job.StepID{Job: e.Job.ID, Occurrence: k, Step: i}, Step: step,
 			Service: m.service(e.Job.Queue), Priority: queue.Priority,
 			Due: since + objective, Late: since + lateFactor*objective,
-			Remaining: remaining, Work: work,
+			Remaining: remaining, Work: work, TotalWork: e.Job.Work(), MeanWork: m.rates.meanWork(e.Job.Queue.Route),
 		}
 		e.EachWaiting(k, i, func(index int, _ ledger.Task) { d.Waiting = append(d.Waiting, index) })
 		out = append(out, d)
