--- a/core/scheduler/load.go
+++ b/core/scheduler/load.go
@@ -15,6 +15,9 @@
 	// ServingOver counts the serving tasks whose tail was over its target at
 	// the last look, and OverAlone those of them with no filling task beside.
 	ServingOver, OverAlone int
+	// ServingWorkers counts the workers that serve, and MixedWorkers those of
+	// them that serve more than one image.
+	ServingWorkers, MixedWorkers int
 	// Pace is the mean pace of the running filling tasks in percent.
 	Pace int
 	// FillCores is the processor time that filling tasks use, in cores, and
@@ -30,7 +33,9 @@
 func (m *Machine) Load(now fleet.Instant, wallMS int64) Load {
 	var l Load
 	paces := 0
+	images := map[string]bool{}
 	for _, w := range m.fleet.All() {
+		clear(images)
 		if w.Listed {
 			l.Listed++
 		}
@@ -43,6 +48,7 @@
 			case r.Step == nil:
 			case r.Step.Target > 0:
 				l.RunningServing++
+				images[r.Step.Image] = true
 				if r.Percent >= atWork && r.Observed > r.Step.Target.Milliseconds() {
 					l.ServingOver++
 					if !w.Shared() {
@@ -58,6 +64,12 @@
 				l.RunningOther++
 			}
 		}
+		if len(images) > 0 {
+			l.ServingWorkers++
+		}
+		if len(images) > 1 {
+			l.MixedWorkers++
+		}
 	}
 	if l.RunningFilling > 0 {
 		l.Pace = paces / l.RunningFilling
--- a/node/dispatcher/load.go
+++ b/node/dispatcher/load.go
@@ -30,6 +30,7 @@
 		slog.Int("waiting_serving", l.WaitingServing), slog.Int("waiting_filling", l.WaitingFilling), slog.Int("waiting_other", l.WaitingOther),
 		slog.Int("running_serving", l.RunningServing), slog.Int("running_filling", l.RunningFilling), slog.Int("running_other", l.RunningOther),
 		slog.Int("serving_over", l.ServingOver), slog.Int("over_alone", l.OverAlone),
+		slog.Int("serving_workers", l.ServingWorkers), slog.Int("mixed_workers", l.MixedWorkers),
 		slog.Int("fill_pace", l.Pace), slog.Int("fill_cores", int(l.FillCores)), slog.Int("fill_demand", int(l.FillDemand)),
 		slog.Int("free_cores", int(l.FreeCores)), slog.Int("workers", l.Workers), slog.Int("listed", l.Listed))
 	if o.summaries++; o.summaries%effectsEvery == 0 {
