Place filling tasks with little pressure anywhere, none beside a task over its target

HARM came from filling tasks that were started on a worker whose serving task was over its target already. Change: 0.07 for placing and pacing, and no start after 0.9 s over the target.

--- a/core/dispatch/score.go
+++ b/core/dispatch/score.go
@@ -14,7 +14,7 @@
 	// the worker, so that the loss of one worker costs few of them.
 	spreadPenalty = 0.5
 	// servingPenalty keeps filling tasks away from tasks with a latency target.
-	servingPenalty = 0.3
+	servingPenalty = 0.5
 	// sameImage is the gain of a worker that serves the image already, and
 	// otherImage the cost of one that serves another image: tasks of one image
 	// are disturbed by the same filling images.
--- a/core/scheduler/pace.go
+++ b/core/scheduler/pace.go
@@ -18,7 +18,7 @@
 // pace lets the model of sharing learn from a worker's report and adjusts the
 // filling runs.
 func (m *Machine) pace(w *fleet.Worker, now fleet.Instant) {
-	if !w.Shared() {
+	if !w.Serving() {
 		return
 	}
 	serving := m.servingOn(w, now)
@@ -153,6 +153,9 @@
 // speed returns the share of full speed that a filling task of the step can be
 // expected to reach on the worker.
 func (m *Machine) speed(w *fleet.Worker, planned []*job.Step, step *job.Step) float64 {
+	if m.overTarget(w) {
+		return 0
+	}
 	serving, filling := m.company(w, nil, planned)
 	for i := range filling {
 		filling[i].Pace = fullPace
@@ -160,6 +163,21 @@
 	return m.sharing.Speed(serving, filling, fillingStep(step))
 }
 
+// overFor is how long a tail may be over its target before no more filling
+// tasks start beside it: a load peak alone is often over for one look.
+const overFor = 900 * time.Millisecond
+
+// overTarget reports whether a serving task on the worker has been over its
+// target for some time. More filling work would hide whether it gets better.
+func (m *Machine) overTarget(w *fleet.Worker) bool {
+	for _, r := range w.Runs {
+		if r.OverSince > 0 && w.LastHeard-r.OverSince >= overFor {
+			return true
+		}
+	}
+	return false
+}
+
 // disturbed reports whether a filling run on the worker is known to press the
 // serving image.
 func (m *Machine) disturbed(w *fleet.Worker, image string) bool {
--- a/core/sharing/model.go
+++ b/core/sharing/model.go
@@ -18,8 +18,10 @@
 }
 
 const (
-	// harmless is the pressure of a filling task that does not matter.
-	harmless = 0.04
+	// harmless is the pressure of a filling task that does not count: it brings a
+	// tail over its target in a small part of the time only, and slowing it down
+	// then costs more than it gains (trials in docs/decisions.md).
+	harmless = 0.07
 	// margin is the share of the pressure at the target that may be used: the
 	// load of a serving task moves between two looks.
 	margin = 0.95
