--- a/cli/command/standin.go
+++ b/cli/command/standin.go
@@ -10,8 +10,8 @@
 
 	"github.com/basilferry/basilferry/core/domain"
 	"github.com/basilferry/basilferry/core/platform"
-	"github.com/basilferry/basilferry/standin/logservice"
 	"github.com/basilferry/basilferry/standin/launch"
+	"github.com/basilferry/basilferry/standin/logservice"
 	"github.com/basilferry/basilferry/standin/worker"
 )
 
--- a/core/fleet/worker.go
+++ b/core/fleet/worker.go
@@ -46,6 +46,10 @@
 	// Percent and Observed are the worker's last figures.
 	Percent  int
 	Observed int64
+	// FirstAt and FirstPercent are the first progress that was seen, and
+	// ProgressAt is when it changed last.
+	FirstAt, ProgressAt Instant
+	FirstPercent        int
 	// Pace is the share of full speed that was ordered last, in percent.
 	// PaceKnown is not set for a run of a former owner, whose orders are not
 	// known.
--- a/core/scheduler/hold.go
+++ b/core/scheduler/hold.go
@@ -130,6 +130,7 @@
 	}
 	m.running(w, a, now)
 	m.pace(w, now)
+	m.stragglers(w, now)
 }
 
 // running compares a report's runs with the book.
@@ -165,7 +166,8 @@
 		r.Phase = fleet.RunStarted
 		r.StartedAt = now
 	}
-	r.Percent, r.Observed = row.Percent, row.Observed
+	progress(r, row.Percent, now)
+	r.Observed = row.Observed
 	m.ledger.Checkpoint(id, r.Run, row.Checkpoint)
 }
 
--- a/core/scheduler/machine.go
+++ b/core/scheduler/machine.go
@@ -101,7 +101,7 @@
 
 // Counters count the machine's decisions, for the metrics.
 type Counters struct {
-	Placed, Started, Refused, Unresolved, Lost, Done, Failed, Stopped, Lapsed, Holds, Paced int64
+	Placed, Started, Refused, Unresolved, Lost, Done, Failed, Stopped, Lapsed, Holds, Paced, Moved int64
 }
 
 type stopState struct {
--- a/core/scheduler/world_test.go
+++ b/core/scheduler/world_test.go
@@ -33,7 +33,9 @@
 	// dark workers answer nothing and carry nothing out; deaf ones carry
 	// starts out and do not answer.
 	dark, deafStarts bool
-	started          []platform.RunKey
+	// still workers make no progress.
+	still   bool
+	started []platform.RunKey
 }
 
 func newFakeWorker(id string) *fakeWorker {
@@ -52,6 +54,11 @@
 
 func (w *fakeWorker) advance(d time.Duration) {
 	w.clock += d
+	for _, r := range w.runs {
+		if !w.still {
+			r.row.Percent = min(99, r.row.Percent+1)
+		}
+	}
 	if w.clock <= w.lease {
 		return
 	}
--- a/node/dispatcher/execute.go
+++ b/node/dispatcher/execute.go
@@ -83,6 +83,8 @@
 		{"run_stopped", now.Stopped - before.Stopped},
 		{"run_lapsed", now.Lapsed - before.Lapsed},
 		{"holds", now.Holds - before.Holds},
+		{"paced", now.Paced - before.Paced},
+		{"run_moved", now.Moved - before.Moved},
 	} {
 		if c.n != 0 {
 			m.Count(c.name, c.n)
