--- a/core/scheduler/hold.go
+++ b/core/scheduler/hold.go
@@ -55,6 +55,10 @@
 
 // Answered takes the answer to an order.
 func (m *Machine) Answered(a Answer, now fleet.Instant) {
+	if a.Order.Kind == OrderAdvise {
+		m.answeredAdvice(a, now)
+		return
+	}
 	w := m.fleet.Worker(a.Order.Worker)
 	if w == nil {
 		return
--- a/core/scheduler/machine.go
+++ b/core/scheduler/machine.go
@@ -66,6 +66,7 @@
 	planner  dispatch.Planner
 	sharing  *sharing.Model
 	rates    *rates
+	advice   advice
 
 	config    *platform.OperatorConfig
 	routes    map[string]*platform.Route
@@ -124,6 +125,7 @@
 		fleet:     fleet.New(),
 		sharing:   sharing.NewModel(),
 		rates:     newRates(now),
+		advice:    advice{steps: map[job.StepID]*advised{}},
 		evacuated: map[domain.FailureDomain]bool{},
 		contacts:  map[domain.WorkerID]*contact{},
 		stops:     map[*fleet.Run]*stopState{},
@@ -234,6 +236,7 @@
 
 // stopJob stops all runs of a closed job.
 func (m *Machine) stopJob(e *ledger.Entry, now fleet.Instant) {
+	m.forgetAdvice(e.Job.ID)
 	e.EachPlaced(func(id job.TaskID, t ledger.Task) {
 		w := m.fleet.Worker(t.Worker)
 		if w == nil {
--- a/core/scheduler/machine_test.go
+++ b/core/scheduler/machine_test.go
@@ -204,3 +204,18 @@
 	w.run(4 * time.Second)
 	assert.Equal(t, len(w.runningOn(firstTask)), 1)
 }
+
+// Guards against starts without the policy service's permission, which workers
+// refuse, and against a question for each task.
+func TestAdvisedQueueRunsOnAllowedWorkers(t *testing.T) {
+	w := newWorld(t, 4)
+	w.allowed = map[domain.WorkerID]bool{"w2": true}
+	queue := testQueue
+	queue.Advice = true
+	w.m.SetConfig(&platform.OperatorConfig{Version: 2, Routes: []platform.Route{{Queue: queue}}})
+	w.m.Accept(oneStep(3, 1000), w.now)
+	w.run(time.Second)
+	assert.Equal(t, len(w.workers[2].started), 3)
+	assert.Equal(t, len(w.workers[0].started)+len(w.workers[1].started)+len(w.workers[3].started), 0)
+	assert.Assert(t, w.questions <= 2, "%d", w.questions)
+}
--- a/core/scheduler/order.go
+++ b/core/scheduler/order.go
@@ -18,6 +18,7 @@
 	OrderStart
 	OrderStop
 	OrderPace
+	OrderAdvise
 )
 
 // Order is one call to a worker that the driver carries out. Its answer comes
@@ -35,6 +36,9 @@
 	Task    job.TaskID
 	Run     int
 	Percent int
+	// Step and Workers are the question to the policy service.
+	Step    job.StepID
+	Workers []domain.WorkerID
 	// life is the life of the worker that the order was meant for.
 	life int64
 }
@@ -50,6 +54,8 @@
 	Err error
 	// Report is the answer to a hold.
 	Report platform.HoldReport
+	// Advice is the answer of the policy service.
+	Advice platform.Advice
 	// Clock is the worker's clock in the answer to a start; 0 if none.
 	Clock time.Duration
 }
--- a/core/scheduler/plan.go
+++ b/core/scheduler/plan.go
@@ -119,6 +119,9 @@
 			Remaining: remaining, Work: work, TotalWork: e.Job.Work(), MeanWork: m.rates.meanWork(e.Job.Queue.Route),
 		}
 		e.EachWaiting(k, i, func(index int, _ ledger.Task) { d.Waiting = append(d.Waiting, index) })
+		if queue.Advice && !m.withTickets(&d, now) {
+			continue
+		}
 		out = append(out, d)
 	}
 	return out
--- a/core/scheduler/start.go
+++ b/core/scheduler/start.go
@@ -105,6 +105,11 @@
 // not taken place and never will.
 func (m *Machine) startRefused(w *fleet.Worker, r *fleet.Run, reason platform.RefusedReason, now fleet.Instant) {
 	m.Counters.Refused++
+	if reason == platform.RefusedTicket {
+		m.dropTicket(r.ID.StepID, w.ID)
+		m.lost(w, r, "the policy service's permission is over", now)
+		return
+	}
 	w.AvoidUntil = max(w.AvoidUntil, now+refusedPause)
 	m.lost(w, r, "the worker refused the start ("+string(reason)+")", now)
 }
--- a/core/scheduler/world_test.go
+++ b/core/scheduler/world_test.go
@@ -121,6 +121,10 @@
 	// storeDown keeps appends waiting.
 	storeDown bool
 	batch     *Batch
+	// allowed are the workers that the policy service allows, and questions
+	// counts the questions to it.
+	allowed   map[domain.WorkerID]bool
+	questions int
 	// waiting are orders whose answer does not come; they fail at the time.
 	waiting map[*Order]fleet.Instant
 }
@@ -177,7 +181,9 @@
 	w.m.Advance(w.now, w.now.Milliseconds())
 	w.store()
 	for _, o := range w.m.TakeOrders() {
-		if a, ok := w.worker(o.Worker).do(o); ok {
+		if o.Kind == OrderAdvise {
+			w.m.Answered(w.advise(o), w.now)
+		} else if a, ok := w.worker(o.Worker).do(o); ok {
 			w.m.Answered(a, w.now)
 		} else {
 			w.waiting[o] = w.now + answerTimeout
@@ -192,6 +198,18 @@
 	w.m.TakeDecisions()
 }
 
+// advise allows the workers in w.allowed.
+func (w *world) advise(o *Order) Answer {
+	w.questions++
+	a := Answer{Order: o, Advice: platform.Advice{Valid: 3 * time.Second}}
+	for _, id := range o.Workers {
+		if w.allowed[id] {
+			a.Advice.Tickets = append(a.Advice.Tickets, platform.Ticket{Worker: id, Ticket: "t-" + string(id)})
+		}
+	}
+	return a
+}
+
 func (w *world) store() {
 	if w.batch == nil {
 		b, err := w.m.TakeBatch(w.now)
--- a/node/cmd/basilferryd/platform.go
+++ b/node/cmd/basilferryd/platform.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		return err
 	}
-	app := entry.New(s, adapter(s), os.Stdout)
+	app := entry.New(s, entry.Path(path), adapter(s), os.Stdout)
 	if err := app.Start(ctx); err != nil {
 		return err
 	}
@@ -43,10 +43,15 @@
 
 func adapter(s entry.Settings) entry.Platform {
 	own := platform.KeyedTopic(topic)
+	var advisor wire.Advisor
+	if s.Advice.Address != "" {
+		advisor = platform.NewAdvisor(s.Advice.Address)
+	}
 	return entry.Platform{
 		Platform: dispatcher.Platform{
 			Store:       platform.NewStore(s.Store.Address),
 			Orders:      platform.NewOrders(),
+			Advisor:     advisor,
 			Requests:    wire.Partition{Topic: own, Part: requestsPart},
 			States:      wire.Partition{Topic: own, Part: statesPart},
 			Registry:    platform.RegistryPartition,
--- a/node/dispatcher/config.go
+++ b/node/dispatcher/config.go
@@ -16,6 +16,8 @@
 type Platform struct {
 	Store  platform.Store
 	Orders platform.Orders
+	// Advisor is the policy service; nil if there is none.
+	Advisor platform.Advisor
 	// Requests holds the records of callers' requests and of the ownership,
 	// States those of the owner, Registry the workers' entries.
 	Requests, States, Registry platform.Partition
--- a/node/dispatcher/execute.go
+++ b/node/dispatcher/execute.go
@@ -4,6 +4,7 @@
 	"log/slog"
 
 	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/platform"
 	"github.com/basilferry/basilferry/core/scheduler"
 )
 
@@ -23,6 +24,8 @@
 		answer.Err = orders.Stop(o.ctx, order.To, order.Key(), order.Token)
 	case scheduler.OrderPace:
 		answer.Err = orders.Pace(o.ctx, order.To, order.Key(), order.Percent, order.Token)
+	case scheduler.OrderAdvise:
+		answer.Advice, answer.Err = o.advise(order)
 	}
 	o.d.postTo(o, func() {
 		now := o.d.cfg.Clock.Now()
@@ -33,6 +36,17 @@
 	})
 }
 
+// advise asks the policy service.
+func (o *office) advise(order *scheduler.Order) (platform.Advice, error) {
+	advisor := o.d.cfg.Platform.Advisor
+	if advisor == nil {
+		return platform.Advice{}, &domain.Error{
+			Kind: domain.KindUnavailable, Message: "the settings name no policy service", Remedy: "set advice.address",
+		}
+	}
+	return advisor.Advise(o.ctx, order.Step.String(), order.Workers)
+}
+
 // report logs the decisions and counts them.
 func (o *office) report() {
 	decisions, dropped := o.machine.TakeDecisions()
--- a/node/entry/node.go
+++ b/node/entry/node.go
@@ -8,7 +8,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -65,13 +64,16 @@
 	startTimeout = 10 * time.Second
 )
 
+// Path is where the settings file is, for a reload.
+type Path string
+
 // New returns the application of one entry node.
-func New(s Settings, p Platform, out io.Writer) *fx.App {
+func New(s Settings, path Path, p Platform, out io.Writer) *fx.App {
 	return fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StartTimeout(startTimeout),
 		fx.StopTimeout(s.Grace()),
-		fx.Supply(s, p),
+		fx.Supply(s, path, p),
 		fx.Provide(
 			steady.New,
 			func() *decisionlog.Sink { return decisionlog.NewSink(out) },
@@ -98,6 +100,7 @@
 // Node is one running entry node.
 type Node struct {
 	settings Settings
+	path     string
 	platform Platform
 	clock    *steady.Clock
 	sink     *decisionlog.Sink
@@ -124,6 +127,7 @@
 	fx.In
 
 	Settings Settings
+	Path     Path
 	Platform Platform
 	Clock    *steady.Clock
 	Sink     *decisionlog.Sink
@@ -135,7 +139,7 @@
 
 func newNode(p nodeParams) *Node {
 	n := &Node{
-		settings: p.Settings, platform: p.Platform, clock: p.Clock, sink: p.Sink, logger: p.Logger,
+		settings: p.Settings, path: string(p.Path), platform: p.Platform, clock: p.Clock, sink: p.Sink, logger: p.Logger,
 		metrics: p.Metrics, view: p.View, routes: p.Routes,
 	}
 	boot := uint64(time.Now().UnixNano())
@@ -233,8 +237,7 @@
 }
 
 func (n *Node) start(context.Context) error {
-	debug.SetGCPercent(n.settings.Runtime.GCPercent)
-	debug.SetMemoryLimit(int64(float64(n.settings.Machine.MemoryMB<<20) * n.settings.Runtime.MemoryLimitShare))
+	n.applyRuntime(n.settings)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	if err := n.serve(); err != nil {
@@ -242,7 +245,7 @@
 		return err
 	}
 	for _, run := range []func(context.Context){
-		n.sink.Run, n.requests.Run, n.states.Run, n.operator.Run, n.committer.Run, n.dispatcher.Run,
+		n.sink.Run, n.requests.Run, n.states.Run, n.operator.Run, n.committer.Run, n.dispatcher.Run, n.watchReload,
 	} {
 		n.loops.Go(func() { run(ctx) })
 	}
--- a/node/entry/settings.go
+++ b/node/entry/settings.go
@@ -39,6 +39,10 @@
 	Store struct {
 		Address string `json:"address"`
 	} `json:"store"`
+	// Advice names the policy service; its address is empty if there is none.
+	Advice struct {
+		Address string `json:"address"`
+	} `json:"advice"`
 	Machine struct {
 		// CPUShare is the share of a core, MemoryMB the bound on the process.
 		CPUShare float64 `json:"cpu_share"`
