--- a/core/scheduler/world_test.go
+++ b/core/scheduler/world_test.go
@@ -13,8 +13,7 @@
 
 // fakeRun is one run on a fake worker.
 type fakeRun struct {
-	row   platform.Running
-	until time.Duration
+	row platform.Running
 }
 
 // fakeWorker follows the contract of a worker closely enough for the tests of
