--- /dev/null
+++ b/core/dispatch/patterns_test.go
@@ -0,0 +1,227 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/fleet"
+	"github.com/basilferry/basilferry/core/job"
+	"github.com/basilferry/basilferry/core/platform"
+)
+
+const now = time.Minute
+
+func workers(count int, cores int64) []*fleet.Worker {
+	f := fleet.New()
+	for i := range count {
+		w := f.List(platform.RegistryEntry{
+			ID: domain.WorkerID(fmt.Sprintf("w%d", i)), Service: "desk",
+			Capacity: domain.Resources{CPUMilli: cores * 1000, MemoryMiB: 1 << 20}, Labels: []string{"a", fmt.Sprintf("r%d", i/2)},
+		})
+		w.Held, w.LastHeard = true, now
+	}
+	return f.All()
+}
+
+func anyWorker() Rules {
+	return Rules{
+		Usable:    func(*fleet.Worker) bool { return true },
+		Speed:     func(*fleet.Worker, []*job.Step, *job.Step) float64 { return 1 },
+		Disturbed: func(*fleet.Worker, string) bool { return false },
+	}
+}
+
+func demand(id string, step job.Step, waiting int) Demand {
+	d := Demand{ID: job.StepID{Job: job.ID(id)}, Step: &step, Service: "desk", Due: now + time.Minute, Late: now + 3*time.Minute}
+	for i := range waiting {
+		d.Waiting = append(d.Waiting, i)
+	}
+	return d
+}
+
+func cpu(cores int64) domain.Resources { return domain.Resources{CPUMilli: cores * 1000} }
+
+func perWorker(placements []Placement) map[domain.WorkerID]int {
+	out := map[domain.WorkerID]int{}
+	for _, p := range placements {
+		out[p.Worker.ID]++
+	}
+	return out
+}
+
+// Pattern: large and small tasks mixed near full load. Guards against small
+// tasks that take a little room on every worker, so that a large one fits
+// nowhere although the room is there.
+func TestSmallTasksLeaveWholeWorkersForLargeOnes(t *testing.T) {
+	demands := []Demand{
+		demand("small", job.Step{Count: 4, Need: cpu(1)}, 4),
+		demand("large", job.Step{Count: 3, Need: cpu(4)}, 3),
+	}
+	var p Planner
+	placed := p.Plan(demands, workers(4, 4), anyWorker())
+	assert.Equal(t, len(placed), 7)
+}
+
+// Pattern: a gang that does not fit whole. Guards against members that hold
+// room and wait for the others.
+func TestGangIsPlacedWholeOrNotAtAll(t *testing.T) {
+	var p Planner
+	gang := job.Step{Count: 5, Need: cpu(4), Gang: true}
+	assert.Equal(t, len(p.Plan([]Demand{demand("gang", gang, 5)}, workers(4, 4), anyWorker())), 0)
+	rest := []Demand{demand("gang", gang, 5), demand("single", job.Step{Count: 4, Need: cpu(4)}, 4)}
+	assert.Equal(t, len(p.Plan(rest, workers(4, 4), anyWorker())), 4)
+}
+
+// Pattern: tasks that must share a rack. Guards against a rack that takes only
+// some of them.
+func TestSameRackTasksShareTheRackWithRoom(t *testing.T) {
+	all := workers(6, 4)
+	busy := &fleet.Run{ID: job.TaskID{StepID: job.StepID{Job: "busy"}}, Need: cpu(4)}
+	all[0].Add(busy)
+	step := job.Step{Count: 2, Need: cpu(4), SameRack: true, Gang: true}
+	var p Planner
+	placed := p.Plan([]Demand{demand("rack", step, 2)}, all, anyWorker())
+	assert.Equal(t, len(placed), 2)
+	assert.Equal(t, placed[0].Worker.Rack(), placed[1].Worker.Rack())
+}
+
+// Pattern: tasks that must not share a worker. Guards against more of them on
+// one worker than the step allows, planned ones included.
+func TestMaxPerWorkerHoldsWithinOnePlan(t *testing.T) {
+	var p Planner
+	placed := p.Plan([]Demand{demand("apart", job.Step{Count: 6, Need: cpu(1), MaxPerWorker: 1}, 6)}, workers(4, 8), anyWorker())
+	assert.Equal(t, len(placed), 4)
+	for id, n := range perWorker(placed) {
+		assert.Equal(t, n, 1, "%s", id)
+	}
+}
+
+// Pattern: long-running tasks of a few images fill all workers. Guards against
+// images that are mixed on every worker, which leaves none to filling tasks
+// that disturb one of the images.
+func TestServingImagesShareWorkersWithTheirOwnKind(t *testing.T) {
+	var demands []Demand
+	for i := range 8 {
+		step := job.Step{Count: 4, Need: cpu(1), LongRunning: true, Target: time.Millisecond, Image: fmt.Sprintf("image-%d", i%2)}
+		demands = append(demands, demand(fmt.Sprintf("job-%d", i), step, 4))
+	}
+	var p Planner
+	images := map[domain.WorkerID]map[string]bool{}
+	for _, placed := range p.Plan(demands, workers(8, 8), anyWorker()) {
+		if images[placed.Worker.ID] == nil {
+			images[placed.Worker.ID] = map[string]bool{}
+		}
+		images[placed.Worker.ID][placed.Step.Image] = true
+	}
+	for id, on := range images {
+		assert.Equal(t, len(on), 1, "%s", id)
+	}
+}
+
+// Pattern: filling work that a serving task would suffer from. Guards against
+// placing it there although a quiet worker has room.
+func TestFillingTaskAvoidsWorkerWhereItWouldCrawl(t *testing.T) {
+	all := workers(2, 8)
+	serving := &job.Step{Count: 1, Need: cpu(1), LongRunning: true, Target: time.Millisecond, Image: "checks"}
+	all[0].Add(&fleet.Run{ID: job.TaskID{StepID: job.StepID{Job: "serving"}}, Step: serving, Need: cpu(1)})
+	rules := anyWorker()
+	rules.Speed = func(*fleet.Worker, []*job.Step, *job.Step) float64 { return 0.3 }
+	var p Planner
+	placed := p.Plan([]Demand{demand("fill", job.Step{Count: 3, Need: cpu(2), Fills: true}, 3)}, all, rules)
+	assert.DeepEqual(t, perWorker(placed), map[domain.WorkerID]int{"w1": 3})
+}
+
+// Pattern: evening peak of short checks while long-running tasks restart.
+// Guards against checks that wait behind tasks that keep their room for
+// minutes.
+func TestShortWorkComesBeforeLongRunningWork(t *testing.T) {
+	lasting := demand("lasting", job.Step{Count: 1, Need: cpu(4), LongRunning: true}, 1)
+	lasting.Due = now
+	demands := []Demand{lasting, demand("short", job.Step{Count: 1, Need: cpu(4), Estimate: time.Second}, 1)}
+	Order(demands, now)
+	assert.Equal(t, demands[0].ID.Job, job.ID("short"))
+}
+
+// Pattern: jobs that have missed their objective. Guards against work that is
+// worth little before work that can still be on time, and against dropping it.
+func TestMissedJobsComeLastAndStay(t *testing.T) {
+	missed := demand("missed", job.Step{Count: 1, Need: cpu(1)}, 1)
+	missed.Due, missed.Late = now-time.Second, now-time.Millisecond
+	delayed := demand("delayed", job.Step{Count: 1, Need: cpu(1)}, 1)
+	delayed.Due = now - time.Second
+	demands := []Demand{missed, delayed, demand("fresh", job.Step{Count: 1, Need: cpu(1)}, 1)}
+	Order(demands, now)
+	assert.DeepEqual(t, []job.ID{demands[0].ID.Job, demands[1].ID.Job, demands[2].ID.Job}, []job.ID{"fresh", "delayed", "missed"})
+}
+
+// fillJob is a job of filling work with an objective.
+func fillJob(id string, work float64, due time.Duration) Demand {
+	d := demand(id, job.Step{Count: 1, Need: cpu(1), Fills: true}, 1)
+	d.Work, d.TotalWork, d.MeanWork, d.Due, d.Late = work, work, 100, now+due, now+3*due
+	return d
+}
+
+// finishedOnTime plays the demands in their order at a rate of work and counts
+// those that are on time.
+func finishedOnTime(demands []Demand, rate float64) int {
+	clock, count := time.Duration(0), 0
+	for _, d := range demands {
+		clock += time.Duration(d.Work / rate * float64(time.Second))
+		if now+clock <= d.Due {
+			count++
+		}
+	}
+	return count
+}
+
+// Pattern: a burst of large jobs beyond the rate at which work gets done.
+// Guards against finishing all of them late, as the earliest objective first
+// does: the jobs that cannot all be on time make way for those that can.
+func TestBurstOfLargeJobsStillFinishesMostOnTime(t *testing.T) {
+	const rate = 50
+	burst := func() []Demand {
+		var demands []Demand
+		for i := range 6 {
+			demands = append(demands, fillJob(fmt.Sprintf("large-%d", i), 400, 12*time.Second))
+		}
+		for i := range 10 {
+			demands = append(demands, fillJob(fmt.Sprintf("usual-%d", i), 50, 13*time.Second))
+		}
+		return demands
+	}
+	first := burst()
+	Order(first, now)
+	assert.Equal(t, finishedOnTime(first, rate), 1)
+	chosen := burst()
+	Select(chosen, Capacity{FillRate: rate, Slowdown: 1}, now)
+	Order(chosen, now)
+	assert.Assert(t, finishedOnTime(chosen, rate) >= 10)
+	assert.Equal(t, len(chosen), 16)
+}
+
+// Pattern: ordinary load. Guards against putting jobs behind that can all be on
+// time.
+func TestSelectLeavesOrdinaryLoadAlone(t *testing.T) {
+	demands := []Demand{fillJob("a", 100, 10*time.Second), fillJob("b", 100, 10*time.Second)}
+	Select(demands, Capacity{FillRate: 50, Slowdown: 1}, now)
+	for _, d := range demands {
+		assert.Assert(t, !d.behind)
+	}
+}
+
+// BenchmarkPlan shows the cost of a round with 200 waiting tasks.
+func BenchmarkPlan(b *testing.B) {
+	for _, count := range []int{50, 500, 5000} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			all := workers(count, 32)
+			var p Planner
+			for b.Loop() {
+				p.Plan([]Demand{demand("job", job.Step{Count: 200, Need: cpu(2)}, 200)}, all, anyWorker())
+			}
+		})
+	}
+}
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -112,10 +112,12 @@
 			return
 		}
 	}
-	before := len(p.chosen)
+	before, failed := len(p.chosen), len(p.failed)
 	for _, index := range d.Waiting {
 		if !p.placeTask(d, index, rack) {
 			p.undo(before)
+			// What did not fit beside the gang may fit without it.
+			p.failed = p.failed[:failed]
 			return
 		}
 	}
--- /dev/null
+++ b/core/jobview/view_test.go
@@ -0,0 +1,103 @@
+package jobview
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/job"
+	"github.com/basilferry/basilferry/core/ledger"
+	"github.com/basilferry/basilferry/core/platform"
+)
+
+const testID = job.ID("0123456789abcdef")
+
+func accepted(t *testing.T) platform.Keyed {
+	t.Helper()
+	value, err := ledger.EncodeJob(testJob())
+	assert.NilError(t, err)
+	return platform.Keyed{Key: Key(KindJob, testID), Value: value}
+}
+
+func testJob() *job.Job {
+	return &job.Job{
+		ID: testID, Steps: []job.Step{{Count: 1, Need: domain.Resources{CPUMilli: 1}, Estimate: time.Second}},
+		Queue: job.Queue{Route: "checks", MaxAttempts: 1},
+	}
+}
+
+func state(t *testing.T, offset int64, change func(*ledger.Ledger)) platform.Keyed {
+	t.Helper()
+	l := ledger.New()
+	e := l.Accept(testJob())
+	change(l)
+	value, err := ledger.EncodeState(e)
+	assert.NilError(t, err)
+	return platform.Keyed{Offset: offset, Key: Key(KindState, testID), Value: value}
+}
+
+var firstTask = job.TaskID{StepID: job.StepID{Job: testID}}
+
+func place(l *ledger.Ledger) { l.Place(firstTask, 1, "w1") }
+
+func finish(l *ledger.Ledger) {
+	place(l)
+	l.End(firstTask, 1, platform.EndDone, "")
+}
+
+// Guards against a state that goes back when records are read again, and
+// against a repeated submission that makes a job new.
+func TestStateNeverGoesBack(t *testing.T) {
+	v := New()
+	assert.NilError(t, v.Apply(accepted(t)))
+	got, queue, ok := v.State(testID)
+	assert.Assert(t, ok)
+	assert.Equal(t, got, job.StatePending)
+	assert.Equal(t, queue, "checks")
+	assert.NilError(t, v.Apply(state(t, 5, finish)))
+	assert.NilError(t, v.Apply(state(t, 3, place)))
+	assert.NilError(t, v.Apply(accepted(t)))
+	got, _, _ = v.State(testID)
+	assert.Equal(t, got, job.StateCompleted)
+}
+
+// Guards against a count of waiting jobs that drifts.
+func TestWaitingCountsJobsThatHaveNotBegun(t *testing.T) {
+	v := New()
+	assert.NilError(t, v.Apply(accepted(t)))
+	assert.NilError(t, v.Apply(accepted(t)))
+	assert.Equal(t, v.Waiting("checks"), 1)
+	assert.NilError(t, v.Apply(state(t, 1, place)))
+	assert.Equal(t, v.Waiting("checks"), 0)
+	assert.NilError(t, v.Apply(platform.Keyed{Key: Key(KindJob, testID)}))
+	assert.Equal(t, v.Waiting("checks"), 0)
+	assert.Equal(t, v.Len(), 0)
+}
+
+// Guards against a cancelled job that a new owner starts: the state record may
+// be older than the cancel.
+func TestCancelReachesTheNextOwner(t *testing.T) {
+	v := New()
+	assert.NilError(t, v.Apply(accepted(t)))
+	assert.NilError(t, v.Apply(state(t, 1, place)))
+	assert.NilError(t, v.Apply(platform.Keyed{Key: Key(KindCancel, testID), Value: []byte{1}}))
+	got, _, _ := v.State(testID)
+	assert.Equal(t, got, job.StateCancelled)
+	book, cancelled, problems := v.Ledger()
+	assert.Equal(t, len(problems), 0)
+	assert.Equal(t, book.Len(), 1)
+	assert.DeepEqual(t, cancelled, []job.ID{testID})
+}
+
+// Guards against one broken record that costs all jobs.
+func TestBrokenRecordHurtsNothingElse(t *testing.T) {
+	v := New()
+	assert.NilError(t, v.Apply(accepted(t)))
+	assert.Assert(t, v.Apply(platform.Keyed{Key: Key(KindState, testID), Value: []byte{99}}) != nil)
+	assert.NilError(t, v.Apply(platform.Keyed{Key: "strange", Value: []byte("x")}))
+	got, _, ok := v.State(testID)
+	assert.Assert(t, ok)
+	assert.Equal(t, got, job.StatePending)
+}
