--- a/core/dispatch/order.go
+++ b/core/dispatch/order.go
@@ -28,6 +28,9 @@
 	// TotalWork is that of the whole occurrence, and MeanWork the mean of the
 	// queue's jobs, in core-seconds.
 	TotalWork, MeanWork float64
+	// Starving tells that nothing of the job has run for a while although a task
+	// could. One task is then placed wherever there is room.
+	Starving bool
 	// behind is set by Select for jobs that give way to others.
 	behind bool
 	// Tickets names the workers that a policy service allows, with the
--- a/core/dispatch/patterns_test.go
+++ b/core/dispatch/patterns_test.go
@@ -135,6 +135,26 @@
 	assert.DeepEqual(t, perWorker(placed), map[domain.WorkerID]int{"w1": 3})
 }
 
+// Pattern: filling work that disturbs what every worker serves. Guards against
+// a job of which nothing ever runs (incident inc-3568 of kmk-ferry, LOST 39),
+// and against more than one of its tasks where they disturb.
+func TestStarvingJobRunsOneTaskSomewhere(t *testing.T) {
+	all := workers(2, 8)
+	serving := &job.Step{Count: 1, Need: cpu(1), LongRunning: true, Target: time.Millisecond, Image: "checks"}
+	for _, w := range all {
+		w.Add(&fleet.Run{ID: job.TaskID{StepID: job.StepID{Job: "serving"}}, Step: serving, Need: cpu(1)})
+	}
+	rules := anyWorker()
+	rules.Speed = func(w *fleet.Worker, _ []*job.Step, _ *job.Step) float64 {
+		return map[domain.WorkerID]float64{"w0": 0.1, "w1": 0.2}[w.ID]
+	}
+	var p Planner
+	d := demand("fill", job.Step{Count: 3, Need: cpu(2), Fills: true}, 3)
+	assert.Equal(t, len(p.Plan([]Demand{d}, all, rules)), 0)
+	d.Starving = true
+	assert.DeepEqual(t, perWorker(p.Plan([]Demand{d}, all, rules)), map[domain.WorkerID]int{"w1": 1})
+}
+
 // Pattern: evening peak of short checks while long-running tasks restart.
 // Guards against checks that wait behind tasks that keep their room for
 // minutes.
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -96,11 +96,33 @@
 	if d.Step.SameRack {
 		rack = p.rackFor(d)
 	}
+	before := len(p.chosen)
 	for _, index := range d.Waiting {
 		if !p.placeTask(d, index, rack) {
-			return
+			break
+		}
+	}
+	if d.Starving && len(p.chosen) == before {
+		p.placeStarving(d)
+	}
+}
+
+// placeStarving places one task of a job that would otherwise not run at all,
+// on the worker where it can expect the most speed.
+func (p *Planner) placeStarving(d *Demand) {
+	best, bestSpeed := -1, -1.0
+	for i := range p.slots {
+		s := &p.slots[i]
+		if !s.allows(d) || !d.Step.Occupies().Fits(s.free) || s.full(d) {
+			continue
+		}
+		if speed := p.speed(s, d); speed > bestSpeed {
+			best, bestSpeed = i, speed
 		}
 	}
+	if best >= 0 {
+		p.choose(&p.slots[best], d, d.Waiting[0])
+	}
 }
 
 func (p *Planner) placeGang(d *Demand) {
@@ -221,13 +243,17 @@
 		}
 		return false
 	}
-	s := &p.slots[best]
+	p.choose(&p.slots[best], d, index)
+	return true
+}
+
+// choose assigns a task to a slot.
+func (p *Planner) choose(s *slot, d *Demand, index int) {
 	s.take(d)
 	p.chosen = append(p.chosen, Placement{
 		Task: job.TaskID{StepID: d.ID, Index: index}, Step: d.Step, Worker: s.worker,
 		Ticket: d.Tickets[string(s.worker.ID)],
 	})
-	return true
 }
 
 func (p *Planner) hopeless(d *Demand, need domain.Resources) bool {
@@ -269,12 +295,18 @@
 
 // takes reports whether the worker may get one more task of the step.
 func (s *slot) takes(d *Demand) bool {
-	if d.Step.MaxPerWorker > 0 && s.onWorker(d.ID) >= d.Step.MaxPerWorker {
+	if s.full(d) {
 		return false
 	}
 	return !d.Step.Fills || float64(s.spare) >= minFillShare*float64(d.Step.Need.CPUMilli)
 }
 
+// full reports whether the worker has as many tasks of the step as may share a
+// worker.
+func (s *slot) full(d *Demand) bool {
+	return d.Step.MaxPerWorker > 0 && s.onWorker(d.ID) >= d.Step.MaxPerWorker
+}
+
 func (s *slot) take(d *Demand) {
 	s.free = s.free.Sub(d.Step.Occupies())
 	s.spare -= spareUse(d.Step)
--- a/core/scheduler/machine.go
+++ b/core/scheduler/machine.go
@@ -30,6 +30,9 @@
 	// planInterval bounds the rate of planning rounds. Ends of the tasks of a
 	// step come close together, and one round and one record serve them all.
 	planInterval = 10 * time.Millisecond
+	// replanInterval bounds how long a task waits that is held back by a figure
+	// that changes with time: a pause of a worker or a tail near its target.
+	replanInterval = 400 * time.Millisecond
 	// idleHold is how long a worker with nothing on it is left alone between
 	// two holds.
 	idleHold = time.Second
@@ -93,8 +96,14 @@
 	// storedAt is when the store last acknowledged an append of this owner.
 	storedAt fleet.Instant
 	// fencedBy counts the workers that have seen a higher token.
-	fenced    bool
-	accepted  map[job.ID]fleet.Instant
+	fenced   bool
+	accepted map[job.ID]fleet.Instant
+	// idleSince is since when a job with a task that could run has nothing
+	// running.
+	idleSince map[job.ID]fleet.Instant
+	// replanAt is when waiting tasks are looked at again although nothing has
+	// happened.
+	replanAt  fleet.Instant
 	decisions []Decision
 	dropped   int64
 	Counters  Counters
@@ -130,6 +139,7 @@
 		contacts:  map[domain.WorkerID]*contact{},
 		stops:     map[*fleet.Run]*stopState{},
 		accepted:  map[job.ID]fleet.Instant{},
+		idleSince: map[job.ID]fleet.Instant{},
 		storedAt:  now,
 	}
 }
@@ -237,6 +247,7 @@
 // stopJob stops all runs of a closed job.
 func (m *Machine) stopJob(e *ledger.Entry, now fleet.Instant) {
 	m.forgetAdvice(e.Job.ID)
+	delete(m.idleSince, e.Job.ID)
 	e.EachPlaced(func(id job.TaskID, t ledger.Task) {
 		w := m.fleet.Worker(t.Worker)
 		if w == nil {
@@ -291,6 +302,10 @@
 	if m.nextDue > 0 && wallMS >= m.nextDue {
 		m.planWanted = true
 	}
+	if now >= m.replanAt {
+		m.replanAt = now + replanInterval
+		m.planWanted = true
+	}
 	if m.planWanted && now >= m.nextPlan && m.config != nil {
 		m.planWanted = false
 		m.nextPlan = now + planInterval
--- a/core/scheduler/plan.go
+++ b/core/scheduler/plan.go
@@ -119,6 +119,7 @@
 			Remaining: remaining, Work: work, TotalWork: e.Job.Work(), MeanWork: m.rates.meanWork(e.Job.Queue.Route),
 		}
 		e.EachWaiting(k, i, func(index int, _ ledger.Task) { d.Waiting = append(d.Waiting, index) })
+		d.Starving = d.Step.Fills && m.starving(e, d.Service, now)
 		if queue.Advice && !m.withTickets(&d, now) {
 			continue
 		}
@@ -127,6 +128,43 @@
 	return out
 }
 
+// starvingAfter is how long a job with a task that could run may have nothing
+// running before one task is placed wherever there is room. The platform bounds
+// that time to 3 s, of which a stop, a record and a start take a part.
+const starvingAfter = 1200 * time.Millisecond
+
+// emptyShare is the share of a service's processors that must be free for a
+// starving job to run where it disturbs others. The platform wants it to run
+// while under half is in use; above, it waits for a better place.
+const emptyShare = 0.4
+
+// freeShare returns the share of a service's processors that is free.
+func (m *Machine) freeShare(service string) float64 {
+	free, all := int64(0), int64(0)
+	for _, w := range m.fleet.All() {
+		if w.Listed && w.Service == service {
+			free += w.Free().CPUMilli
+			all += w.Capacity.CPUMilli
+		}
+	}
+	return float64(free) / float64(max(1, all))
+}
+
+// starving reports whether nothing of a job has run for a while although much
+// room is free.
+func (m *Machine) starving(e *ledger.Entry, service string, now fleet.Instant) bool {
+	if e.Placed() > 0 || m.freeShare(service) < emptyShare {
+		delete(m.idleSince, e.Job.ID)
+		return false
+	}
+	since, ok := m.idleSince[e.Job.ID]
+	if !ok {
+		m.idleSince[e.Job.ID] = now
+		return false
+	}
+	return now-since >= starvingAfter
+}
+
 // queue returns the policy of a queue as it is now.
 func (m *Machine) queue(q job.Queue) job.Queue {
 	if r := m.routes[q.Route]; r != nil {
