--- a/cli/command/run.go
+++ b/cli/command/run.go
@@ -78,6 +78,7 @@
 		e.burn(),
 		e.capacity(),
 		e.standin(),
+		e.trace(),
 		e.version(),
 	}
 }
--- /dev/null
+++ b/cli/command/trace.go
@@ -0,0 +1,125 @@
+package command
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/basilferry/basilferry/core/domain"
+)
+
+// maxTraceLine bounds one line of a log.
+const maxTraceLine = 1 << 20
+
+func (e *Env) trace() *cli.Command {
+	return &cli.Command{
+		Name:      "trace",
+		Usage:     "print what the nodes' logs say of one job, in order of time",
+		ArgsUsage: "JOB",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "log", Usage: "log file of a node; repeat it for each node, leave it out for standard input"},
+		},
+		Action: action(1, e.runTrace),
+	}
+}
+
+// traceLine is one line of a node's log.
+type traceLine struct {
+	at   time.Time
+	text string
+}
+
+func (e *Env) runTrace(_ context.Context, c *cli.Command) error {
+	id := c.Args().First()
+	var lines []traceLine
+	files := c.StringSlice("log")
+	if len(files) == 0 {
+		found, err := traceFrom(e.In, id)
+		if err != nil {
+			return err
+		}
+		lines = found
+	}
+	for _, name := range files {
+		found, err := traceFile(name, id)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, found...)
+	}
+	if len(lines) == 0 {
+		return &domain.Error{
+			Kind: domain.KindNotFound, Message: "no line names job " + id,
+			Remedy: "check the id, and give the logs of all nodes of that time",
+		}
+	}
+	slices.SortStableFunc(lines, func(a, b traceLine) int { return a.at.Compare(b.at) })
+	for _, l := range lines {
+		if _, err := fmt.Fprintln(e.Out, l.text); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func traceFile(name, id string) ([]traceLine, error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, &domain.Error{Kind: domain.KindNotFound, Message: err.Error(), Remedy: "name a readable log file"}
+	}
+	defer file.Close()
+	return traceFrom(file, id)
+}
+
+// traceFrom reads the lines that name the id. Text before the JSON of a line,
+// which a log collector may add, is left out; lines without JSON are skipped.
+func traceFrom(r io.Reader, id string) ([]traceLine, error) {
+	var out []traceLine
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(make([]byte, 0, 64<<10), maxTraceLine)
+	for scanner.Scan() {
+		text := scanner.Text()
+		start := strings.IndexByte(text, '{')
+		if start < 0 || !strings.Contains(text, id) {
+			continue
+		}
+		if line, ok := parseTraceLine(text[start:]); ok {
+			out = append(out, line)
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, fmt.Errorf("read log: %w", err)
+	}
+	return out, nil
+}
+
+// parseTraceLine formats one line as time, node, part, message and the other
+// fields in the order of their names.
+func parseTraceLine(text string) (traceLine, bool) {
+	var fields map[string]any
+	if json.Unmarshal([]byte(text), &fields) != nil {
+		return traceLine{}, false
+	}
+	at, err := time.Parse(time.RFC3339Nano, fmt.Sprint(fields["time"]))
+	if err != nil {
+		return traceLine{}, false
+	}
+	head := fmt.Sprintf("%s %v %v: %v", at.Format("15:04:05.000"), fields["node"], fields["part"], fields["msg"])
+	for _, name := range []string{"time", "level", "node", "part", "msg", "job"} {
+		delete(fields, name)
+	}
+	var rest []string
+	for name, value := range fields {
+		rest = append(rest, fmt.Sprintf("%s=%v", name, value))
+	}
+	slices.Sort(rest)
+	return traceLine{at: at, text: strings.TrimSpace(head + " " + strings.Join(rest, " "))}, true
+}
--- a/node/entry/settings.go
+++ b/node/entry/settings.go
@@ -89,7 +89,7 @@
 	s.Workers.StopGraceMS = 900
 	s.Ownership.SilenceMS = 2500
 	s.Ownership.RenewMS = 800
-	s.Ownership.OfflineMS = 9000
+	s.Ownership.OfflineMS = 6500
 	s.Ownership.RestMS = 6000
 	s.Stop.GraceS = 6
 	s.Runtime.GCPercent = 100
