Play the store and the workers in one process and test the whole path with it

Found by the race detector in the new tests: the dispatcher's context was set when it ran, after followers had begun to post to it. Jobs that are long over now lose their records, and each ordered pace leaves a line.

--- a/core/scheduler/hold.go
+++ b/core/scheduler/hold.go
@@ -237,6 +237,7 @@
 	m.count(end.How)
 	m.note(Decision{What: "end", Job: id.Job, Task: end.Task, Run: end.Run, Worker: w.ID, Reason: string(end.How)})
 	if !closed && e.Closed() {
+		m.closed = append(m.closed, closedJob{id: id.Job, at: now})
 		m.note(Decision{What: "close", Job: id.Job, Reason: string(e.State()), Age: now - m.accepted[id.Job]})
 		m.stopJob(e, now)
 	}
--- a/core/scheduler/machine.go
+++ b/core/scheduler/machine.go
@@ -22,6 +22,8 @@
 	StopGrace time.Duration
 	// HoldWait is how long a worker may wait for an end before it answers a hold.
 	HoldWait time.Duration
+	// Keep is how long the records of a job are kept after it is over.
+	Keep time.Duration
 	// Offline is how long an owner goes on renewing leases without the store.
 	Offline time.Duration
 }
@@ -98,6 +100,8 @@
 	// fencedBy counts the workers that have seen a higher token.
 	fenced   bool
 	accepted map[job.ID]fleet.Instant
+	// closed lists the jobs that are over, in the order in which they ended.
+	closed []closedJob
 	// idleSince is since when a job with a task that could run has nothing
 	// running.
 	idleSince map[job.ID]fleet.Instant
@@ -208,6 +212,7 @@
 		})
 		if e.Closed() {
 			m.stopJob(e, now)
+			m.closed = append(m.closed, closedJob{id: e.Job.ID, at: now})
 		}
 	})
 	m.planWanted = true
@@ -241,6 +246,7 @@
 		return
 	}
 	m.note(Decision{What: "cancel", Job: id, Reason: "a caller cancelled the job"})
+	m.closed = append(m.closed, closedJob{id: id, at: now})
 	m.stopJob(m.ledger.Entry(id), now)
 }
 
--- a/core/scheduler/machine_test.go
+++ b/core/scheduler/machine_test.go
@@ -219,3 +219,16 @@
 	assert.Equal(t, len(w.workers[0].started)+len(w.workers[1].started)+len(w.workers[3].started), 0)
 	assert.Assert(t, w.questions <= 2, "%d", w.questions)
 }
+
+// Guards against memory and records that grow for ever, and against forgetting
+// a job that callers may still ask about.
+func TestJobsThatAreLongOverExpire(t *testing.T) {
+	w := newWorld(t, 1)
+	w.m.Accept(oneStep(1, 1000), w.now)
+	w.run(time.Second)
+	w.m.Cancel(testJobID, w.now)
+	w.run(time.Second)
+	assert.Equal(t, len(w.m.Expired(w.now)), 0)
+	assert.DeepEqual(t, w.m.Expired(w.now+testSettings.Keep), []job.ID{testJobID})
+	assert.Equal(t, w.m.Ledger().Len(), 0)
+}
--- a/core/scheduler/pace.go
+++ b/core/scheduler/pace.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/basilferry/basilferry/core/fleet"
@@ -96,6 +97,7 @@
 	}
 	r.Pacing = true
 	m.Counters.Paced++
+	m.note(Decision{What: "pace", Job: r.ID.Job, Task: r.ID.String(), Run: r.Run, Worker: w.ID, Reason: strconv.Itoa(percent) + "%"})
 	m.orders = append(m.orders, &Order{
 		Kind: OrderPace, Worker: w.ID, To: w.Endpoint(), Token: m.token, Issued: now,
 		Task: r.ID, Run: r.Run, Percent: percent, life: w.Life,
--- a/core/scheduler/world_test.go
+++ b/core/scheduler/world_test.go
@@ -135,6 +135,7 @@
 
 var testSettings = Settings{
 	Lease: 6 * time.Second, StopGrace: time.Second, HoldWait: time.Second, Offline: 9 * time.Second,
+	Keep: time.Minute,
 }
 
 func newWorld(t *testing.T, workers int) *world {
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -24,12 +24,17 @@
 	lastHeard time.Duration
 	claiming  bool
 	stopping  bool
-	ctx       context.Context
+	// ctx ends when the decision goroutine ends.
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 // New returns a dispatcher; Run starts it.
 func New(cfg Config) *Dispatcher {
+	ctx, cancel := context.WithCancel(context.Background())
 	return &Dispatcher{
+		ctx:       ctx,
+		cancel:    cancel,
 		cfg:       cfg,
 		events:    make(chan func(), eventQueue),
 		ownership: ownership.New(cfg.Ownership, cfg.Clock.Now()),
@@ -47,7 +52,7 @@
 
 // Run decides until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) {
-	d.ctx = ctx
+	defer d.cancel()
 	timer := time.NewTimer(ownerTick)
 	defer timer.Stop()
 	for {
--- a/node/dispatcher/office.go
+++ b/node/dispatcher/office.go
@@ -34,6 +34,8 @@
 	lastLoad   time.Duration
 	counters   scheduler.Counters
 	summaries  int
+	// drops are the records that drop states of jobs, for the next append.
+	drops []platform.Keyed
 }
 
 // takeOffice begins the time as owner: the former owner's writes are fenced,
@@ -192,6 +194,8 @@
 	for i, r := range batch.Records {
 		records[i] = platform.Keyed{Key: jobview.Key(jobview.KindState, r.Job), Value: r.State}
 	}
+	records = append(records, o.drops...)
+	o.drops = nil
 	if batch.Learned != nil {
 		records = append(records, platform.Keyed{Key: jobview.LearnedKey, Value: batch.Learned})
 	}
@@ -225,9 +229,12 @@
 	o.renewing = true
 	d := o.d
 	sent := d.cfg.Clock.Now()
-	record := stored(d.ownership.Record(kind))
+	records := []platform.Keyed{stored(d.ownership.Record(kind))}
+	if kind == ownership.KindRenewal && o.machine != nil {
+		records = append(records, o.expired(sent)...)
+	}
 	go func() {
-		_, err := o.requests.Append(o.ctx, []platform.Keyed{record})
+		_, err := o.requests.Append(o.ctx, records)
 		d.postTo(o, func() {
 			o.renewing = false
 			if err != nil {
@@ -241,6 +248,18 @@
 	}()
 }
 
+// expired returns the records that drop jobs which have been over for long: the
+// acceptance and the cancel here, and, with the next append, the state.
+func (o *office) expired(now time.Duration) []platform.Keyed {
+	var out []platform.Keyed
+	for _, id := range o.machine.Expired(now) {
+		out = append(out,
+			platform.Keyed{Key: jobview.Key(jobview.KindJob, id)}, platform.Keyed{Key: jobview.Key(jobview.KindCancel, id)})
+		o.drops = append(o.drops, platform.Keyed{Key: jobview.Key(jobview.KindState, id)})
+	}
+	return out
+}
+
 // judge resigns if this owner reaches less than half of the workers while it
 // reaches the store: another node may reach them.
 func (o *office) judge(now time.Duration) {
--- a/node/entry/node.go
+++ b/node/entry/node.go
@@ -187,7 +187,7 @@
 		},
 		Scheduler: scheduler.Settings{
 			Lease: min(s.Workers.LeaseMS, s.Workers.LeaseMaxMS).Duration() - leaseMargin, StopGrace: s.Workers.StopGraceMS.Duration(),
-			HoldWait: holdWait, Offline: s.Ownership.OfflineMS.Duration(),
+			HoldWait: holdWait, Keep: s.Keep(), Offline: s.Ownership.OfflineMS.Duration(),
 		},
 		Clock: n.clock, Logger: decisionlog.Component(n.logger, "schedule"), View: n.view,
 		RequestsFollower: n.requests, StatesFollower: n.states, Metrics: n.metrics,
--- /dev/null
+++ b/node/entry/node_test.go
@@ -0,0 +1,279 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/fx"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/job"
+	"github.com/basilferry/basilferry/core/platform"
+	"github.com/basilferry/basilferry/node/dispatcher"
+	"github.com/basilferry/basilferry/node/intake"
+	"github.com/basilferry/basilferry/node/internal/testport"
+	"github.com/basilferry/basilferry/standin/fleet"
+)
+
+// cluster is a number of nodes with one store and its workers, in one process.
+type cluster struct {
+	t       *testing.T
+	store   *fleet.Store
+	workers *fleet.Workers
+	nodes   []*testNode
+}
+
+type testNode struct {
+	app    *fx.App
+	intake *intake.Intake
+	log    *lockedBuffer
+}
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+var (
+	requestsPartition = platform.Partition{Topic: "own", Part: 0}
+	statesPartition   = platform.Partition{Topic: "own", Part: 1}
+	registryPartition = platform.Partition{Topic: "registry"}
+	operatorPartition = platform.Partition{Topic: "operator"}
+)
+
+const testTask = 300 * time.Millisecond
+
+func newCluster(t *testing.T, nodes int) *cluster {
+	t.Helper()
+	ids := []domain.WorkerID{"w1", "w2"}
+	c := &cluster{t: t, store: fleet.NewStore(), workers: fleet.NewWorkers(ids, testTask)}
+	c.write(operatorPartition, platform.Keyed{Key: "config", Value: []byte("{}")})
+	for _, id := range ids {
+		c.write(registryPartition, platform.Keyed{Key: string(id), Value: []byte("{}")})
+	}
+	for i := range nodes {
+		c.start(fmt.Sprintf("n%d", i+1))
+	}
+	return c
+}
+
+func (c *cluster) write(p platform.Partition, r platform.Keyed) {
+	c.t.Helper()
+	_, err := c.store.Append(context.Background(), platform.Append{Partition: p, Records: []platform.Keyed{r}})
+	assert.NilError(c.t, err)
+}
+
+func (c *cluster) start(name string) *testNode {
+	c.t.Helper()
+	s := defaults()
+	s.Node.Name, s.Node.Domain = name, "north"
+	ports := testport.Free(c.t, 2)
+	s.Listen.Requests, s.Listen.Readiness = ports[0], ports[1]
+	s.Store.Address = "unused"
+	s.Stop.GraceS = 4
+	n := &testNode{log: &lockedBuffer{}}
+	n.app = New(s, "", Platform{
+		Platform: dispatcher.Platform{
+			Store: c.store, Orders: c.workers, Requests: requestsPartition, States: statesPartition, Registry: registryPartition,
+			DecodeEntry: func(r platform.Keyed) (platform.RegistryEntry, error) {
+				return platform.RegistryEntry{
+					ID: domain.WorkerID(r.Key), Address: "a", Service: "desk", Domain: "north",
+					Capacity: domain.Resources{CPUMilli: 4000, MemoryMiB: 4000}, Labels: []string{"a", "r1"},
+				}, nil
+			},
+		},
+		Operator: operatorPartition,
+		DecodeOperator: func(platform.Keyed) (platform.OperatorChange, error) {
+			return platform.OperatorChange{Config: &platform.OperatorConfig{
+				Version: 1, Routes: []platform.Route{{Queue: testQueue, Host: "h", PathPrefix: "/"}},
+			}}, nil
+		},
+		Ingress: func(jobs *intake.Intake, _ func() bool) http.Handler {
+			n.intake = jobs
+			return http.NotFoundHandler()
+		},
+	}, n.log)
+	assert.NilError(c.t, n.app.Start(context.Background()))
+	c.t.Cleanup(func() { _ = n.app.Stop(context.Background()) })
+	c.nodes = append(c.nodes, n)
+	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+		if n.intake.Ready() {
+			return poll.Success()
+		}
+		return poll.Continue("node %s is not ready", name)
+	}, poll.WithTimeout(10*time.Second))
+	return n
+}
+
+var testQueue = job.Queue{Route: "checks", Service: "desk", MaxAttempts: 3, Stretch: 1.5, Objective: time.Second}
+
+func testJob(number int) *job.Job {
+	step := job.Step{Count: 2, Need: domain.Resources{CPUMilli: 500, MemoryMiB: 10}, Estimate: testTask}
+	second := step
+	second.DependsOn = []int{0}
+	return &job.Job{ID: job.ID(fmt.Sprintf("%016x", number)), Payload: "text", Queue: testQueue, Steps: []job.Step{step, second}}
+}
+
+func (n *testNode) awaitState(t *testing.T, id job.ID, want job.State) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		got, err := n.intake.State(context.Background(), id)
+		if err == nil && got == want {
+			return poll.Success()
+		}
+		return poll.Continue("job %s is %s (%v)", id, got, err)
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(50*time.Millisecond))
+}
+
+// Guards against a whole path that does not work: a job that one node accepts
+// is run by the owner, and every node shows it.
+func TestJobRunsAndEveryNodeShowsIt(t *testing.T) {
+	c := newCluster(t, 3)
+	for i, n := range c.nodes {
+		assert.NilError(t, n.intake.Submit(context.Background(), testJob(i)))
+	}
+	for i := range c.nodes {
+		for _, n := range c.nodes {
+			n.awaitState(t, testJob(i).ID, job.StateCompleted)
+		}
+	}
+	assert.DeepEqual(t, c.workers.Overlaps(), []string(nil))
+	assert.Equal(t, c.workers.Starts("0000000000000000.0.1.1"), 1)
+}
+
+// Guards against work that is lost or doubled when the owner stops in a planned
+// way, and when answers of the store are lost.
+func TestOwnerStopsWhileJobsRun(t *testing.T) {
+	c := newCluster(t, 3)
+	for i := range 6 {
+		assert.NilError(t, c.nodes[i%3].intake.Submit(context.Background(), testJob(i)))
+	}
+	c.store.LoseAnswers(3)
+	owner := c.owner()
+	assert.NilError(t, owner.app.Stop(context.Background()))
+	for _, n := range c.nodes {
+		if n == owner {
+			continue
+		}
+		for i := range 6 {
+			n.awaitState(t, testJob(i).ID, job.StateCompleted)
+		}
+	}
+	assert.DeepEqual(t, c.workers.Overlaps(), []string(nil))
+}
+
+// owner returns the node that schedules.
+func (c *cluster) owner() *testNode {
+	c.t.Helper()
+	var owner *testNode
+	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+		for _, n := range c.nodes {
+			if strings.Contains(n.log.String(), `"msg":"schedules"`) {
+				owner = n
+				return poll.Success()
+			}
+		}
+		return poll.Continue("no node schedules")
+	}, poll.WithTimeout(10*time.Second))
+	return owner
+}
+
+// Guards against "accepted" or "unknown" for a job while the store is out: it
+// is refused, and truly not run.
+func TestOutageOfTheStoreRefusesTruly(t *testing.T) {
+	c := newCluster(t, 1)
+	n := c.nodes[0]
+	c.owner()
+	c.store.SetDown(true)
+	err := n.intake.Submit(context.Background(), testJob(7))
+	assert.Equal(t, domain.KindOf(err), domain.KindNotRun)
+	c.store.SetDown(false)
+	assert.NilError(t, n.intake.Submit(context.Background(), testJob(8)))
+	n.awaitState(t, testJob(8).ID, job.StateCompleted)
+	_, err = n.intake.State(context.Background(), testJob(7).ID)
+	assert.Equal(t, domain.KindOf(err), domain.KindNotFound)
+	assert.Equal(t, c.workers.Starts("0000000000000007.0.0.0"), 0)
+}
+
+// Guards against lines that are no JSON, and against a request without a line.
+func TestEachRequestLeavesALine(t *testing.T) {
+	c := newCluster(t, 1)
+	assert.NilError(t, c.nodes[0].intake.Submit(context.Background(), testJob(1)))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if strings.Contains(c.nodes[0].log.String(), `"msg":"accept"`) {
+			return poll.Success()
+		}
+		return poll.Continue("no line for the request")
+	})
+	decoder := json.NewDecoder(strings.NewReader(c.nodes[0].log.String()))
+	for {
+		var line map[string]any
+		err := decoder.Decode(&line)
+		if err == io.EOF {
+			return
+		}
+		assert.NilError(t, err)
+		assert.Assert(t, line["node"] == "n1" && line["msg"] != "")
+	}
+}
+
+// Guards against settings that are taken although a field is wrong or missing.
+func TestSettingsAreChecked(t *testing.T) {
+	good := `{ // a comment
+		"node": {"name": "n1", "failure_domain": "north"}, "listen": {"requests": "127.0.0.1:1", "readiness": "127.0.0.1:2"},
+		"store": {"address": "127.0.0.1:3"}, "later_field": {}}`
+	_, err := parseSettings([]byte(good))
+	assert.NilError(t, err)
+	for change, want := range map[string]string{
+		`"n1"`:                   "",
+		`"127.0.0.1:3"`:          "",
+		`"later_field": {}`:      `"ownership": {"renew_ms": 2000}`,
+		`"later_field": {}}`:     `"later_field": {}`,
+		`"failure_domain": "no`:  `"failure_domain": 7, "x": "no`,
+		`"readiness": "127.0.0.`: `"other": "127.0.0.`,
+	} {
+		if want == "" {
+			want = `""`
+		}
+		_, err := parseSettings([]byte(strings.Replace(good, change, want, 1)))
+		assert.Equal(t, domain.KindOf(err), domain.KindBadRequest, "%s", change)
+	}
+}
+
+// Guards against a node that starts although its address is taken.
+func TestTakenAddressIsAnErrorOfTheStart(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	s := defaults()
+	s.Node.Name, s.Node.Domain, s.Store.Address = "n1", "north", "unused"
+	s.Listen.Requests, s.Listen.Readiness = l.Addr().String(), testport.Free(t, 1)[0]
+	app := New(s, "", Platform{
+		Platform: dispatcher.Platform{Store: fleet.NewStore()},
+		Ingress:  func(*intake.Intake, func() bool) http.Handler { return http.NotFoundHandler() },
+	}, io.Discard)
+	assert.ErrorContains(t, app.Start(context.Background()), "cannot listen on")
+}
--- a/node/entry/settings.go
+++ b/node/entry/settings.go
@@ -64,6 +64,11 @@
 		// RestMS is how long a node that resigned does not claim.
 		RestMS Millis `json:"rest_ms"`
 	} `json:"ownership"`
+	Jobs struct {
+		// KeepS is how long the state of a job that is over can be asked for, in
+		// seconds.
+		KeepS float64 `json:"keep_s"`
+	} `json:"jobs"`
 	Stop struct {
 		// GraceS is the time between SIGTERM and SIGKILL, in seconds.
 		GraceS float64 `json:"grace_s"`
@@ -92,6 +97,7 @@
 	s.Ownership.OfflineMS = 6500
 	s.Ownership.RestMS = 6000
 	s.Stop.GraceS = 6
+	s.Jobs.KeepS = 120
 	s.Runtime.GCPercent = 100
 	s.Runtime.MemoryLimitShare = 0.6
 	s.Machine.MemoryMB = 256
@@ -155,3 +161,12 @@
 
 // Grace returns the time between SIGTERM and SIGKILL.
 func (s *Settings) Grace() time.Duration { return time.Duration(s.Stop.GraceS * float64(time.Second)) }
+
+// keepMargin is added to the time for which the state of a job can be asked for:
+// a late copy of its submission must find that the job is known.
+const keepMargin = time.Minute
+
+// Keep returns how long the records of a job are kept after it is over.
+func (s *Settings) Keep() time.Duration {
+	return time.Duration(s.Jobs.KeepS*float64(time.Second)) + keepMargin
+}
--- /dev/null
+++ b/standin/fleet/store.go
@@ -0,0 +1,160 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/basilferry/basilferry/core/platform"
+)
+
+// Store implements platform.Store in memory. It may be used from several
+// goroutines.
+type Store struct {
+	mu        sync.Mutex
+	logs      map[platform.Partition][]platform.Keyed
+	producers map[string]*producer
+	changed   chan struct{}
+	// down makes all calls fail as refused.
+	down bool
+	// loseAnswers carries the next appends out and loses their answers.
+	loseAnswers int
+}
+
+type producer struct {
+	epoch, seq int64
+	answers    map[int64]platform.Appended
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{
+		logs: map[platform.Partition][]platform.Keyed{}, producers: map[string]*producer{}, changed: make(chan struct{}),
+	}
+}
+
+// SetDown starts or ends an outage in which all calls are refused.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// LoseAnswers loses the answers of the next appends, which are carried out.
+func (s *Store) LoseAnswers(count int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loseAnswers = count
+}
+
+// Append implements platform.Store.
+func (s *Store) Append(_ context.Context, a platform.Append) (platform.Appended, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return platform.Appended{}, platform.ErrRefused
+	}
+	done, err := s.append(a)
+	if err == nil && s.loseAnswers > 0 {
+		s.loseAnswers--
+		return platform.Appended{}, fmt.Errorf("the answer is lost")
+	}
+	return done, err
+}
+
+func (s *Store) append(a platform.Append) (platform.Appended, error) {
+	p, err := s.check(a)
+	if err != nil {
+		return platform.Appended{}, err
+	}
+	if p != nil {
+		if before, ok := p.answers[a.Producer.Seq]; ok {
+			return before, nil
+		}
+		if a.Producer.Seq != p.seq+1 {
+			return platform.Appended{}, platform.ErrSequence
+		}
+	}
+	log := s.logs[a.Partition]
+	end := int64(len(log))
+	if a.At != nil && *a.At != end {
+		return platform.Appended{End: end}, platform.ErrConflict
+	}
+	for i, r := range a.Records {
+		r.Offset = end + int64(i)
+		log = append(log, r)
+	}
+	s.logs[a.Partition] = log
+	done := platform.Appended{Offset: end, End: int64(len(log))}
+	if p != nil {
+		p.seq = a.Producer.Seq
+		p.answers[p.seq] = done
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return done, nil
+}
+
+// check returns the producer's state, or ErrFenced.
+func (s *Store) check(a platform.Append) (*producer, error) {
+	if a.Producer == nil {
+		return nil, nil
+	}
+	key := fmt.Sprint(a.Partition, a.Producer.Name)
+	p := s.producers[key]
+	if p == nil || a.Producer.Epoch > p.epoch {
+		p = &producer{epoch: a.Producer.Epoch, seq: a.Producer.Seq - 1, answers: map[int64]platform.Appended{}}
+		s.producers[key] = p
+	}
+	if a.Producer.Epoch < p.epoch {
+		return nil, platform.ErrFenced
+	}
+	return p, nil
+}
+
+// Read implements platform.Store.
+func (s *Store) Read(ctx context.Context, p platform.Partition, from int64, wait time.Duration) (platform.Batch, error) {
+	deadline := time.After(wait)
+	for {
+		s.mu.Lock()
+		log, changed, down := s.logs[p], s.changed, s.down
+		s.mu.Unlock()
+		if down {
+			return platform.Batch{}, platform.ErrRefused
+		}
+		batch := platform.Batch{End: int64(len(log))}
+		if from < batch.End {
+			batch.Records = append(batch.Records, log[from:]...)
+			return batch, nil
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			return batch, nil
+		case <-ctx.Done():
+			return platform.Batch{}, ctx.Err()
+		}
+	}
+}
+
+// Newest implements platform.Store, with all keys in one page.
+func (s *Store) Newest(_ context.Context, p platform.Partition, _ string) (platform.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return platform.Page{}, platform.ErrRefused
+	}
+	log := s.logs[p]
+	newest := map[string]int64{}
+	for _, r := range log {
+		newest[r.Key] = r.Offset
+	}
+	page := platform.Page{End: int64(len(log))}
+	for _, r := range log {
+		if newest[r.Key] == r.Offset && len(r.Value) > 0 {
+			page.Records = append(page.Records, r)
+		}
+	}
+	return page, nil
+}
