Count reads of an idle log as hearing it, so that a dead owner is replaced

Ruled out: the registry, leases, late orders. Change: such a read tells about the time of its answer, and waits 0.9 s; an owner that was suspended does not judge whom it reaches at once. TestDeadOwnerIsReplacedWhileTheLogIsIdle failed before.

--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -191,7 +191,7 @@
 }
 
 // freshRead is how old the last complete read may be for a claim.
-const freshRead = 500 * time.Millisecond
+const freshRead = 800 * time.Millisecond
 
 func (o *Ownership) mayClaim(now, heard Instant) bool {
 	if now < o.restUntil || now-heard > freshRead || heard < o.failedAt {
--- a/node/dispatcher/config.go
+++ b/node/dispatcher/config.go
@@ -68,6 +68,9 @@
 	// unfitOffice is how long an owner must have been in office to judge.
 	unfitOffice = 4 * time.Second
 	// blindGap is the time without a complete read of the log after which the
-	// owner's silence is measured anew.
-	blindGap = 1200 * time.Millisecond
+	// owner's silence is measured anew. Reads of an idle log end each second.
+	blindGap = 2 * time.Second
+	// suspended is the gap between two rounds after which the process was
+	// suspended: what it has not heard meanwhile proves nothing.
+	suspended = time.Second
 )
--- a/node/dispatcher/office.go
+++ b/node/dispatcher/office.go
@@ -34,6 +34,9 @@
 	lastLoad   time.Duration
 	counters   scheduler.Counters
 	summaries  int
+	// lastRound is the last round of decisions, and judgeFrom is from when on
+	// this owner may judge whether it reaches the workers.
+	lastRound, judgeFrom time.Duration
 	// drops are the records that drop states of jobs, for the next append.
 	drops []platform.Keyed
 }
@@ -166,6 +169,10 @@
 		}
 		o.begin(now)
 	}
+	if now-o.lastRound > suspended {
+		o.judgeFrom = now + unfitOffice
+	}
+	o.lastRound = now
 	o.machine.Advance(now, time.Now().UnixMilli())
 	o.append(now)
 	for _, order := range o.machine.TakeOrders() {
@@ -263,7 +270,7 @@
 // judge resigns if this owner reaches less than half of the workers while it
 // reaches the store: another node may reach them.
 func (o *office) judge(now time.Duration) {
-	if _, owning := o.d.ownership.Owning(); !owning || now-o.since < unfitOffice || !o.machine.Connected(now) {
+	if _, owning := o.d.ownership.Owning(); !owning || now < o.judgeFrom || !o.machine.Connected(now) {
 		return
 	}
 	silent, listed := o.machine.Silent(now, unfitAfter)
--- a/node/entry/node_test.go
+++ b/node/entry/node_test.go
@@ -19,6 +19,8 @@
 
 	"github.com/basilferry/basilferry/core/domain"
 	"github.com/basilferry/basilferry/core/job"
+	"github.com/basilferry/basilferry/core/jobview"
+	"github.com/basilferry/basilferry/core/ownership"
 	"github.com/basilferry/basilferry/core/platform"
 	"github.com/basilferry/basilferry/node/dispatcher"
 	"github.com/basilferry/basilferry/node/intake"
@@ -277,3 +279,16 @@
 	}, io.Discard)
 	assert.ErrorContains(t, app.Start(context.Background()), "cannot listen on")
 }
+
+// Guards against a dead owner that nobody replaces because the log is idle:
+// reads that wait for a record in vain must count as hearing the log (own day
+// owner-races --seed 24330626181 on kmk-ferry, LOST 158).
+func TestDeadOwnerIsReplacedWhileTheLogIsIdle(t *testing.T) {
+	c := newCluster(t, 0)
+	ghost := ownership.Record{Kind: ownership.KindClaim, Node: "ghost", Boot: 1}
+	value, err := ghost.Encode()
+	assert.NilError(t, err)
+	c.write(requestsPartition, platform.Keyed{Key: jobview.OwnerKey, Value: value})
+	c.start("n1")
+	c.owner()
+}
--- a/node/storelog/follower.go
+++ b/node/storelog/follower.go
@@ -14,7 +14,10 @@
 const (
 	// readWait is how long a read waits for a record. It bounds how long a
 	// connection that went silent is not noticed.
-	readWait = 1500 * time.Millisecond
+	readWait = 900 * time.Millisecond
+	// answerAge is how old the state in an answer may be when it arrives: the
+	// store answers in 4 ms, and in up to 250 ms when it is slow.
+	answerAge = 250 * time.Millisecond
 	// retryRead is the pause after a read without an answer.
 	retryRead = 150 * time.Millisecond
 )
@@ -39,10 +42,11 @@
 // Follower reads one partition for as long as the process runs.
 type Follower struct {
 	cfg FollowerConfig
-	// heard is when the partition was last read to its end, as nanoseconds of
-	// the clock; negative before the first time.
+	// heard is when the partition was last known to be read to its end, as
+	// nanoseconds of the clock; negative before the first time. A read that waits
+	// for a record in vain tells about the time of its answer.
 	heard atomic.Int64
-	// sent is when the last complete read was sent.
+	// end is the offset up to which the partition was read.
 	end  atomic.Int64
 	lost bool
 	wake chan struct{}
@@ -140,7 +144,7 @@
 }
 
 func (f *Follower) caughtUp(sent time.Duration, end int64) {
-	f.heard.Store(int64(sent))
+	f.heard.Store(int64(max(sent, f.cfg.Clock.Now()-answerAge)))
 	f.end.Store(end)
 	if f.cfg.Read != nil {
 		f.cfg.Read(end)
