Store until when the leases of silent workers last, for the next owner

Ruled out: lack of room (free_cores 471 all the while), the registry (the entry was gone), a planner that avoids workers (no demand was waiting).

Change: the owner stores the list of workers that it does not reach, with the time that their leases can still last. A worker on the list gets no lease until a record without it is stored, so a later owner may rely on the list. A new owner gives no lease before its first list is stored. Renewals without the store are counted from the former owner's last record, not from the claim, and not at all if the former owner was this node's own former process. The age of a job survives a change of the owner.

--- a/core/fleet/lease.go
+++ b/core/fleet/lease.go
@@ -53,6 +53,12 @@
 // Extend takes note that the lease can last until at least the given time.
 func (l *Lease) Extend(over Instant) { l.over = max(l.over, over) }
 
+// Bound takes note that the lease ends at the given time at the latest.
+func (l *Lease) Bound(over Instant) { l.over = over }
+
+// Left returns how long the lease can still last; negative if it is over.
+func (l *Lease) Left(now Instant) time.Duration { return l.over - now }
+
 // Over reports whether the lease has surely ended.
 func (l *Lease) Over(now Instant) bool { return now > l.over }
 
--- a/core/fleet/worker.go
+++ b/core/fleet/worker.go
@@ -94,6 +94,12 @@
 	AvoidUntil Instant
 	// Failures counts the recent holds without an answer.
 	Failures int
+	// SilentSince is since when the worker has not been heard by this owner; 0
+	// if its last hold was answered.
+	SilentSince Instant
+	// Barred tells that the store lists the worker as one without a lease. It
+	// gets none until that has changed.
+	Barred bool
 	// Health rates what the worker does with what it is given.
 	Health Health
 	// serving counts the runs with a tail latency target, and ServingCPU is
@@ -138,7 +144,7 @@
 // Accepts reports whether the worker takes new runs as far as its own state is
 // concerned.
 func (w *Worker) Accepts(now Instant) bool {
-	return w.Listed && w.Held && !w.Fenced && !w.Draining && w.Leaving == 0 && w.Failures == 0 &&
+	return w.Listed && w.Held && !w.Fenced && !w.Barred && !w.Draining && w.Leaving == 0 && w.Failures == 0 &&
 		now >= w.AvoidUntil && now-w.LastHeard < silentAfter
 }
 
--- a/core/jobview/keys.go
+++ b/core/jobview/keys.go
@@ -18,6 +18,8 @@
 	KindState Kind = 's'
 	// KindLearned: what the owner has learned of images that share workers.
 	KindLearned Kind = 'l'
+	// KindBounds: which workers get no lease from the owner.
+	KindBounds Kind = 'b'
 )
 
 // Key returns the key of a job's record.
@@ -29,6 +31,9 @@
 // LearnedKey is the key of the record of what the owner has learned.
 const LearnedKey = string(KindLearned)
 
+// BoundsKey is the key of the record of the workers that get no lease.
+const BoundsKey = string(KindBounds)
+
 // ParseKey splits a key; ok is false for a key that names nothing here.
 func ParseKey(key string) (kind Kind, id job.ID, ok bool) {
 	if key == "" {
@@ -36,7 +41,7 @@
 	}
 	kind, id = Kind(key[0]), job.ID(key[1:])
 	switch kind {
-	case KindOwner, KindLearned:
+	case KindOwner, KindLearned, KindBounds:
 		return kind, "", id == ""
 	case KindJob, KindCancel, KindState:
 		return kind, id, id.Valid()
--- a/core/jobview/view.go
+++ b/core/jobview/view.go
@@ -45,7 +45,7 @@
 // read is an error and changes nothing.
 func (v *View) Apply(r platform.Keyed) error {
 	kind, id, ok := ParseKey(r.Key)
-	if !ok || kind == KindOwner {
+	if !ok || kind == KindOwner || kind == KindBounds {
 		return nil
 	}
 	v.mu.Lock()
--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -98,6 +98,17 @@
 	return o.owner.Node, o.token
 }
 
+// Last returns the token of the newest claim, and whether its process has
+// surely ended.
+func (o *Ownership) Last() (token platform.Token, dead bool) {
+	return o.token, o.formerSelf(o.owner)
+}
+
+// Mine reports whether this process wrote the record.
+func (o *Ownership) Mine(r Record) bool {
+	return r.Node == o.settings.Node && r.Boot == o.settings.Boot
+}
+
 // Record returns a record of this process. A renewal or release carries the
 // token of the ownership that it is about.
 func (o *Ownership) Record(kind RecordKind) Record {
@@ -136,7 +147,7 @@
 		return
 	}
 	o.owner, o.token, o.vacant, o.lifeAt = r, token, o.formerSelf(r), now
-	if r.Node == o.settings.Node && r.Boot == o.settings.Boot {
+	if o.Mine(r) {
 		o.renewedAt = now
 		o.move(selfClaimed)
 		return
--- a/core/scheduler/hold.go
+++ b/core/scheduler/hold.go
@@ -29,12 +29,12 @@
 			Kind: OrderHold, Worker: w.ID, To: w.Endpoint(), Token: m.token, Issued: now, life: w.Life,
 			Hold: platform.HoldOrder{Token: m.token, Seen: w.Stored},
 		}
-		if w.Failures == 0 {
+		if w.Failures == 0 && !w.Barred && m.boundsStored {
 			// A worker that does not answer gets no longer lease: its runs could
 			// otherwise never be given up.
 			o.Hold.Until = w.Lease.Until(m.settings.Lease, now)
 		}
-		if w.Held && w.Taken == w.Stored {
+		if w.Held && !w.Barred && w.Taken == w.Stored {
 			o.Hold.Wait = m.holdWait(w)
 		}
 		m.orders = append(m.orders, o)
@@ -91,6 +91,9 @@
 	if a.Err != nil {
 		c.nextHold = now + retryHold
 		w.Failures++
+		if w.SilentSince == 0 {
+			w.SilentSince = now
+		}
 		if platform.RefusalOf(a.Err) == platform.RefusedInstance {
 			// Another worker answers at the address, so this one is gone.
 			m.gone(w, "another instance answers at the address", now)
@@ -99,7 +102,7 @@
 	}
 	m.report(w, a, now)
 	switch {
-	case w.Taken != w.Stored:
+	case w.Taken != w.Stored, w.Barred:
 		c.nextHold = now + unstoredHold
 	case len(w.Runs) == 0:
 		c.nextHold = now + idleHold
@@ -115,7 +118,7 @@
 		m.reborn(w, now)
 	}
 	first := !w.Held
-	w.Held, w.Life, w.LastHeard, w.Failures = true, rep.BornUnixMS, now, 0
+	w.Held, w.Life, w.LastHeard, w.Failures, w.SilentSince = true, rep.BornUnixMS, now, 0, 0
 	w.Lease.Observe(rep.Clock, now)
 	if first {
 		// The lease is renewed with the next hold, now that the clock is known.
--- a/core/scheduler/machine.go
+++ b/core/scheduler/machine.go
@@ -49,7 +49,7 @@
 	startAttempts = 2
 	// refusedPause keeps new runs away from a worker that refused one.
 	refusedPause = 500 * time.Millisecond
-	// inheritedMargin is added to the longest time that a former owner's leases
+	// inheritedMargin is added to the longest time that a former owner's lease
 	// can last.
 	inheritedMargin = 500 * time.Millisecond
 	// maxDecisions bounds the decisions that wait for the driver.
@@ -97,7 +97,11 @@
 	learnedAt fleet.Instant
 	// storedAt is when the store last acknowledged an append of this owner.
 	storedAt fleet.Instant
-	// fencedBy counts the workers that have seen a higher token.
+	// bounded are the workers on the stored list of those without a lease, and
+	// boundsStored tells that this owner has stored the list.
+	bounded      map[domain.WorkerID]bool
+	boundsStored bool
+	// fenced tells that a worker has seen a higher token.
 	fenced   bool
 	accepted map[job.ID]fleet.Instant
 	// closed lists the jobs that are over, in the order in which they ended.
@@ -129,8 +133,9 @@
 	ticket string
 }
 
-// New returns the machine of a new owner with the given token.
-func New(s Settings, token platform.Token, now fleet.Instant) *Machine {
+// New returns the machine of a new owner with the given token, whose claim was
+// sent at the given time.
+func New(s Settings, token platform.Token, claimed, now fleet.Instant) *Machine {
 	return &Machine{
 		settings:  s,
 		token:     token,
@@ -144,7 +149,8 @@
 		stops:     map[*fleet.Run]*stopState{},
 		accepted:  map[job.ID]fleet.Instant{},
 		idleSince: map[job.ID]fleet.Instant{},
-		storedAt:  now,
+		bounded:   map[domain.WorkerID]bool{},
+		storedAt:  claimed,
 	}
 }
 
@@ -184,20 +190,13 @@
 	m.decisions = append(m.decisions, d)
 }
 
-// inheritedLease is the longest time that leases of a former owner can last
-// after this one took over: the former owner goes on renewing for Offline
-// without the store, and its last lease runs on a clock that may be slow.
-func (m *Machine) inheritedLease() time.Duration {
-	const slowClock = 1.03
-	return m.settings.Offline + time.Duration(float64(m.settings.Lease)*slowClock) + inheritedMargin
-}
-
 // Restore takes over the jobs of the former owner. Runs that were placed count
 // as executing until their worker is heard or their lease is surely over.
-func (m *Machine) Restore(jobs *ledger.Ledger, now fleet.Instant) {
+// WallMS is the time of day in Unix milliseconds.
+func (m *Machine) Restore(jobs *ledger.Ledger, former Former, now fleet.Instant, wallMS int64) error {
 	m.ledger = jobs
 	for _, e := range jobs.Open() {
-		m.accepted[e.Job.ID] = now
+		m.accepted[e.Job.ID] = now - submittedAgo(e.Job, wallMS)
 		m.rates.accepted(e.Job)
 	}
 	jobs.Each(func(e *ledger.Entry) {
@@ -208,7 +207,7 @@
 				ID: id, Run: t.Run, Phase: fleet.RunInherited, Step: step, Need: step.Occupies(),
 				PlacedAt: now, StartedAt: now,
 			})
-			w.Lease.Extend(now + m.inheritedLease())
+			w.SilentSince = now
 		})
 		if e.Closed() {
 			m.stopJob(e, now)
@@ -216,6 +215,13 @@
 		}
 	})
 	m.planWanted = true
+	return m.restoreBounds(former, now)
+}
+
+// submittedAgo returns how long ago a job was submitted, by the time of day,
+// which may have jumped; it decides about the order of the work only.
+func submittedAgo(j *job.Job, wallMS int64) time.Duration {
+	return time.Duration(max(0, wallMS-j.SubmittedUnixMS)) * time.Millisecond
 }
 
 // RestoreLearned takes over what the former owner has learned of images that
@@ -287,14 +293,19 @@
 // List takes over a registry entry.
 func (m *Machine) List(entry platform.RegistryEntry, now fleet.Instant) {
 	w := m.fleet.List(entry)
-	if m.contacts[w.ID] == nil {
-		m.contacts[w.ID] = &contact{nextHold: now}
-	}
+	m.contact(w, now)
 	if w.Draining {
 		m.leave(w, now)
 	}
 }
 
+// contact begins the conversation with a worker.
+func (m *Machine) contact(w *fleet.Worker, now fleet.Instant) {
+	if m.contacts[w.ID] == nil {
+		m.contacts[w.ID] = &contact{nextHold: now}
+	}
+}
+
 // Unlist takes note that a worker is no longer in the registry. What it holds
 // counts as executing until it says otherwise or its lease is over.
 func (m *Machine) Unlist(id domain.WorkerID) { m.fleet.Unlist(id) }
--- a/core/scheduler/machine_test.go
+++ b/core/scheduler/machine_test.go
@@ -118,8 +118,9 @@
 		assert.NilError(w.t, err)
 		assert.NilError(w.t, book.Restore(e.Job, state))
 	})
-	m := New(testSettings, token, w.now)
-	m.Restore(book, w.now)
+	m := New(testSettings, token, w.now, w.now)
+	former := Former{SeenAt: w.seenAt, Token: w.m.Token(), Dead: w.formerDead, Bounds: w.bounds, BoundsAt: w.boundsAt}
+	assert.NilError(w.t, m.Restore(book, former, w.now, w.now.Milliseconds()))
 	w.own(m)
 	return m
 }
--- a/core/scheduler/store.go
+++ b/core/scheduler/store.go
@@ -25,6 +25,10 @@
 	// Learned is what was learned of images that share workers; nil if it was
 	// stored lately.
 	Learned []byte
+	// Bounds is the list of the workers that get no lease; nil if it has not
+	// changed.
+	Bounds  []byte
+	bounded map[domain.WorkerID]bool
 	entries []*ledger.Entry
 	starts  []placed
 	taken   []takenEnds
@@ -40,10 +44,18 @@
 // TakeBatch returns the records to store, or nil if there is nothing to store
 // or an append is under way. The driver answers with Stored or NotStored.
 func (m *Machine) TakeBatch(now fleet.Instant) (*Batch, error) {
-	if m.inFlight != nil || (!m.ledger.HasChanged() && !m.unstored && len(m.unsent) == 0) {
+	if m.inFlight != nil {
 		return nil, nil
 	}
-	b := &Batch{entries: m.ledger.TakeChanged(), starts: m.unsent}
+	bounds, bounded, err := m.takeBounds(now)
+	if err != nil {
+		return nil, err
+	}
+	if bounds == nil && !m.ledger.HasChanged() && !m.unstored && len(m.unsent) == 0 {
+		return nil, nil
+	}
+	m.boundsTaken(bounded)
+	b := &Batch{entries: m.ledger.TakeChanged(), starts: m.unsent, Bounds: bounds, bounded: bounded}
 	for _, e := range b.entries {
 		state, err := ledger.EncodeState(e)
 		if err != nil {
@@ -68,14 +80,17 @@
 	return b, nil
 }
 
-// Stored takes note that the batch is stored: its starts may be sent, and the
-// workers may forget its ends.
-func (m *Machine) Stored(b *Batch, now fleet.Instant) {
+// Stored takes note that the batch, whose append was sent at the given time, is
+// stored: its starts may be sent, and the workers may forget its ends.
+func (m *Machine) Stored(b *Batch, sent, now fleet.Instant) {
 	if m.inFlight != b {
 		return
 	}
 	m.inFlight = nil
-	m.storedAt = now
+	m.Renewed(sent)
+	if b.Bounds != nil {
+		m.boundsInForce(b.bounded, now)
+	}
 	for _, t := range b.taken {
 		w := m.fleet.Worker(t.worker)
 		if w == nil || w.Life != t.life {
--- a/core/scheduler/world_test.go
+++ b/core/scheduler/world_test.go
@@ -120,6 +120,12 @@
 	// storeDown keeps appends waiting.
 	storeDown bool
 	batch     *Batch
+	// bounds is the stored list of the workers without a lease, and boundsAt when
+	// it was stored. SeenAt is when the owner last wrote.
+	bounds           []byte
+	boundsAt, seenAt fleet.Instant
+	// formerDead tells a new owner that the process of the last one has ended.
+	formerDead bool
 	// allowed are the workers that the policy service allows, and questions
 	// counts the questions to it.
 	allowed   map[domain.WorkerID]bool
@@ -143,7 +149,7 @@
 	for i := range workers {
 		w.workers = append(w.workers, newFakeWorker(fmt.Sprintf("w%d", i)))
 	}
-	w.own(New(testSettings, 5, w.now))
+	w.own(New(testSettings, 5, w.now, w.now))
 	return w
 }
 
@@ -221,7 +227,11 @@
 	if w.batch != nil && !w.storeDown {
 		b := w.batch
 		w.batch = nil
-		w.m.Stored(b, w.now)
+		if b.Bounds != nil {
+			w.bounds, w.boundsAt = b.Bounds, w.now
+		}
+		w.seenAt = w.now
+		w.m.Stored(b, w.now, w.now)
 	}
 }
 
@@ -230,6 +240,7 @@
 		w.step()
 		if !w.storeDown {
 			w.m.Renewed(w.now)
+			w.seenAt = w.now
 		}
 	}
 }
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -7,6 +7,7 @@
 	"github.com/basilferry/basilferry/core/domain"
 	"github.com/basilferry/basilferry/core/ownership"
 	"github.com/basilferry/basilferry/core/platform"
+	"github.com/basilferry/basilferry/core/scheduler"
 )
 
 // Dispatcher drives the scheduling on one node.
@@ -23,6 +24,11 @@
 	// lastHeard is the last complete read that was looked at.
 	lastHeard time.Duration
 	claiming  bool
+	// claimedAt is when the log was last read before the newest claim was sent:
+	// the claim was appended later.
+	claimedAt time.Duration
+	// former is what is known of the owners before this process.
+	former scheduler.Former
 	stopping  bool
 	// ctx ends when the decision goroutine ends.
 	ctx    context.Context
@@ -124,6 +130,7 @@
 // claim appends a claim at the log's end as far as it was read.
 func (d *Dispatcher) claim() {
 	d.claiming = true
+	d.claimedAt = d.lastHeard
 	at := d.cfg.RequestsFollower.End()
 	claim := d.ownership.Record(ownership.KindClaim)
 	record := stored(claim)
--- a/node/dispatcher/office.go
+++ b/node/dispatcher/office.go
@@ -104,9 +104,11 @@
 	for _, err := range problems {
 		d.cfg.Logger.Error("job cannot be read", "err", err)
 	}
-	m := scheduler.New(d.cfg.Scheduler, o.token, now)
+	m := scheduler.New(d.cfg.Scheduler, o.token, d.claimedAt, now)
 	o.machine = m
-	m.Restore(book, now)
+	if err := m.Restore(book, d.former, now, time.Now().UnixMilli()); err != nil {
+		d.cfg.Logger.Error("lease bounds of the former owner not taken over; its longest lease counts", "err", err)
+	}
 	if learned := d.cfg.View.Learned(); learned != nil {
 		if err := m.RestoreLearned(learned); err != nil {
 			d.cfg.Logger.Warn("learned pressures not taken over", "err", err)
@@ -121,7 +123,8 @@
 	for domain, out := range d.evacuated {
 		m.SetEvacuated(domain, out)
 	}
-	d.cfg.Logger.Info("schedules", "token", o.token, "jobs", book.Len(), "cancelled", len(cancelled), "after", now-o.since)
+	d.cfg.Logger.Info("schedules", "token", o.token, "jobs", book.Len(), "cancelled", len(cancelled), "after", now-o.since,
+		"former_token", d.former.Token, "former_dead", d.former.Dead, "former_age_ms", (now - d.former.SeenAt).Milliseconds())
 	o.followRegistry()
 }
 
@@ -206,6 +209,9 @@
 	if batch.Learned != nil {
 		records = append(records, platform.Keyed{Key: jobview.LearnedKey, Value: batch.Learned})
 	}
+	if batch.Bounds != nil {
+		records = append(records, platform.Keyed{Key: jobview.BoundsKey, Value: batch.Bounds})
+	}
 	go o.store(batch, records, now)
 }
 
@@ -224,7 +230,7 @@
 		now := d.cfg.Clock.Now()
 		d.cfg.Metrics.Observe("store_append", now-sent)
 		d.ownership.ObserveLife(now)
-		o.machine.Stored(batch, now)
+		o.machine.Stored(batch, sent, now)
 	})
 }
 
--- a/node/dispatcher/records.go
+++ b/node/dispatcher/records.go
@@ -41,8 +41,20 @@
 }
 
 // State takes a record of the states partition: a sign of the owner's life.
-func (d *Dispatcher) State(platform.Keyed) {
-	d.post(func() { d.ownership.ObserveLife(d.cfg.Clock.Now()) })
+func (d *Dispatcher) State(r platform.Keyed) {
+	d.post(func() {
+		now := d.cfg.Clock.Now()
+		d.ownership.ObserveLife(now)
+		switch r.Key {
+		case jobview.BoundsKey:
+			d.former.Bounds, d.former.BoundsAt = r.Value, now
+		case jobview.OwnerKey:
+			if record, err := ownership.Decode(r.Value); err == nil && d.ownership.Mine(record) {
+				return // The record with which this process fences the former owner.
+			}
+		}
+		d.former.SeenAt = now
+	})
 }
 
 func (d *Dispatcher) ownerRecord(r platform.Keyed) {
@@ -55,8 +67,15 @@
 }
 
 func (d *Dispatcher) observeOwner(record ownership.Record, offset int64) {
+	now := d.cfg.Clock.Now()
 	before, _ := d.ownership.Owner()
-	d.ownership.Observe(record, offset, d.cfg.Clock.Now())
+	switch {
+	case !d.ownership.Mine(record) || record.Kind != ownership.KindClaim:
+		d.former.SeenAt = now
+	case d.office == nil:
+		d.former.Token, d.former.Dead = d.ownership.Last()
+	}
+	d.ownership.Observe(record, offset, now)
 	after, token := d.ownership.Owner()
 	if before != after {
 		d.cfg.Logger.Info("owner changed", "owner", after, "token", token, "offset", offset)
