Follow the users' load of each step, and share workers by its forecast

Ruled out: disturbance between serving tasks (median 0.00 on workers without filling tasks, 18 groups); effects that change with the load (the same at low and at high load); effects by the core (they go with the share of the worker: 0.084 and 0.043 a core on 16 and 24 cores).

Change: core/sharing learns the load of each step from its least disturbed tasks, finds the common period, forecasts the load, and learns the effects from what the forecast leaves unexplained. Room and paces follow the forecast. A serving task that is briefly over its target is weighed against the filling work that it would cost to prevent it, up to 1.5 s. Light filling tasks leave the workers without serving tasks to heavy ones, and serving tasks of different images keep apart more.

--- a/core/dispatch/patterns_test.go
+++ b/core/dispatch/patterns_test.go
@@ -30,11 +30,18 @@
 func anyWorker() Rules {
 	return Rules{
 		Usable:    func(*fleet.Worker) bool { return true },
-		Speed:     func(*fleet.Worker, []*job.Step, *job.Step) float64 { return 1 },
+		Room:      func(*fleet.Worker) Room { return fixedRoom{speed: 1} },
 		Disturbed: func(*fleet.Worker, string) bool { return false },
 	}
 }
 
+// fixedRoom is a Room in which every filling task gets on alike.
+type fixedRoom struct{ speed, pressure float64 }
+
+func (fixedRoom) Add(job.StepID, *job.Step)         {}
+func (r fixedRoom) Speed(*job.Step) float64         { return r.speed }
+func (r fixedRoom) Pressure(step *job.Step) float64 { return r.pressure }
+
 func demand(id string, step job.Step, waiting int) Demand {
 	d := Demand{ID: job.StepID{Job: job.ID(id)}, Step: &step, Service: "desk", Due: now + time.Minute, Late: now + 3*time.Minute}
 	for i := range waiting {
@@ -129,12 +136,31 @@
 	serving := &job.Step{Count: 1, Need: cpu(1), LongRunning: true, Target: time.Millisecond, Image: "checks"}
 	all[0].Add(&fleet.Run{ID: job.TaskID{StepID: job.StepID{Job: "serving"}}, Step: serving, Need: cpu(1)})
 	rules := anyWorker()
-	rules.Speed = func(*fleet.Worker, []*job.Step, *job.Step) float64 { return 0.3 }
+	rules.Room = func(*fleet.Worker) Room { return fixedRoom{speed: 0.3} }
 	var p Planner
 	placed := p.Plan([]Demand{demand("fill", job.Step{Count: 3, Need: cpu(2), Fills: true}, 3)}, all, rules)
 	assert.DeepEqual(t, perWorker(placed), map[domain.WorkerID]int{"w1": 3})
 }
 
+// Pattern: light and heavy filling work beside serving tasks. Guards against
+// light tasks on the few workers without serving tasks, which heavy ones need,
+// and against heavy tasks beside serving ones while another worker is free.
+func TestHeavyFillingWorkGetsTheWorkersThatServeNothing(t *testing.T) {
+	all := workers(3, 8)
+	serving := &job.Step{Count: 1, Need: cpu(1), LongRunning: true, Target: time.Millisecond, Image: "checks"}
+	for _, w := range all[:2] {
+		w.Add(&fleet.Run{ID: job.TaskID{StepID: job.StepID{Job: "serving"}}, Step: serving, Need: cpu(1)})
+	}
+	place := func(pressure float64) map[domain.WorkerID]int {
+		rules := anyWorker()
+		rules.Room = func(*fleet.Worker) Room { return fixedRoom{speed: 1, pressure: pressure} }
+		var p Planner
+		return perWorker(p.Plan([]Demand{demand("fill", job.Step{Count: 1, Need: cpu(2), Fills: true}, 1)}, all, rules))
+	}
+	assert.Equal(t, place(0.01)["w2"], 0)
+	assert.Equal(t, place(0.3)["w2"], 1)
+}
+
 // Pattern: filling work that disturbs what every worker serves. Guards against
 // a job of which nothing ever runs (incident inc-3568 of kmk-ferry, LOST 39),
 // and against more than one of its tasks where they disturb.
@@ -145,8 +171,8 @@
 		w.Add(&fleet.Run{ID: job.TaskID{StepID: job.StepID{Job: "serving"}}, Step: serving, Need: cpu(1)})
 	}
 	rules := anyWorker()
-	rules.Speed = func(w *fleet.Worker, _ []*job.Step, _ *job.Step) float64 {
-		return map[domain.WorkerID]float64{"w0": 0.1, "w1": 0.2}[w.ID]
+	rules.Room = func(w *fleet.Worker) Room {
+		return fixedRoom{speed: map[domain.WorkerID]float64{"w0": 0.1, "w1": 0.2}[w.ID]}
 	}
 	var p Planner
 	d := demand("fill", job.Step{Count: 3, Need: cpu(2), Fills: true}, 3)
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -24,8 +24,17 @@
 	spare int64
 	// placed counts tasks by step, for bounds on one worker and for spreading.
 	placed map[job.StepID]int
-	// planned lists the steps of the tasks that this plan puts here.
-	planned []*job.Step
+	// planned lists the tasks that this plan puts here.
+	planned []planned
+	// shared is what the caller knows of the tasks that share the worker; nil
+	// before it is needed.
+	shared Room
+}
+
+// planned is a task that this plan puts on a worker.
+type planned struct {
+	id   job.StepID
+	step *job.Step
 }
 
 // Planner keeps the buffers of a plan between rounds.
@@ -49,14 +58,25 @@
 type Rules struct {
 	// Usable tells whether a worker may get new runs.
 	Usable func(*fleet.Worker) bool
-	// Speed returns the share of full speed, from 0 to 1, that a filling task
-	// can be expected to reach on a worker beside what runs and is planned there.
-	Speed func(w *fleet.Worker, planned []*job.Step, step *job.Step) float64
+	// Room returns what a worker that serves can take beside its tasks.
+	Room func(*fleet.Worker) Room
 	// Disturbed tells whether filling tasks on the worker are known to disturb
 	// a serving image.
 	Disturbed func(w *fleet.Worker, image string) bool
 }
 
+// Room tells how filling tasks get on beside the tasks of one worker.
+type Room interface {
+	// Add takes note of a task that is planned there.
+	Add(id job.StepID, step *job.Step)
+	// Speed returns the share of full speed, from 0 to 1, that one more filling
+	// task can be expected to reach.
+	Speed(step *job.Step) float64
+	// Pressure returns the pressure, as a share of what a serving task bears,
+	// that it would put on the tasks that serve.
+	Pressure(step *job.Step) float64
+}
+
 // Plan assigns waiting tasks to workers, in the order of the demands.
 func (p *Planner) Plan(demands []Demand, workers []*fleet.Worker, rules Rules) []Placement {
 	p.rules = rules
@@ -154,6 +174,7 @@
 				s.spare += spareUse(c.Step)
 				s.placed[c.Task.StepID]--
 				s.planned = s.planned[:len(s.planned)-1]
+				s.shared = nil
 				break
 			}
 		}
@@ -278,15 +299,39 @@
 
 // minSpeed is the share of full speed that a filling task must expect: with
 // less it takes room for long and finishes late.
-const minSpeed = 0.8
+const minSpeed = 0.9
 
 // speed returns the share of full speed that a task of the demand can expect
 // on the worker.
 func (p *Planner) speed(s *slot, d *Demand) float64 {
-	if !d.Step.Fills || !s.worker.Serving() {
+	if !d.Step.Fills || !s.serves() {
 		return 1
 	}
-	return p.rules.Speed(s.worker, s.planned, d.Step)
+	return p.room(s).Speed(d.Step)
+}
+
+// room returns what is known of the tasks that share a worker.
+func (p *Planner) room(s *slot) Room {
+	if s.shared == nil {
+		s.shared = p.rules.Room(s.worker)
+		for _, t := range s.planned {
+			s.shared.Add(t.id, t.step)
+		}
+	}
+	return s.shared
+}
+
+// serves reports whether a serving task is on the worker or planned there.
+func (s *slot) serves() bool {
+	if s.worker.Serving() {
+		return true
+	}
+	for _, t := range s.planned {
+		if t.step.Target > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // minFillShare is the share of its processor demand that a filling task must
@@ -314,5 +359,8 @@
 		s.placed = map[job.StepID]int{}
 	}
 	s.placed[d.ID]++
-	s.planned = append(s.planned, d.Step)
+	s.planned = append(s.planned, planned{id: d.ID, step: d.Step})
+	if s.shared != nil {
+		s.shared.Add(d.ID, d.Step)
+	}
 }
--- a/core/dispatch/score.go
+++ b/core/dispatch/score.go
@@ -13,13 +13,17 @@
 	// spreadPenalty is the cost of each task of the same long-running step on
 	// the worker, so that the loss of one worker costs few of them.
 	spreadPenalty = 0.5
-	// servingPenalty keeps filling tasks away from tasks with a latency target.
-	servingPenalty = 0.5
+	// quietPenalty keeps workers without serving tasks for the filling tasks that
+	// disturb what others serve.
+	quietPenalty = 0.5
+	// pressurePenalty is the cost of the whole pressure that a serving task
+	// bears: its room is kept for filling tasks that find no better place.
+	pressurePenalty = 8.0
 	// sameImage is the gain of a worker that serves the image already, and
 	// otherImage the cost of one that serves another image: tasks of one image
 	// are disturbed by the same filling images.
 	sameImage  = 2.0
-	otherImage = 2.0
+	otherImage = 4.0
 	// disturbedPenalty keeps a serving task away from filling tasks that are
 	// known to disturb it.
 	disturbedPenalty = 1.0
@@ -41,8 +45,10 @@
 	switch {
 	case d.Step.Fills:
 		score += float64(s.spare) / cores
-		if w.Serving() {
-			score -= servingPenalty
+		if s.serves() {
+			score -= pressurePenalty * p.room(s).Pressure(d.Step)
+		} else {
+			score -= quietPenalty
 		}
 	case d.Step.LongRunning:
 		score += float64(s.free.CPUMilli) / cores
@@ -77,8 +83,8 @@
 	for _, r := range s.worker.Runs {
 		count(r.Step)
 	}
-	for _, step := range s.planned {
-		count(step)
+	for _, t := range s.planned {
+		count(t.step)
 	}
 	rating := same - other
 	if p.rules.Disturbed(s.worker, d.Step.Image) {
--- a/core/scheduler/pace.go
+++ b/core/scheduler/pace.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"github.com/basilferry/basilferry/core/dispatch"
 	"github.com/basilferry/basilferry/core/fleet"
 	"github.com/basilferry/basilferry/core/job"
 	"github.com/basilferry/basilferry/core/sharing"
@@ -24,8 +25,8 @@
 	}
 	serving := m.servingOn(w, now)
 	runs, filling := m.fillingOn(w)
-	m.sharing.Learn(serving, filling, now-w.FillEndedAt)
-	for i, advice := range m.sharing.Control(serving, filling) {
+	m.sharing.Learn(now, serving, filling, now-w.FillEndedAt)
+	for i, advice := range m.sharing.Control(now, serving, filling) {
 		r := runs[i]
 		if advice.Move && !r.Stopping {
 			m.stop(w, r, "it disturbs a serving task", now)
@@ -42,7 +43,7 @@
 		if r.Step == nil || r.Step.Target == 0 {
 			continue
 		}
-		s := sharing.Serving{Image: r.Step.Image, Target: r.Step.Target}
+		s := servingOf(r)
 		if r.Phase == fleet.RunStarted && r.Percent >= atWork {
 			s.Tail = time.Duration(r.Observed) * time.Millisecond
 		}
@@ -74,7 +75,7 @@
 		if r.Step == nil || !r.Step.Fills || r.Phase != fleet.RunStarted {
 			continue
 		}
-		f := fillingOf(r)
+		f := fillingOf(w, r)
 		if !r.PaceKnown {
 			f.Pace = fullPace
 		}
@@ -84,11 +85,10 @@
 	return runs, out
 }
 
-func fillingOf(r *fleet.Run) sharing.Filling {
-	return sharing.Filling{
-		Image: r.Step.Image, Pace: r.Pace, Movable: r.Step.SavesProgress,
-		Cores: float64(r.Step.Need.CPUMilli) / milli, Used: float64(r.Observed) / milli,
-	}
+func fillingOf(w *fleet.Worker, r *fleet.Run) sharing.Filling {
+	f := fillingStep(w, r.Step)
+	f.Pace, f.Used = r.Pace, float64(r.Observed)/float64(max(1, w.Capacity.CPUMilli))
+	return f
 }
 
 func (m *Machine) orderPace(w *fleet.Worker, r *fleet.Run, percent int, now fleet.Instant) {
@@ -125,61 +125,79 @@
 	if !r.Step.Fills || !w.Serving() {
 		return
 	}
-	serving, filling := m.company(w, r, nil)
-	if pace := m.sharing.StartPace(serving, filling, fillingOf(r)); pace < fullPace {
+	serving, filling := company(w, r)
+	if pace := m.sharing.StartPace(now, serving, append(filling, fillingOf(w, r))); pace < fullPace {
 		m.orderPace(w, r, pace, now)
 	}
 }
 
-// company lists the serving and filling tasks on a worker, the planned ones
-// included and one run left out.
-func (m *Machine) company(w *fleet.Worker, except *fleet.Run, planned []*job.Step) ([]sharing.Serving, []sharing.Filling) {
-	var serving []sharing.Serving
-	var filling []sharing.Filling
+// company lists the serving and filling tasks on a worker, one run left out.
+func company(w *fleet.Worker, except *fleet.Run) (serving []sharing.Serving, filling []sharing.Filling) {
 	for _, r := range w.Runs {
 		switch {
 		case r.Step == nil || r == except || r.Stopping:
 		case r.Step.Target > 0:
-			serving = append(serving, sharing.Serving{Image: r.Step.Image})
+			serving = append(serving, servingOf(r))
 		case r.Step.Fills:
-			filling = append(filling, fillingOf(r))
-		}
-	}
-	for _, s := range planned {
-		switch {
-		case s.Target > 0:
-			serving = append(serving, sharing.Serving{Image: s.Image})
-		case s.Fills:
-			filling = append(filling, fillingStep(s))
+			filling = append(filling, fillingOf(w, r))
 		}
 	}
 	return serving, filling
 }
 
-func fillingStep(s *job.Step) sharing.Filling {
-	return sharing.Filling{Image: s.Image, Pace: fullPace, Cores: float64(s.Need.CPUMilli) / milli}
+func servingOf(r *fleet.Run) sharing.Serving {
+	return sharing.Serving{Image: r.Step.Image, Step: r.ID.StepID, Target: r.Step.Target}
 }
 
-// speed returns the share of full speed that a filling task of the step can be
-// expected to reach on the worker.
-func (m *Machine) speed(w *fleet.Worker, planned []*job.Step, step *job.Step) float64 {
-	if m.overTarget(w) {
-		return 0
+func fillingStep(w *fleet.Worker, s *job.Step) sharing.Filling {
+	return sharing.Filling{
+		Image: s.Image, Pace: fullPace, Movable: s.SavesProgress,
+		Share: float64(s.Need.CPUMilli) / float64(max(1, w.Capacity.CPUMilli)),
+	}
+}
+
+// room implements dispatch.Room for one worker in one round.
+type room struct {
+	*sharing.Room
+	worker *fleet.Worker
+	now    fleet.Instant
+	// closed tells that no filling task may start on the worker.
+	closed bool
+}
+
+func (m *Machine) room(w *fleet.Worker, now fleet.Instant) dispatch.Room {
+	serving, filling := company(w, nil)
+	return &room{worker: w, Room: m.sharing.Room(now, serving, filling), now: now, closed: overTarget(w)}
+}
+
+// Add implements dispatch.Room.
+func (r *room) Add(id job.StepID, step *job.Step) {
+	switch {
+	case step.Target > 0:
+		r.Serve(r.now, &sharing.Serving{Image: step.Image, Step: id, Target: step.Target})
+	case step.Fills:
+		r.Room.Add(fillingStep(r.worker, step))
 	}
-	serving, filling := m.company(w, nil, planned)
-	for i := range filling {
-		filling[i].Pace = fullPace
+}
+
+// Speed implements dispatch.Room.
+func (r *room) Speed(step *job.Step) float64 {
+	if r.closed {
+		return 0
 	}
-	return m.sharing.Speed(serving, filling, fillingStep(step))
+	return r.Room.Speed(fillingStep(r.worker, step))
 }
 
+// Pressure implements dispatch.Room.
+func (r *room) Pressure(step *job.Step) float64 { return r.Room.Pressure(fillingStep(r.worker, step)) }
+
 // overFor is how long a tail may be over its target before no more filling
 // tasks start beside it: a load peak alone is often over for one look.
 const overFor = 900 * time.Millisecond
 
 // overTarget reports whether a serving task on the worker has been over its
 // target for some time. More filling work would hide whether it gets better.
-func (m *Machine) overTarget(w *fleet.Worker) bool {
+func overTarget(w *fleet.Worker) bool {
 	for _, r := range w.Runs {
 		if r.OverSince > 0 && w.LastHeard-r.OverSince >= overFor {
 			return true
@@ -191,9 +209,8 @@
 // disturbed reports whether a filling run on the worker is known to press the
 // serving image.
 func (m *Machine) disturbed(w *fleet.Worker, image string) bool {
-	serving := []sharing.Serving{{Image: image}}
 	for _, r := range w.Runs {
-		if r.Step != nil && r.Step.Fills && m.sharing.Speed(serving, nil, fillingStep(r.Step)) < 1 {
+		if r.Step != nil && r.Step.Fills && m.sharing.Presses(fillingStep(w, r.Step), image) {
 			return true
 		}
 	}
@@ -202,3 +219,6 @@
 
 // Effects returns what was learned of images that share workers.
 func (m *Machine) Effects() []sharing.Effect { return m.sharing.Effects() }
+
+// UsersLoad returns what was learned of the load of serving tasks.
+func (m *Machine) UsersLoad() sharing.Load { return m.sharing.Load() }
--- a/core/scheduler/plan.go
+++ b/core/scheduler/plan.go
@@ -22,7 +22,7 @@
 	dispatch.Order(demands, now)
 	rules := dispatch.Rules{
 		Usable:    func(w *fleet.Worker) bool { return m.usable(w, now) },
-		Speed:     m.speed,
+		Room:      func(w *fleet.Worker) dispatch.Room { return m.room(w, now) },
 		Disturbed: m.disturbed,
 	}
 	for _, p := range m.planner.Plan(demands, m.fleet.All(), rules) {
--- a/core/sharing/control.go
+++ b/core/sharing/control.go
@@ -1,108 +1,88 @@
 package sharing
 
 import (
-	"math"
+	"cmp"
+	"slices"
 	"time"
-)
-
-// Serving is a serving task on a worker with its newest tail latency.
-type Serving struct {
-	Image string
-	// Tail is the tail latency; 0 if it is not known.
-	Tail, Target time.Duration
-	// NearFor is how long the tail has been near or over the target.
-	NearFor time.Duration
-}
-
-// Near reports whether the tail is near or over its target. The figure is
-// rough, so one that was near must fall further than one that was not has to
-// rise: a tail just over its target would else count as under it by turns.
-func (s *Serving) Near(before bool) bool {
-	if before {
-		return s.ratio() > stillNear
-	}
-	return s.ratio() > nearTarget
-}
-
-// ratio returns the tail in multiples of the target.
-func (s *Serving) ratio() float64 { return float64(s.Tail) / float64(s.Target) }
 
-// Filling is a filling task on a worker.
-type Filling struct {
-	Image string
-	// Pace is its share of full speed in percent.
-	Pace int
-	// Cores is what it uses at full speed, and Used what it used last.
-	Cores, Used float64
-	// Movable tells that it can be stopped without losing work.
-	Movable bool
-}
-
-// Advice is what to do with a filling task.
-type Advice struct {
-	// Pace is the pace it should have.
-	Pace int
-	// Move tells that it should be stopped and started on another worker.
-	Move bool
-}
+	"github.com/basilferry/basilferry/core/job"
+)
 
 const (
-	fullPace = 100
-	// settled is how long ago the last end of a filling task on a worker must be
-	// before its tails tell about those that are left: a tail, like the use of a
-	// filling task, covers the last half second.
-	settled = 550 * time.Millisecond
+	// worthOfServing is how many filling tasks may stand still to keep one serving
+	// task within its target: callers lose four times the time that a serving task
+	// is over it, which is worth as much as the work of so many filling tasks.
+	worthOfServing = 0.5
+	// strictAfter is how long a tail may be near or over its target before it is
+	// brought under it at any cost.
+	strictAfter = 1500 * time.Millisecond
 	// allStop is how long a tail may be near or over its target before all
 	// filling tasks stand still, whatever the model says: the platform bounds
 	// the time over it to 4 s.
 	allStop = 2 * time.Second
-	// nearTarget and stillNear are the shares of the target from which on a tail
-	// counts as near, and below which it no longer does.
-	nearTarget = 0.95
-	stillNear  = 0.8
-	// saturated is the share of the way from the pressure at the target to 1
-	// from which on the tail no longer tells how far the pressure is over.
-	saturated = 0.6
-	// speedUp is the share of the room that a look lets filling tasks take; the
-	// rest damps.
-	speedUp = 0.6
 	// paceStep is the smallest change of a pace that is worth an order.
 	paceStep = 10
 	// moveSpeed is the expected speed below which a filling task moves.
 	moveSpeed = 0.4
+	// ahead is how long a pace has to suit: the next look comes after half a
+	// second, and an order takes effect after a tenth.
+	ahead = 700 * time.Millisecond
+	// roughness is the relative error of a tail: the figure is that of half a
+	// second and is rough. A pressure of p is known to within its share of 1 - p.
+	roughness = 0.06
+	// surprise is the pressure that no known neighbour explains from which on
+	// neighbours that are not known are suspects.
+	surprise = 0.1
 )
 
-// Learn lets the model learn from one look at a worker. SinceEnd is how long
-// ago a filling task ended there.
-func (m *Model) Learn(serving []Serving, filling []Filling, sinceEnd time.Duration) {
-	if sinceEnd < settled {
-		return
-	}
-	cores := make(map[string]float64, len(filling))
-	for _, f := range filling {
-		cores[f.Image] += f.Used
-	}
-	for _, s := range serving {
-		if s.Tail > 0 {
-			m.fit(s.Image).observe(cores, s.ratio())
-		}
-	}
-}
-
 // Control returns the advice for each filling task of a worker.
-func (m *Model) Control(serving []Serving, filling []Filling) []Advice {
-	out := make([]Advice, len(filling))
-	for i := range out {
-		out[i].Pace = fullPace
+func (m *Model) Control(now Instant, serving []Serving, filling []Filling) []Advice {
+	c := control{model: m, now: now, filling: filling, paces: make([]float64, len(filling)), stop: make([]bool, len(filling))}
+	for i := range c.paces {
+		c.paces[i] = 1
 	}
-	for _, s := range serving {
-		if s.Tail > 0 {
-			m.limitBeside(s, filling, out)
-		}
+	for _, group := range bySteps(serving) {
+		c.limitBeside(group.worst, group.tasks)
 	}
+	out := make([]Advice, len(filling))
 	for i, f := range filling {
-		out[i].Pace = damp(f.Pace, out[i].Pace)
+		out[i].Pace = damp(f.Pace, int(c.paces[i]*fullPace))
+		out[i].Move = c.stop[i] && f.Movable
+	}
+	return out
+}
+
+// StartPace returns the pace of the last filling task, which is about to start
+// beside the others.
+func (m *Model) StartPace(now Instant, serving []Serving, filling []Filling) int {
+	advice := m.Control(now, serving, filling)
+	return advice[len(advice)-1].Pace
+}
+
+// stepOn is the serving tasks of one step on a worker.
+type stepOn struct {
+	// worst is the task that has been near its target longest, or else has the
+	// highest tail.
+	worst *Serving
+	tasks int
+}
+
+// bySteps groups the serving tasks of a worker, the largest group first.
+func bySteps(serving []Serving) []stepOn {
+	var out []stepOn
+	for i := range serving {
+		s := &serving[i]
+		at := slices.IndexFunc(out, func(g stepOn) bool { return g.worst.Step == s.Step && g.worst.Image == s.Image })
+		if at < 0 {
+			out = append(out, stepOn{worst: s, tasks: 1})
+			continue
+		}
+		out[at].tasks++
+		if w := out[at].worst; s.NearFor > w.NearFor || (s.NearFor == w.NearFor && s.Tail > w.Tail) {
+			out[at].worst = s
+		}
 	}
+	slices.SortStableFunc(out, func(a, b stepOn) int { return cmp.Compare(b.tasks, a.tasks) })
 	return out
 }
 
@@ -117,79 +97,111 @@
 	return want
 }
 
-// limitBeside lowers the paces in out to what one serving task allows.
-func (m *Model) limitBeside(s Serving, filling []Filling, out []Advice) {
-	fit := m.fit(s.Image)
+// control works out the paces on one worker.
+type control struct {
+	model   *Model
+	now     Instant
+	filling []Filling
+	// paces are the shares of full speed so far, and stop tells which tasks had
+	// better run elsewhere.
+	paces []float64
+	stop  []bool
+}
+
+// limitBeside lowers the paces to what the serving tasks of one step allow.
+func (c *control) limitBeside(s *Serving, tasks int) {
 	if s.NearFor >= allStop {
-		for i := range out {
-			out[i].Pace = 0
-		}
+		clear(c.paces)
 	}
-	look := fit.look(s.ratio(), filling)
-	for i, f := range filling {
-		out[i] = look.limit(f, out[i])
+	fit := c.model.fit(s.Image)
+	unexplained := 0.0
+	if s.Tail > 0 {
+		unexplained = c.unexplained(s, fit)
+	}
+	over := s.Tail > s.Target
+	if unexplained > surprise && over {
+		c.suspectUnknown(fit)
+	}
+	peak := c.model.peak(s.Step, c.now)
+	room := limit - peak - roughness*(1-peak) - unexplained
+	if s.Tail > 0 && s.pressure() > saturated {
+		// The tail no longer tells how far the pressure is over the limit.
+		room = 0
+	}
+	most := worthOfServing * float64(tasks)
+	if s.NearFor >= strictAfter {
+		most = float64(len(c.filling))
+	}
+	c.share(fit, room, most)
+	if over {
+		c.moveSlow(s, fit)
 	}
 }
 
-// look is what one tail says about the pressure on a serving task.
-type look struct {
-	fit *fit
-	// room is the pressure that is left; negative if the tail is near or over
-	// the target.
-	room float64
-	// explained is the part of the pressure that known filling tasks put on.
-	explained float64
-	// unexplained tells that neither they nor a load peak explain the tail.
-	unexplained bool
-	// stuck tells that the tail is so high that it no longer tells how far the
-	// pressure is over.
-	stuck bool
-	over  bool
+// unexplained returns the pressure that neither the load nor the filling tasks
+// explain, less what is within the error of the load.
+func (c *control) unexplained(s *Serving, fit *fit) float64 {
+	t := c.now - tailLag
+	expected := c.model.loads.forecast(s.Step, t)
+	for _, f := range c.filling {
+		expected += fit.effect(f.Image) * f.Used
+	}
+	return max(0, s.pressure()-expected-2*roughness*(1-expected))
 }
 
-func (f *fit) look(tail float64, filling []Filling) look {
-	l := look{fit: f, over: tail > 1}
-	for _, other := range filling {
-		l.explained += f.effect(other.Image) * other.Used
-	}
-	pressure := f.pressure(tail)
-	l.room = f.limit()*margin - pressure
-	l.unexplained = pressure > f.base()+peak*math.Sqrt(f.variance)+l.explained
-	l.stuck = pressure > f.limit()+saturated*(1-f.limit())
-	return l
+// peak returns the highest pressure of the load until the next look.
+func (m *Model) peak(id job.StepID, now Instant) float64 {
+	return max(m.loads.forecast(id, now), m.loads.forecast(id, now+ahead/2), m.loads.forecast(id, now+ahead))
 }
 
-// limit lowers the advice for one filling task to what the look allows.
-func (l look) limit(f Filling, before Advice) Advice {
-	own := l.fit.effect(f.Image) * f.Cores
-	if own <= harmless {
-		if l.over && l.unexplained && !l.fit.known(f.Image) {
-			before.Pace = 0
+// suspectUnknown stops the tasks whose effect is not known.
+func (c *control) suspectUnknown(fit *fit) {
+	for i, f := range c.filling {
+		if !fit.known(f.Image) {
+			c.paces[i] = 0
 		}
-		return before
 	}
-	before.Pace = min(before.Pace, l.pace(f, own))
-	before.Move = before.Move || (f.Movable && l.over && l.fit.room()/own < moveSpeed)
-	return before
 }
 
-// pace returns the pace at which a filling task with a known effect leaves no
-// more than the room.
-func (l look) pace(f Filling, own float64) int {
-	if l.room >= 0 {
-		return f.Pace + int(speedUp*l.room/own*fullPace)
+// share lowers the paces until the pressure of all filling tasks fits into the
+// room, first of those that press most, which costs the least work. If that
+// would take the work of more than the given number of tasks, it changes none.
+func (c *control) share(fit *fit, room, most float64) {
+	order := make([]int, 0, len(c.filling))
+	total := 0.0
+	for i, f := range c.filling {
+		if own := fit.effect(f.Image) * f.Share * c.paces[i]; own > 0 {
+			order = append(order, i)
+			total += own
+		}
 	}
-	if l.stuck || l.explained == 0 {
-		return 0
+	slices.SortFunc(order, func(a, b int) int {
+		return cmp.Compare(fit.effect(c.filling[b].Image), fit.effect(c.filling[a].Image))
+	})
+	paces := slices.Clone(c.paces)
+	lost := 0.0
+	for _, i := range order {
+		if total <= room || lost > most {
+			break
+		}
+		full := fit.effect(c.filling[i].Image) * c.filling[i].Share
+		cut := min(full*paces[i], total-room)
+		paces[i] -= cut / full
+		lost += cut / full
+		total -= cut
+	}
+	if lost <= most {
+		c.paces = paces
 	}
-	return max(0, int((1+l.room/l.explained)*float64(f.Pace)))
 }
 
-// minStartPace is the slowest pace at which a filling task starts.
-const minStartPace = 10
-
-// StartPace returns the pace of a filling task that starts beside the serving
-// and filling tasks.
-func (m *Model) StartPace(serving []Serving, filling []Filling, f Filling) int {
-	return max(minStartPace, int(fullPace*m.Speed(serving, filling, f)))
+// moveSlow marks the tasks that can expect little speed beside a serving task
+// that is over its target.
+func (c *control) moveSlow(s *Serving, fit *fit) {
+	room := c.model.Room(c.now, []Serving{*s}, nil)
+	for i, f := range c.filling {
+		if fit.effect(f.Image)*f.Share > harmless && room.Speed(f) < moveSpeed {
+			c.stop[i] = true
+		}
+	}
 }
--- a/core/sharing/fit.go
+++ b/core/sharing/fit.go
@@ -1,59 +1,47 @@
 package sharing
 
 const (
-	// window bounds the observations that a fit remembers: a few seconds of
-	// looks at the tasks of one serving image would forget rare neighbours.
+	// window bounds the looks that a fit remembers; a shorter one would forget
+	// rare neighbours.
 	window = 3000
-	// ridge shrinks the effect of images that were hardly seen, in square cores.
-	ridge = 4
+	// ridge shrinks the effect of images that were hardly seen, in square shares of
+	// a worker.
+	ridge = 0.004
 	// sweeps is how often the solver goes over all coefficients; with few
 	// images it has settled by then.
 	sweeps = 15
-	// solveEvery is how many observations come between two solutions.
+	// solveEvery is how many looks come between two solutions.
 	solveEvery = 8
 	// significance is by how many standard errors an effect must differ from
 	// zero to count.
 	significance = 2.5
-	// knownCores is how many square cores of observations make an effect known:
-	// about eight looks at two cores.
-	knownCores = 30
+	// knownShares is how many square shares of a worker make an effect known: a
+	// dozen looks at a task of a sixteenth. The standard error of the effect of
+	// such a task is then below 0.02.
+	knownShares = 0.05
+	// saturated is the pressure from which on a tail no longer tells how high the
+	// pressure is: tails are bounded.
+	saturated = 0.93
 )
 
-// fit is the regression for one serving image: pressure = base + sum of the
-// effect of each filling image times the cores that it uses, with no effect
-// below zero.
+// fit is the regression for one serving image: what the load leaves unexplained
+// of the pressure = sum of the effect of each filling image times the share of
+// the worker's processors that it uses, with no effect below zero.
 type fit struct {
 	index map[string]int
-	// products and targets are the sums of the normal equations; row and column
-	// 0 belong to the constant.
+	// products and targets are the sums of the normal equations.
 	products [][]float64
 	targets  []float64
-	// squares is the sum of the squares of the pressures.
-	squares float64
-	// effects are the solution; effects[0] is the base.
-	effects []float64
+	// looks is the weight of the looks, and squares the sum of the squares of
+	// what is to be explained.
+	looks, squares float64
+	effects        []float64
 	// variance is the mean square of what the solution leaves unexplained.
 	variance float64
 	fresh    int
-	// floor is the smallest tail that was seen, in multiples of the target.
-	floor float64
 }
 
-func newFit() *fit {
-	return &fit{
-		index: map[string]int{}, products: [][]float64{{0}}, targets: []float64{0}, effects: []float64{0}, floor: startFloor,
-	}
-}
-
-// startFloor is the floor before any look, in multiples of the target: targets
-// are several times the tail of an idle worker.
-const startFloor = 0.5
-
-// pressure returns the pressure of a tail in multiples of the target.
-func (f *fit) pressure(tail float64) float64 { return max(0, 1-f.floor/tail) }
-
-// limit is the pressure at which the tail reaches its target.
-func (f *fit) limit() float64 { return 1 - f.floor }
+func newFit() *fit { return &fit{index: map[string]int{}, variance: sampleVariance} }
 
 // column returns the place of an image and makes it if needed.
 func (f *fit) column(image string) int {
@@ -71,18 +59,15 @@
 	return c
 }
 
-// observe adds one look: the cores that each filling image used, and the tail
-// in multiples of the target.
-func (f *fit) observe(cores map[string]float64, tail float64) {
-	f.floor = min(f.floor, tail)
-	if f.products[0][0] >= window {
+// observe adds one look: the share that each filling image used, and the
+// pressure that the load does not explain.
+func (f *fit) observe(shares map[string]float64, unexplained float64) {
+	if f.looks >= window {
 		f.forget()
 	}
-	pressure := f.pressure(tail)
-	columns := make([]int, 1, len(cores)+1)
-	values := make([]float64, 1, len(cores)+1)
-	values[0] = 1
-	for image, used := range cores {
+	columns := make([]int, 0, len(shares))
+	values := make([]float64, 0, len(shares))
+	for image, used := range shares {
 		columns = append(columns, f.column(image))
 		values = append(values, used)
 	}
@@ -90,16 +75,18 @@
 		for j, cj := range columns {
 			f.products[ci][cj] += values[i] * values[j]
 		}
-		f.targets[ci] += values[i] * pressure
+		f.targets[ci] += values[i] * unexplained
 	}
-	f.squares += pressure * pressure
-	if f.fresh++; f.fresh >= solveEvery {
+	f.looks++
+	f.squares += unexplained * unexplained
+	if f.fresh++; f.fresh >= solveEvery || f.looks < solveEvery {
 		f.solve()
 	}
 }
 
-// forget halves the weight of all observations so far.
+// forget halves the weight of all looks so far.
 func (f *fit) forget() {
+	f.looks /= 2
 	f.squares /= 2
 	for i := range f.products {
 		f.targets[i] /= 2
@@ -121,7 +108,7 @@
 	for i, e := range f.effects {
 		explained += e * f.targets[i]
 	}
-	f.variance = max(0, f.squares-explained) / f.products[0][0]
+	f.variance = max(sampleVariance, (f.squares-explained)/max(1, f.looks))
 }
 
 func (f *fit) solveOne(i int) {
@@ -131,20 +118,11 @@
 			rest -= f.products[i][j] * e
 		}
 	}
-	weight := f.products[i][i]
-	if i > 0 {
-		weight += ridge
-	}
-	if weight > 0 {
-		f.effects[i] = max(0, rest/weight)
-	}
+	f.effects[i] = max(0, rest/(f.products[i][i]+ridge))
 }
 
-// base is the mean pressure without filling tasks.
-func (f *fit) base() float64 { return f.effects[0] }
-
-// effect returns the pressure of one core of the image; 0 if it cannot be told
-// from chance.
+// effect returns the pressure of the image on a whole worker; 0 if it cannot be
+// told from chance.
 func (f *fit) effect(image string) float64 {
 	c, ok := f.index[image]
 	if !ok {
@@ -159,5 +137,5 @@
 // known reports whether the image was seen often enough.
 func (f *fit) known(image string) bool {
 	c, ok := f.index[image]
-	return ok && f.products[c][c] >= knownCores
+	return ok && f.products[c][c] >= knownShares
 }
--- a/core/sharing/record.go
+++ b/core/sharing/record.go
@@ -2,10 +2,21 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 )
 
+// storedModel is the stored form of a model. The phases of the loads are left
+// out: they are known again after two seconds, and the clocks of two owners
+// differ.
+type storedModel struct {
+	_           struct{} `cbor:",toarray"`
+	PeriodMS    int64
+	Mean, Swing float32
+	Fits        []storedFit
+}
+
 // storedFit is the stored form of a fit. Numbers are of single precision, which
 // halves the record.
 type storedFit struct {
@@ -14,16 +25,17 @@
 	Images   []string
 	Products [][]float32
 	Targets  []float32
+	Looks    float32
 	Squares  float32
-	Floor    float32
 }
 
 // Encode returns the stored form of the model, so that a new owner need not
 // learn again.
 func (m *Model) Encode() ([]byte, error) {
-	var out []storedFit
+	l := m.Load()
+	out := storedModel{PeriodMS: l.Period.Milliseconds(), Mean: float32(l.Mean), Swing: float32(l.Swing)}
 	for serve, f := range m.fits {
-		out = append(out, f.stored(serve))
+		out.Fits = append(out.Fits, f.stored(serve))
 	}
 	data, err := cbor.Marshal(out)
 	if err != nil {
@@ -33,9 +45,9 @@
 }
 
 func (f *fit) stored(serve string) storedFit {
-	s := storedFit{Serving: serve, Images: make([]string, len(f.index)), Squares: float32(f.squares), Floor: float32(f.floor)}
+	s := storedFit{Serving: serve, Images: make([]string, len(f.index)), Looks: float32(f.looks), Squares: float32(f.squares)}
 	for image, c := range f.index {
-		s.Images[c-1] = image
+		s.Images[c] = image
 	}
 	for i, row := range f.products {
 		s.Targets = append(s.Targets, float32(f.targets[i]))
@@ -51,12 +63,18 @@
 
 // Decode reads the stored form.
 func Decode(data []byte) (*Model, error) {
-	var stored []storedFit
+	var stored storedModel
 	if err := cbor.Unmarshal(data, &stored); err != nil {
 		return nil, fmt.Errorf("decode learned pressures: %w", err)
 	}
 	m := NewModel()
-	for _, s := range stored {
+	m.loads.usual = harmonic{mean: float64(stored.Mean), c: float64(stored.Swing)}
+	for i, p := range periods {
+		if p <= time.Duration(stored.PeriodMS)*time.Millisecond {
+			m.loads.period = i
+		}
+	}
+	for _, s := range stored.Fits {
 		f, err := s.fit()
 		if err != nil {
 			return nil, fmt.Errorf("learned pressures on %s: %w", s.Serving, err)
@@ -67,15 +85,15 @@
 }
 
 func (s *storedFit) fit() (*fit, error) {
-	size := len(s.Images) + 1
+	size := len(s.Images)
 	if len(s.Products) != size || len(s.Targets) != size {
-		return nil, fmt.Errorf("%d images, %d rows and %d targets do not fit", len(s.Images), len(s.Products), len(s.Targets))
+		return nil, fmt.Errorf("%d images, %d rows and %d targets do not fit", size, len(s.Products), len(s.Targets))
 	}
 	f := newFit()
 	for _, image := range s.Images {
 		f.column(image)
 	}
-	f.squares, f.floor = float64(s.Squares), float64(s.Floor)
+	f.looks, f.squares = float64(s.Looks), float64(s.Squares)
 	for i, row := range s.Products {
 		if len(row) != i+1 {
 			return nil, fmt.Errorf("row %d has %d columns", i, len(row))
@@ -85,8 +103,6 @@
 			f.products[i][j], f.products[j][i] = float64(v), float64(v)
 		}
 	}
-	if f.products[0][0] > 0 {
-		f.solve()
-	}
+	f.solve()
 	return f, nil
 }
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -28,8 +28,8 @@
 	// the claim was appended later.
 	claimedAt time.Duration
 	// former is what is known of the owners before this process.
-	former scheduler.Former
-	stopping  bool
+	former   scheduler.Former
+	stopping bool
 	// ctx ends when the decision goroutine ends.
 	ctx    context.Context
 	cancel context.CancelFunc
--- a/node/dispatcher/load.go
+++ b/node/dispatcher/load.go
@@ -14,8 +14,8 @@
 	// effectsEvery is how many summaries come between two lists of the learned
 	// effects.
 	effectsEvery = 5
-	// loggedPressure is the smallest effect in the list, per core.
-	loggedPressure = 0.01
+	// loggedPressure is the smallest effect in the list, on a whole worker.
+	loggedPressure = 0.1
 )
 
 // summarize logs the load and sets the gauges, once in a while.
@@ -61,5 +61,7 @@
 		}
 	}
 	slices.Sort(rows)
-	o.d.cfg.Logger.Info("effects", slog.Any("pressure_per_core", rows))
+	l := o.machine.UsersLoad()
+	o.d.cfg.Logger.Info("effects", slog.Any("pressure_on_worker", rows), slog.Int64("load_period_ms", l.Period.Milliseconds()),
+		slog.Float64("load_mean", l.Mean), slog.Float64("load_swing", l.Swing), slog.Int("steps", l.Steps))
 }
