--- a/node/entry/settings.go
+++ b/node/entry/settings.go
@@ -90,8 +90,8 @@
 	var s Settings
 	s.Workers.LeaseMaxMS = 6000
 	s.Workers.LeaseMS = 6000
-	s.Ownership.SilenceMS = 2500
-	s.Ownership.RenewMS = 800
+	s.Ownership.SilenceMS = 1600
+	s.Ownership.RenewMS = 500
 	s.Ownership.OfflineMS = 6500
 	s.Ownership.RestMS = 6000
 	s.Stop.GraceS = 6
