Keep no records of jobs that are over; collect garbage at half growth

Change: the read view drops the records of a job that is over, of which only the state is asked for; gc_percent 50 instead of 100.

--- a/core/jobview/view.go
+++ b/core/jobview/view.go
@@ -10,8 +10,11 @@
 )
 
 // entry is what is known of one job. The records stay encoded: a node that
-// only answers callers never needs more than their heads.
+// only answers callers never needs more than their heads. Of a job that is over
+// the records are not kept at all.
 type entry struct {
+	// known tells that the acceptance was read.
+	known     bool
 	accepted  []byte
 	queue     string
 	state     []byte
@@ -22,7 +25,7 @@
 
 // waiting reports whether the job counts as one that has not begun.
 func (e *entry) waiting() bool {
-	return e.accepted != nil && !e.cancelled && e.summary.State == job.StatePending
+	return e.known && !e.cancelled && e.summary.State == job.StatePending
 }
 
 // View is the fold of the records. It may be used from several goroutines.
@@ -97,14 +100,14 @@
 func (e *entry) apply(kind Kind, r platform.Keyed) error {
 	switch kind {
 	case KindJob:
-		if e.accepted != nil {
+		if e.known {
 			return nil // A repeated submission is the same job.
 		}
 		queue, err := ledger.DecodeQueueName(r.Value)
 		if err != nil {
 			return fmt.Errorf("record %q at offset %d: %w", r.Key, r.Offset, err)
 		}
-		e.accepted, e.queue = r.Value, queue
+		e.known, e.accepted, e.queue = true, r.Value, queue
 	case KindCancel:
 		e.cancelled = true
 	case KindState:
@@ -116,6 +119,9 @@
 			e.state, e.stateAt, e.summary = r.Value, r.Offset, summary
 		}
 	}
+	if e.known && e.summary.Over() {
+		e.accepted, e.state = nil, nil
+	}
 	return nil
 }
 
@@ -124,7 +130,7 @@
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	e := v.jobs[id]
-	if e == nil || e.accepted == nil {
+	if e == nil || !e.known {
 		return "", "", false
 	}
 	state = e.summary.State
@@ -176,10 +182,10 @@
 	defer v.mu.RUnlock()
 	out := Restored{Book: ledger.New(), Over: map[job.ID]job.State{}}
 	for id, e := range v.jobs {
-		if e.accepted == nil {
+		if !e.known {
 			continue
 		}
-		if e.state != nil && e.summary.Over() {
+		if e.summary.Over() {
 			out.Over[id] = e.summary.State
 			continue
 		}
--- a/core/jobview/view_test.go
+++ b/core/jobview/view_test.go
@@ -113,3 +113,25 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, got, job.StatePending)
 }
+
+// Guards against memory that grows with all jobs that ever were (32 MB a node on
+// agrodaneio-ops-grown), and against a job that is unknown, or new, without its
+// records.
+func TestRecordsOfAJobThatIsOverAreNotKept(t *testing.T) {
+	for _, stateFirst := range []bool{false, true} {
+		v := New()
+		if stateFirst {
+			assert.NilError(t, v.Apply(state(t, 5, finish)))
+		}
+		assert.NilError(t, v.Apply(accepted(t)))
+		assert.NilError(t, v.Apply(state(t, 5, finish)))
+		assert.NilError(t, v.Apply(accepted(t)))
+		e := v.jobs[testID]
+		assert.Equal(t, len(e.accepted)+len(e.state), 0)
+		got, queue, ok := v.State(testID)
+		assert.Assert(t, ok)
+		assert.Equal(t, got, job.StateCompleted)
+		assert.Equal(t, queue, "checks")
+		assert.Equal(t, v.Waiting("checks"), 0)
+	}
+}
--- a/node/entry/settings.go
+++ b/node/entry/settings.go
@@ -96,7 +96,7 @@
 	s.Ownership.RestMS = 6000
 	s.Stop.GraceS = 6
 	s.Jobs.KeepS = 120
-	s.Runtime.GCPercent = 100
+	s.Runtime.GCPercent = 50
 	s.Runtime.MemoryLimitShare = 0.6
 	s.Machine.MemoryMB = 256
 	s.Machine.CPUShare = 1
