Count the longest lease when the bounds record cannot be read

Cause: found in the read-through: a bounds record that cannot be read ended the takeover of leases before any bound was set, so runs on workers that are not reached would have counted as over at once (TWICE).

Change: the longest lease is set first; an unreadable record only adds an error. A tail of next to nothing is bounded, so that it cannot spoil a load.

--- a/core/scheduler/bounds.go
+++ b/core/scheduler/bounds.go
@@ -111,12 +111,14 @@
 	}
 }
 
-// restoreBounds sets until when the runs of the former owners can last.
+// restoreBounds sets until when the runs of the former owners can last. If the
+// bounds record cannot be read, the longest lease counts for all workers.
 func (m *Machine) restoreBounds(f Former, now fleet.Instant) error {
 	var stored storedBounds
+	var err error
 	if f.Bounds != nil {
-		if err := cbor.Unmarshal(f.Bounds, &stored); err != nil {
-			return fmt.Errorf("decode lease bounds: %w", err)
+		if err = cbor.Unmarshal(f.Bounds, &stored); err != nil {
+			stored, err = storedBounds{}, fmt.Errorf("decode lease bounds: %w", err)
 		}
 	}
 	last := f.SeenAt + m.settings.Offline
@@ -136,7 +138,7 @@
 		m.bounded[b.ID] = true
 		m.contact(w, now)
 	}
-	return nil
+	return err
 }
 
 // longestLease is how long a lease that a former owner gave can last on a slow
--- a/core/scheduler/bounds_test.go
+++ b/core/scheduler/bounds_test.go
@@ -100,12 +100,15 @@
 	assert.Assert(t, w.now-seen > testSettings.Offline+testSettings.Lease, "%v", w.now-seen)
 }
 
-// Guards against a bounds record that cannot be read and is taken for an empty
-// one without a word.
-func TestBoundsRecordCannotBeRead(t *testing.T) {
+// Guards against a bounds record that cannot be read and leaves the runs on
+// silent workers without any bound, so that they start elsewhere at once.
+func TestUnreadableBoundsRecordCountsAsTheLongestLease(t *testing.T) {
 	w := newWorld(t, 1)
-	w.bounds = []byte{0xff}
+	w.m.Accept(oneStep(1, 1000), w.now)
+	w.run(time.Second)
 	m := New(testSettings, 6, w.now, w.now)
-	err := m.Restore(w.m.Ledger(), Former{SeenAt: w.now, Bounds: w.bounds, BoundsAt: w.now}, w.now, 0)
+	err := m.Restore(w.m.Ledger(), Former{SeenAt: w.now, Bounds: []byte{0xff}, BoundsAt: w.now}, w.now, 0)
 	assert.ErrorContains(t, err, "decode lease bounds")
+	left := m.Fleet().Worker(w.workers[0].id).Lease.Left(w.now)
+	assert.Assert(t, left > testSettings.Offline+testSettings.Lease, "%v", left)
 }
--- a/core/sharing/control.go
+++ b/core/sharing/control.go
@@ -10,8 +10,8 @@
 
 const (
 	// worthOfServing is how many filling tasks may stand still to keep one serving
-	// task within its target: callers lose four times the time that a serving task
-	// is over it, which is worth as much as the work of so many filling tasks.
+	// task within its target for a while. The figure is from trials over fixed
+	// seeds (docs/decisions.md); HARM bounds the time over it in any case.
 	worthOfServing = 0.5
 	// strictAfter is how long a tail may be near or over its target before it is
 	// brought under it at any cost.
@@ -175,7 +175,7 @@
 			total += own
 		}
 	}
-	slices.SortFunc(order, func(a, b int) int {
+	slices.SortStableFunc(order, func(a, b int) int {
 		return cmp.Compare(fit.effect(c.filling[b].Image), fit.effect(c.filling[a].Image))
 	})
 	paces := slices.Clone(c.paces)
--- a/core/sharing/sharing_test.go
+++ b/core/sharing/sharing_test.go
@@ -191,6 +191,15 @@
 	assert.Equal(t, m.Load().Steps, 0)
 }
 
+// Guards against a broken figure, such as a tail of next to nothing, that spoils
+// the load for good.
+func TestTinyTailDoesNotSpoilALoad(t *testing.T) {
+	m, now := learn()
+	before := m.loads.forecast(step(0), now)
+	m.Learn(now, []Serving{{Image: "checks", Step: step(0), Tail: 1, Target: target}}, nil, time.Second)
+	assert.Assert(t, math.Abs(m.loads.forecast(step(0), now)-before) < 0.05)
+}
+
 // Guards against effects that are learned too small from tails which are as
 // high as tails get.
 func TestSaturatedTailDoesNotLowerAnEffect(t *testing.T) {
--- a/core/sharing/task.go
+++ b/core/sharing/task.go
@@ -49,8 +49,12 @@
 // limit is the pressure at which a tail reaches its target.
 const limit = 1 - idleTail
 
+// lowestPressure bounds what one tail can show: a figure of next to nothing must
+// not spoil a fit.
+const lowestPressure = -0.5
+
 // pressure returns the pressure that the tail shows.
-func (s *Serving) pressure() float64 { return 1 - idleTail/s.ratio() }
+func (s *Serving) pressure() float64 { return max(lowestPressure, 1-idleTail/s.ratio()) }
 
 // Filling is a filling task on a worker.
 type Filling struct {
