--- a/node/entry/node.go
+++ b/node/entry/node.go
@@ -40,10 +40,12 @@
 }
 
 const (
-	// followPause groups the records that a node that does not schedule reads:
-	// each read is priced, and callers' questions may be answered from a view
-	// that is this old.
+	// followPause groups the requests that a node that does not schedule reads:
+	// each read is priced. A dead owner is noticed that much later.
 	followPause = 250 * time.Millisecond
+	// statesPause is the same for the states of jobs. A caller's question about a
+	// job that is not over ends it, so that the answer is not older.
+	statesPause = 800 * time.Millisecond
 	// ownerPause is the same for the requests that the owner waits for.
 	ownerPause = 0
 	// configPause groups the operator's records.
@@ -143,8 +145,8 @@
 		metrics: p.Metrics, view: p.View, routes: p.Routes,
 	}
 	boot := uint64(time.Now().UnixNano())
-	n.requests = n.follower(p.Platform.Requests, n.applyRequest)
-	n.states = n.follower(p.Platform.States, n.applyState)
+	n.requests = n.follower(p.Platform.Requests, n.applyRequest, followPause)
+	n.states = n.follower(p.Platform.States, n.applyState, statesPause)
 	n.operator = storelog.NewFollower(storelog.FollowerConfig{
 		Store: p.Platform.Store, Partition: p.Platform.Operator, Clock: p.Clock,
 		Logger: decisionlog.Component(p.Logger, "config"), Apply: n.applyOperator,
@@ -163,14 +165,14 @@
 
 // follower returns the follower of one of the product's partitions. It pauses
 // between two reads, but not on the owner, which callers wait for.
-func (n *Node) follower(p platform.Partition, apply func(platform.Keyed)) *storelog.Follower {
+func (n *Node) follower(p platform.Partition, apply func(platform.Keyed), pause time.Duration) *storelog.Follower {
 	return storelog.NewFollower(storelog.FollowerConfig{
 		Store: n.platform.Store, Partition: p, Clock: n.clock, Logger: decisionlog.Component(n.logger, "follow"), Apply: apply,
 		Pause: func() time.Duration {
 			if n.owning.Load() {
 				return ownerPause
 			}
-			return followPause
+			return pause
 		},
 	})
 }
--- a/node/intake/intake.go
+++ b/node/intake/intake.go
@@ -19,6 +19,9 @@
 	fresh = 100 * time.Millisecond
 	// refreshWait bounds the wait for a fresh view.
 	refreshWait = 1500 * time.Millisecond
+	// newestWait bounds the wait for the newest state of a job that is not over:
+	// a read takes about 10 ms, and an older state is a right answer too.
+	newestWait = 40 * time.Millisecond
 	// refreshPoll is the interval of looks at the view's age.
 	refreshPoll = 10 * time.Millisecond
 	// storeGone is how long the store may not be heard before new jobs are
@@ -123,6 +126,11 @@
 // that cannot be told.
 func (in *Intake) State(ctx context.Context, id job.ID) (job.State, error) {
 	if state, _, ok := in.cfg.View.State(id); ok {
+		if state.Final() {
+			return state, nil
+		}
+		in.cfg.States.Refresh(ctx, newestWait)
+		state, _, _ = in.cfg.View.State(id)
 		return state, nil
 	}
 	if err := in.refresh(ctx); err != nil {
--- a/node/storelog/follower.go
+++ b/node/storelog/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -50,11 +51,17 @@
 	end  atomic.Int64
 	lost bool
 	wake chan struct{}
+	// paused tells that the follower is between two reads, so that the store may
+	// have records that it has not.
+	paused atomic.Bool
+	// read is closed, and made anew, when the partition was read to its end.
+	mu   sync.Mutex
+	read chan struct{}
 }
 
 // NewFollower returns a follower; Run starts it.
 func NewFollower(cfg FollowerConfig) *Follower {
-	f := &Follower{cfg: cfg, wake: make(chan struct{}, 1)}
+	f := &Follower{cfg: cfg, wake: make(chan struct{}, 1), read: make(chan struct{})}
 	f.heard.Store(-1)
 	f.end.Store(-1)
 	return f
@@ -78,6 +85,26 @@
 	}
 }
 
+// Refresh brings the follower up to date: it ends a pause and waits for the read
+// after it, at most the given time. A follower that is not paused has a read
+// under way, which brings a new record as soon as the store has it.
+func (f *Follower) Refresh(ctx context.Context, longest time.Duration) {
+	f.mu.Lock()
+	read := f.read
+	f.mu.Unlock()
+	if !f.paused.Load() {
+		return
+	}
+	f.Hurry()
+	timer := time.NewTimer(longest)
+	defer timer.Stop()
+	select {
+	case <-read:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // Run reads until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -146,6 +173,10 @@
 func (f *Follower) caughtUp(sent time.Duration, end int64) {
 	f.heard.Store(int64(max(sent, f.cfg.Clock.Now()-answerAge)))
 	f.end.Store(end)
+	f.mu.Lock()
+	close(f.read)
+	f.read = make(chan struct{})
+	f.mu.Unlock()
 	if f.cfg.Read != nil {
 		f.cfg.Read(end)
 	}
@@ -159,6 +190,8 @@
 	if d <= 0 {
 		return
 	}
+	f.paused.Store(true)
+	defer f.paused.Store(false)
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/node/storelog/storelog_test.go
+++ b/node/storelog/storelog_test.go
@@ -100,3 +100,33 @@
 	s.mu.Unlock()
 	assert.NilError(t, c.Commit(context.Background(), record("j2")))
 }
+
+// Guards against an answer to a caller that is as old as the pause between two
+// reads.
+func TestRefreshEndsThePauseOfAFollower(t *testing.T) {
+	s := newFakeStore()
+	applied := make(chan string, 10)
+	f := NewFollower(FollowerConfig{
+		Store: s, Partition: testPartition, Clock: steady.New(), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Apply: func(r platform.Keyed) { applied <- r.Key },
+		Pause: func() time.Duration { return time.Hour },
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	go f.Run(ctx)
+	for f.End() < 0 && ctx.Err() == nil {
+		// The fake has no newest records, so the follower must read before the
+		// first one is there.
+		f.Refresh(ctx, time.Millisecond)
+	}
+	w := NewOwnerWriter(s, testPartition, 1)
+	for _, key := range []string{"first", "second"} {
+		_, err := w.Append(ctx, []platform.Keyed{record(key)})
+		assert.NilError(t, err)
+		for len(applied) == 0 && ctx.Err() == nil {
+			f.Refresh(ctx, 10*time.Millisecond)
+		}
+		assert.NilError(t, ctx.Err())
+		assert.Equal(t, <-applied, key)
+	}
+}
