Do not repeat the start of a job that is over

Cause: found in the read-through. A start of one member of a gang without an answer, while another member's end finished the job, was then repeated from a job that is not there: a nil dereference that ends the process.

Change: a start is repeated only for a job that is still to be worked on; else the run is stopped as before. The new test panics without it.

--- a/core/scheduler/machine_test.go
+++ b/core/scheduler/machine_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -252,3 +253,42 @@
 	w.run(time.Second)
 	assert.Equal(t, w.starts(firstTask), 1)
 }
+
+// Guards against a repeated start of a job whose tasks were dropped: one member's
+// end as done stands for the whole gang, while the start of another has got no
+// answer yet.
+func TestUnansweredStartOfAFinishedJobIsNotRepeated(t *testing.T) {
+	w := newWorld(t, 2)
+	w.workers[1].deafStarts = true
+	j := oneStep(2, 3000)
+	j.Steps[0].Gang = true
+	w.m.Accept(j, w.now)
+	for w.starts(firstTask) == 0 {
+		w.step()
+	}
+	w.workers[1].dark = true
+	var start *Order
+	for o := range w.waiting {
+		if o.Kind == OrderStart {
+			start = o
+			delete(w.waiting, o)
+		}
+	}
+	w.worker("w0").end(w.onlyTask(w.workers[0]), platform.EndDone)
+	w.run(2 * time.Second)
+	assert.Equal(t, w.m.State(testJobID), job.StateCompleted)
+	assert.Equal(t, w.m.Ledger().Len(), 0)
+	w.m.Answered(Answer{Order: start, Err: fmt.Errorf("no answer")}, w.now)
+	for _, o := range w.m.TakeOrders() {
+		assert.Assert(t, o.Kind != OrderStart)
+	}
+}
+
+// onlyTask returns the task that runs on the worker.
+func (w *world) onlyTask(f *fakeWorker) string {
+	assert.Equal(w.t, len(f.runs), 1)
+	for task := range f.runs {
+		return task
+	}
+	return ""
+}
--- a/core/scheduler/start.go
+++ b/core/scheduler/start.go
@@ -68,7 +68,8 @@
 		m.startConfirmed(w, r, a, now)
 	case reason != "" && r.Attempts == 1 && r.Phase == fleet.RunSent:
 		m.startRefused(w, r, reason, now)
-	case r.Phase == fleet.RunSent && reason == "" && r.Attempts < startAttempts && !r.Stopping && !w.Barred && w.Life == a.Order.life:
+	case r.Phase == fleet.RunSent && reason == "" && r.Attempts < startAttempts && !r.Stopping && !w.Barred &&
+		w.Life == a.Order.life && m.wanted(r):
 		// The same run may be sent again: the worker takes it once.
 		m.note(Decision{What: "repeat start", Job: r.ID.Job, Task: r.ID.String(), Run: r.Run, Worker: w.ID, Reason: errText(a.Err)})
 		m.order(placed{worker: w, run: r, ticket: a.Order.Start.Ticket}, a.Order.Start.Payload, now)
@@ -79,6 +80,12 @@
 	}
 }
 
+// wanted reports whether the job of a run is still to be worked on.
+func (m *Machine) wanted(r *fleet.Run) bool {
+	e := m.ledger.Entry(r.ID.Job)
+	return e != nil && !e.Closed()
+}
+
 func errText(err error) string {
 	if err == nil {
 		return ""
