storelog, platform: log how each failed or slow read of the store went

Cause: only the first failed read of a partition was logged, without its duration, stage or connection, and a complete read left no trace of its transfer. Change: the error of a call says how long it waited, at which stage it failed, and whether its connection had been used before; dependency regained counts the failed reads; slow read gives bytes, transfer and apply time from 250 ms on; metrics config_read_failed, config_transfer, config_apply, config_version. No decision changes.

--- a/core/platform/store.go
+++ b/core/platform/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 )
 
@@ -64,7 +65,16 @@
 	// End is the offset that the next record of the partition will get.
 	End int64
 	// First is the lowest offset that is still retained.
-	First int64
+	First    int64
+	Transfer Transfer
+}
+
+// Transfer describes how a response arrived.
+type Transfer struct {
+	// Duration is the time from the response's first byte to the last one.
+	Duration time.Duration
+	// Bytes is the size of the response's body.
+	Bytes int
 }
 
 // NewestPage is one page of the newest records of the keys of a partition.
@@ -73,7 +83,8 @@
 	// More is true if another page follows after the key of the last record.
 	More bool
 	// End is the end of the partition when the page was read.
-	End int64
+	End      int64
+	Transfer Transfer
 }
 
 // Store is the platform's store. It is linearizable and never loses
@@ -108,6 +119,47 @@
 	ErrTrimmed = errors.New("the records are no longer kept; read the newest record of each key")
 )
 
+// CallStage is the stage at which a call failed.
+type CallStage string
+
+// Stages of a call.
+const (
+	// StageConnect: the call had no connection yet.
+	StageConnect CallStage = "connect"
+	// StageResponse: no byte of the response had arrived.
+	StageResponse CallStage = "response"
+	// StageBody: a part of the response had arrived.
+	StageBody CallStage = "body"
+)
+
+// CallError is the error of a call without a complete response.
+type CallError struct {
+	Stage CallStage
+	// Waited is the time since the start of the call.
+	Waited time.Duration
+	// Reused is true if earlier calls had used the connection, and Idle is how
+	// long it had been unused.
+	Reused bool
+	Idle   time.Duration
+	// Received is the number of bytes of the body that arrived.
+	Received int
+	Err      error
+}
+
+func (e *CallError) Error() string {
+	connection := "new connection"
+	if e.Reused {
+		connection = fmt.Sprintf("connection reused after %d ms", e.Idle.Milliseconds())
+	}
+	if e.Stage == StageConnect {
+		connection = "no connection"
+	}
+	return fmt.Sprintf("no complete response after %d ms (stage %s, %s, %d bytes received): %v",
+		e.Waited.Milliseconds(), e.Stage, connection, e.Received, e.Err)
+}
+
+func (e *CallError) Unwrap() error { return e.Err }
+
 // NothingAppended reports whether an error of Append means that this call
 // certainly did not and will not append the records.
 func NothingAppended(err error) bool {
--- a/node/entry/node.go
+++ b/node/entry/node.go
@@ -161,7 +161,7 @@
 	n.operator = storelog.NewFollower(storelog.FollowerConfig{
 		Store: p.Platform.Store, Partition: p.Platform.Operator, Clock: p.Clock,
 		Logger: decisionlog.Component(p.Logger, "config"), Apply: n.applyOperator,
-		Pause: func() time.Duration { return configPause },
+		Pause: func() time.Duration { return configPause }, OnRead: n.countConfigRead,
 	})
 	n.committer = storelog.NewCommitter(p.Platform.Store, p.Platform.Requests,
 		fmt.Sprintf("%s-%x", p.Settings.Node.Name, incarnation), p.Clock, decisionlog.Component(p.Logger, "commit"))
@@ -232,6 +232,17 @@
 	}
 }
 
+// countConfigRead keeps the metrics of the reads of the operator's partition.
+func (n *Node) countConfigRead(stats storelog.ReadStats) {
+	if stats.Err != nil {
+		n.metrics.Count("config_read_failed", 1)
+		return
+	}
+	n.metrics.Observe("config_transfer", stats.Transfer.Duration)
+	n.metrics.Observe("config_apply", stats.Apply)
+	n.metrics.Gauge("config_version", float64(n.routes.Version()))
+}
+
 func (n *Node) applyOperator(r platform.KeyedRecord) {
 	change, err := n.platform.DecodeOperatorRecord(r)
 	switch {
--- a/node/storelog/follower.go
+++ b/node/storelog/follower.go
@@ -21,6 +21,9 @@
 	maxResponseAge = 250 * time.Millisecond
 	// readRetryDelay is the delay after a failed read.
 	readRetryDelay = 150 * time.Millisecond
+	// slowRead is the time for the transfer of a response and for applying its records
+	// from which on the read is logged.
+	slowRead = 250 * time.Millisecond
 )
 
 // FollowerConfig configures a Follower.
@@ -40,11 +43,24 @@
 	// OnCaughtUp is called each time the partition has been read to its end. It may
 	// be nil.
 	OnCaughtUp func(end int64)
+	// OnRead is called after each read. It may be nil.
+	OnRead func(ReadStats)
 	// Pause returns the time to wait before the next read, which batches the records
 	// of a busy partition. It may be nil.
 	Pause func() time.Duration
 }
 
+// ReadStats describes one read.
+type ReadStats struct {
+	// Err is nil for a complete read.
+	Err      error
+	Transfer platform.Transfer
+	// Apply is how long it took to apply the records.
+	Apply time.Duration
+	// Records is the number of records in the response.
+	Records int
+}
+
 // Follower reads one partition continuously.
 type Follower struct {
 	cfg FollowerConfig
@@ -55,9 +71,12 @@
 	lastRead atomic.Int64
 	// end is the offset up to which the partition has been read; -1 before the first
 	// complete read.
-	end       atomic.Int64
-	storeLost bool
-	wake      chan struct{}
+	end atomic.Int64
+	// failedReads counts the reads that failed since the last complete one, and
+	// lostSince is the time of the first of them.
+	failedReads int
+	lostSince   time.Duration
+	wake        chan struct{}
 	// paused is true between two reads. The store may then have records that the
 	// follower has not read.
 	paused atomic.Bool
@@ -144,9 +163,9 @@
 		if from < 0 {
 			from = page.End
 		}
-		for _, r := range page.Records {
-			f.cfg.Apply(r)
-			after = r.Key
+		f.apply(page.Records, page.Transfer)
+		if n := len(page.Records); n > 0 {
+			after = page.Records[n-1].Key
 		}
 		if !page.More || len(page.Records) == 0 {
 			f.markRegained()
@@ -171,9 +190,7 @@
 			continue
 		}
 		f.markRegained()
-		for _, r := range batch.Records {
-			f.cfg.Apply(r)
-		}
+		f.apply(batch.Records, batch.Transfer)
 		from += int64(len(batch.Records))
 		if from >= batch.End {
 			f.markCaughtUp(sent, from)
@@ -213,11 +230,35 @@
 	}
 }
 
+// apply applies the records of one response.
+func (f *Follower) apply(records []platform.KeyedRecord, transfer platform.Transfer) {
+	start := f.cfg.Clock.Now()
+	for _, r := range records {
+		f.cfg.Apply(r)
+	}
+	stats := ReadStats{Transfer: transfer, Apply: f.cfg.Clock.Now() - start, Records: len(records)}
+	if transfer.Duration+stats.Apply > slowRead {
+		f.cfg.Logger.Info("slow read", "topic", f.cfg.Partition.Topic, "part", f.cfg.Partition.Part, "records", stats.Records,
+			"bytes", transfer.Bytes, "transfer_ms", transfer.Duration.Milliseconds(), "apply_ms", stats.Apply.Milliseconds())
+	}
+	f.reportRead(stats)
+}
+
+func (f *Follower) reportRead(stats ReadStats) {
+	if f.cfg.OnRead != nil {
+		f.cfg.OnRead(stats)
+	}
+}
+
 func (f *Follower) handleReadError(ctx context.Context, err error) {
-	if !f.storeLost && ctx.Err() == nil {
-		f.storeLost = true
-		f.cfg.Logger.Warn("dependency lost", "dependency", "store", "topic", f.cfg.Partition.Topic,
-			"part", f.cfg.Partition.Part, "err", err)
+	if ctx.Err() == nil {
+		if f.failedReads == 0 {
+			f.lostSince = f.cfg.Clock.Now()
+			f.cfg.Logger.Warn("dependency lost", "dependency", "store", "topic", f.cfg.Partition.Topic,
+				"part", f.cfg.Partition.Part, "err", err)
+		}
+		f.failedReads++
+		f.reportRead(ReadStats{Err: err})
 	}
 	select {
 	case <-time.After(readRetryDelay):
@@ -226,8 +267,9 @@
 }
 
 func (f *Follower) markRegained() {
-	if f.storeLost {
-		f.storeLost = false
-		f.cfg.Logger.Info("dependency regained", "dependency", "store", "topic", f.cfg.Partition.Topic, "part", f.cfg.Partition.Part)
+	if f.failedReads > 0 {
+		f.cfg.Logger.Info("dependency regained", "dependency", "store", "topic", f.cfg.Partition.Topic, "part", f.cfg.Partition.Part,
+			"failed_reads", f.failedReads, "after_ms", (f.cfg.Clock.Now() - f.lostSince).Milliseconds())
+		f.failedReads = 0
 	}
 }
