storelog, platform: bound each wait of a configuration read, and retry on a new connection

Cause: a read that hung was given up after 1.9 s, a page after 4 s, and the next one took another idle connection of the pool that the appends and the bulk reads share; where connections stop answering together it hung as well. The same time-out also covered the transfer, so a response that kept arriving could be given up.

--- a/node/cmd/basilferryd/platform.go
+++ b/node/cmd/basilferryd/platform.go
@@ -60,6 +60,7 @@
 			DecodeEntry:  platform.DecodeRegistryEntry,
 		},
 		Operator:             platform.OperatorPartition,
+		OperatorStore:        platform.NewOperatorStore(s.Store.Address),
 		DecodeOperatorRecord: platform.DecodeOperatorChange,
 		Ingress: func(jobs *intake.Intake, closing func() bool) http.Handler {
 			return platform.NewIngress(jobs, closing)
--- a/node/entry/node.go
+++ b/node/entry/node.go
@@ -32,8 +32,10 @@
 // records.
 type Platform struct {
 	dispatcher.Platform
-	// Operator is the partition with the operator's records.
-	Operator platform.Partition
+	// Operator is the partition with the operator's records. It is read through
+	// OperatorStore, so that other reads cannot delay a new configuration.
+	Operator      platform.Partition
+	OperatorStore platform.Store
 	// DecodeOperatorRecord decodes a record of Operator.
 	DecodeOperatorRecord func(platform.KeyedRecord) (platform.OperatorChange, error)
 	// Ingress returns the handler of client requests. The function isStopping reports
@@ -55,6 +57,9 @@
 	// configPause is the time between two reads of the operator's partition, which
 	// batches its records.
 	configPause = 20 * time.Millisecond
+	// configReadWait is how long a read of that partition waits for a record. A hanging
+	// read must leave time for another one until the configuration has to be in force.
+	configReadWait = 400 * time.Millisecond
 	// leaseMargin is subtracted from the lease. The owner sends the end of the lease on
 	// the worker's clock, which it only estimates from an earlier reading, and the
 	// lease must not be longer than the worker grants.
@@ -159,7 +164,7 @@
 	n.requests = n.newFollower(p.Platform.Requests, n.applyRequest, requestsPause)
 	n.states = n.newFollower(p.Platform.States, n.applyState, statesPause)
 	n.operator = storelog.NewFollower(storelog.FollowerConfig{
-		Store: p.Platform.Store, Partition: p.Platform.Operator, Clock: p.Clock,
+		Store: p.Platform.OperatorStore, Partition: p.Platform.Operator, Clock: p.Clock, Wait: configReadWait,
 		Logger: decisionlog.Component(p.Logger, "config"), Apply: n.applyOperator,
 		Pause: func() time.Duration { return configPause }, OnRead: n.countConfigRead,
 	})
--- a/node/entry/node_test.go
+++ b/node/entry/node_test.go
@@ -107,7 +107,7 @@
 				}, nil
 			},
 		},
-		Operator: operatorPartition,
+		Operator: operatorPartition, OperatorStore: c.store,
 		DecodeOperatorRecord: func(platform.KeyedRecord) (platform.OperatorChange, error) {
 			return platform.OperatorChange{Config: &platform.OperatorConfig{
 				Version: 1, Routes: []platform.Route{{Queue: testQueue, Host: "h", PathPrefix: "/"}},
--- a/node/storelog/follower.go
+++ b/node/storelog/follower.go
@@ -13,8 +13,7 @@
 )
 
 const (
-	// readWait is how long a read waits for a new record. It also limits how long a
-	// dead connection stays undetected.
+	// readWait is the default of FollowerConfig.Wait.
 	readWait = 900 * time.Millisecond
 	// maxResponseAge is the maximum age of the data in a response when it arrives. The
 	// store responds in 4 ms, or in up to 250 ms when it is slow.
@@ -30,8 +29,11 @@
 type FollowerConfig struct {
 	Store     platform.Store
 	Partition platform.Partition
-	Clock     *steady.Clock
-	Logger    *slog.Logger
+	// Wait is how long a read waits for a new record; 0 for the default of 900 ms. A
+	// dead connection stays undetected for longer than this.
+	Wait   time.Duration
+	Clock  *steady.Clock
+	Logger *slog.Logger
 	// Reset is called before the newest record of each key is passed to Apply, which
 	// happens at the start and whenever the follower has to start over. Keys that do
 	// not occur in these records no longer exist. Reset may be nil.
@@ -88,6 +90,9 @@
 
 // NewFollower returns a follower. Run must be called to start it.
 func NewFollower(cfg FollowerConfig) *Follower {
+	if cfg.Wait == 0 {
+		cfg.Wait = readWait
+	}
 	f := &Follower{cfg: cfg, wake: make(chan struct{}, 1), readDone: make(chan struct{})}
 	f.lastRead.Store(-1)
 	f.end.Store(-1)
@@ -180,7 +185,7 @@
 func (f *Follower) follow(ctx context.Context, from int64) {
 	for ctx.Err() == nil {
 		sent := f.cfg.Clock.Now()
-		batch, err := f.cfg.Store.Read(ctx, f.cfg.Partition, from, readWait)
+		batch, err := f.cfg.Store.Read(ctx, f.cfg.Partition, from, f.cfg.Wait)
 		if errors.Is(err, platform.ErrTrimmed) {
 			f.cfg.Logger.Info("history dropped", "topic", f.cfg.Partition.Topic, "part", f.cfg.Partition.Part, "from", from)
 			return
