entry: end an evacuation whose removal is in a dropped history

A node that reloaded the newest operator records kept a failure domain out of service for good if the record that ended the evacuation was dropped before it read it. Cause: the reload applied only the records that exist; nothing removed what no longer does. Change: after a reload, evacuations that were not read again end. standin/fleet can drop a history. Test: TestEvacuationEndsWhenItsRemovalIsInDroppedHistory, which failed before (no line with out=false within 5 s).

--- a/node/entry/node.go
+++ b/node/entry/node.go
@@ -129,9 +129,11 @@
 
 	requests, states *storelog.Follower
 	operator         *storelog.Follower
-	committer        *storelog.Committer
-	dispatcher       *dispatcher.Dispatcher
-	intake           *intake.Intake
+	// evacuations is used by the goroutine of operator only.
+	evacuations evacuations
+	committer   *storelog.Committer
+	dispatcher  *dispatcher.Dispatcher
+	intake      *intake.Intake
 
 	stopping     atomic.Bool
 	isOwner      atomic.Bool
@@ -166,6 +168,7 @@
 	n.operator = storelog.NewFollower(storelog.FollowerConfig{
 		Store: p.Platform.OperatorStore, Partition: p.Platform.Operator, Clock: p.Clock, Wait: configReadWait,
 		Logger: decisionlog.Component(p.Logger, "config"), Apply: n.applyOperator,
+		Reset: n.evacuations.startReload, OnCaughtUp: func(int64) { n.endUnlistedEvacuations() },
 		Pause: func() time.Duration { return configPause }, OnRead: n.countConfigRead,
 	})
 	n.committer = storelog.NewCommitter(p.Platform.Store, p.Platform.Requests,
@@ -260,8 +263,21 @@
 				"offset", r.Offset, "routes", len(change.Config.Routes))
 		}
 	case change.Evacuate != "":
-		n.dispatcher.Evacuate(change)
-		n.logger.Info("evacuation changed", "part", "config", "failure_domain", change.Evacuate, "out", !change.Removed, "offset", r.Offset)
+		n.evacuate(change, r.Offset)
+	}
+}
+
+func (n *Node) evacuate(change platform.OperatorChange, offset int64) {
+	n.evacuations.apply(change)
+	n.dispatcher.Evacuate(change)
+	n.logger.Info("evacuation changed", "part", "config", "failure_domain", change.Evacuate, "out", !change.Removed, "offset", offset)
+}
+
+// endUnlistedEvacuations ends the evacuations that the newest records no longer
+// contain.
+func (n *Node) endUnlistedEvacuations() {
+	for _, d := range n.evacuations.finishReload() {
+		n.evacuate(platform.OperatorChange{Evacuate: d, Removed: true}, n.operator.End())
 	}
 }
 
--- a/node/entry/node_test.go
+++ b/node/entry/node_test.go
@@ -108,7 +108,10 @@
 			},
 		},
 		Operator: operatorPartition, OperatorStore: c.store,
-		DecodeOperatorRecord: func(platform.KeyedRecord) (platform.OperatorChange, error) {
+		DecodeOperatorRecord: func(r platform.KeyedRecord) (platform.OperatorChange, error) {
+			if zone, ok := strings.CutPrefix(r.Key, "evacuate/"); ok {
+				return platform.OperatorChange{Evacuate: domain.FailureDomain(zone), Removed: len(r.Value) == 0}, nil
+			}
 			return platform.OperatorChange{Config: &platform.OperatorConfig{
 				Version: 1, Routes: []platform.Route{{Queue: testQueue, Host: "h", PathPrefix: "/"}},
 			}}, nil
@@ -293,3 +296,24 @@
 	c.start("n1")
 	c.owner()
 }
+
+// Guards against an evacuation that never ends because the record that removes it
+// was in a dropped part of the history.
+func TestEvacuationEndsWhenItsRemovalIsInDroppedHistory(t *testing.T) {
+	c := newCluster(t, 1)
+	c.write(operatorPartition, platform.KeyedRecord{Key: "evacuate/north", Value: []byte("{}")})
+	c.waitForLog(0, `"failure_domain":"north","out":true`)
+	assert.NilError(t, c.store.AppendAndDropHistory(operatorPartition, platform.KeyedRecord{Key: "evacuate/north"}))
+	c.waitForLog(0, `"failure_domain":"north","out":false`)
+}
+
+// waitForLog waits until a line of the node's log contains text.
+func (c *cluster) waitForLog(node int, text string) {
+	c.t.Helper()
+	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+		if strings.Contains(c.nodes[node].log.String(), text) {
+			return poll.Success()
+		}
+		return poll.Continue("no line with %s", text)
+	}, poll.WithTimeout(5*time.Second))
+}
--- a/standin/fleet/store.go
+++ b/standin/fleet/store.go
@@ -15,6 +15,8 @@
 	logs      map[platform.Partition][]platform.KeyedRecord
 	producers map[string]*producer
 	changed   chan struct{}
+	// first is the lowest retained offset of each partition.
+	first map[platform.Partition]int64
 	// unavailable makes all calls fail with ErrRefused.
 	unavailable bool
 	// dropResponses is the number of successful appends whose responses will be
@@ -31,6 +33,7 @@
 func NewStore() *Store {
 	return &Store{
 		logs: map[platform.Partition][]platform.KeyedRecord{}, producers: map[string]*producer{}, changed: make(chan struct{}),
+		first: map[platform.Partition]int64{},
 	}
 }
 
@@ -42,6 +45,17 @@
 	s.unavailable = unavailable
 }
 
+// AppendAndDropHistory appends a record and drops the partition's history at once,
+// the new record included, so that no reader sees it. The newest record of each key
+// is retained.
+func (s *Store) AppendAndDropHistory(p platform.Partition, r platform.KeyedRecord) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	result, err := s.append(platform.Append{Partition: p, Records: []platform.KeyedRecord{r}})
+	s.first[p] = result.End
+	return err
+}
+
 // DropResponses makes the next count appends return an error although their
 // records are stored.
 func (s *Store) DropResponses(count int) {
@@ -121,12 +135,15 @@
 	deadline := time.After(wait)
 	for {
 		s.mu.Lock()
-		log, changed, unavailable := s.logs[p], s.changed, s.unavailable
+		log, changed, unavailable, first := s.logs[p], s.changed, s.unavailable, s.first[p]
 		s.mu.Unlock()
 		if unavailable {
 			return platform.ReadResult{}, platform.ErrRefused
 		}
-		batch := platform.ReadResult{End: int64(len(log))}
+		if from < first {
+			return platform.ReadResult{}, platform.ErrTrimmed
+		}
+		batch := platform.ReadResult{End: int64(len(log)), First: first}
 		if from < batch.End {
 			batch.Records = append(batch.Records, log[from:]...)
 			return batch, nil
