ledger: refuse a state record with a negative index

A new owner that restored such a record ended with a panic, and so did the next one. Cause: occurrence and worker indexes were checked against their upper bound only. Test: TestRestoreRejectsNegativeIndexes, which panicked before.

--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
 	"github.com/basilferry/basilferry/core/domain"
@@ -135,3 +136,17 @@
 	assert.NilError(t, err)
 	assert.ErrorContains(t, New().Restore(testJob(step(3)), state), "2 tasks in the record and 3 in the job")
 }
+
+// Guards against a process that ends because a stored record contains a negative
+// index.
+func TestRestoreRejectsNegativeIndexes(t *testing.T) {
+	for _, stored := range []storedEntry{
+		{Occurrences: []storedOccurrence{{Index: -1, Steps: make([]storedStep, 1)}}},
+		{Workers: []domain.WorkerID{"w"}, Occurrences: []storedOccurrence{{Steps: []storedStep{{Tasks: []storedTask{{Worker: -1}}}}}}},
+	} {
+		body, err := cbor.Marshal(stored)
+		assert.NilError(t, err)
+		record := append(make([]byte, headerBytes), body...)
+		assert.Assert(t, New().Restore(testJob(step(1)), record) != nil, "%+v", stored)
+	}
+}
--- a/core/ledger/record.go
+++ b/core/ledger/record.go
@@ -152,7 +152,7 @@
 	}
 	e.Cancelled, e.Failed, e.Started = stored.Cancelled, stored.Failed, summary.Started
 	for _, o := range stored.Occurrences {
-		if o.Index >= len(e.Occurrences) || len(o.Steps) != len(e.Job.Steps) {
+		if o.Index < 0 || o.Index >= len(e.Occurrences) || len(o.Steps) != len(e.Job.Steps) {
 			return fmt.Errorf("occurrence %d with %d steps does not fit the job", o.Index, len(o.Steps))
 		}
 		if err := e.restoreOccurrence(o, stored.Workers); err != nil {
@@ -184,7 +184,7 @@
 }
 
 func (e *Entry) restoreTask(occurrence int, step *Step, t *Task, s storedTask, workers []domain.WorkerID) error {
-	if s.Worker >= len(workers) {
+	if s.Worker < 0 || s.Worker >= len(workers) {
 		return fmt.Errorf("the record refers to worker %d but lists only %d", s.Worker, len(workers))
 	}
 	*t = Task{Attempt: s.Attempt, FailedAttempts: s.FailedAttempts, Worker: workers[s.Worker], Checkpoint: s.Checkpoint}
