--- a/core/job/validate.go
+++ b/core/job/validate.go
@@ -13,6 +13,9 @@
 	MaxSteps        = 256
 	MaxTasks        = 20_000
 	MaxOccurrences  = 10_000
+	// MaxDemand is the largest amount of one resource that a task can demand. The
+	// demand of MaxTasks tasks does not overflow.
+	MaxDemand = 1 << 40
 )
 
 // Validate checks a job that a client sent. It returns a *domain.Error of kind
@@ -50,6 +53,9 @@
 	if s.Need.CPUMilli < 0 || s.Need.MemoryMiB < 0 || s.Need.Accelerators < 0 || s.Estimate < 0 {
 		return badRequest("step %d has a negative demand or estimate", "use values of 0 or more", index)
 	}
+	if max(s.Need.CPUMilli, s.Need.MemoryMiB, s.Need.Accelerators) > MaxDemand {
+		return badRequest("step %d demands more than any worker has", fmt.Sprintf("demand at most %d of each resource", int64(MaxDemand)), index)
+	}
 	for _, d := range s.DependsOn {
 		if d < 0 || d >= index {
 			return badRequest("step %d depends on step %d", "depend on earlier steps only", index, d)
--- a/node/entry/settings.go
+++ b/node/entry/settings.go
@@ -17,7 +17,7 @@
 
 // Duration returns the value as a time.Duration.
 func (m Millis) Duration() time.Duration {
-	return time.Duration(float64(m) * float64(time.Millisecond))
+	return domain.MillisDuration(float64(m))
 }
 
 // Settings are the settings of an entry node on the platform. The file is JSON with
@@ -161,7 +161,7 @@
 }
 
 // Grace returns the grace period between SIGTERM and SIGKILL.
-func (s *Settings) Grace() time.Duration { return time.Duration(s.Stop.GraceS * float64(time.Second)) }
+func (s *Settings) Grace() time.Duration { return domain.MillisDuration(s.Stop.GraceS * 1000) }
 
 // retentionMargin is the additional time for which the records of a finished job are
 // kept, so that a delayed repeat of its submission does not start it again.
@@ -169,5 +169,5 @@
 
 // Retention returns how long the records of a job are kept after it has finished.
 func (s *Settings) Retention() time.Duration {
-	return time.Duration(s.Jobs.KeepS*float64(time.Second)) + retentionMargin
+	return domain.MillisDuration(s.Jobs.KeepS*1000) + retentionMargin
 }
