--- a/standin/fleet/store.go
+++ b/standin/fleet/store.go
@@ -52,8 +52,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	result, err := s.append(platform.Append{Partition: p, Records: []platform.KeyedRecord{r}})
+	if err != nil {
+		return err
+	}
 	s.first[p] = result.End
-	return err
+	return nil
 }
 
 // DropResponses makes the next count appends return an error although their
