scheduler: rate workers once a step, keep forecasts within a round, pace rounds for best-effort tasks

Requests, completions and starts wait for it. Found with a trial that logs the time of each part of the loop.

Change: a step's tasks are alike, so each worker is rated once for a step and only the chosen one again (a heap); the forecast of a serving step is computed once a round instead of once for each worker that serves it; rounds that include best-effort tasks take at most 15% of the time, as the driver measures it.

--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -45,7 +45,9 @@
 	failed       []failure
 	chosen       []Placement
 	tasksPerRack map[string]int
-	rules        Rules
+	// ranking holds the candidates that can take a task of the current demand.
+	ranking ranking
+	rules   Rules
 }
 
 // failure records the need of a task without placement constraints that no
@@ -127,11 +129,7 @@
 		rack = p.rackFor(d)
 	}
 	before := len(p.chosen)
-	for _, index := range d.Waiting {
-		if !p.placeTask(d, index, rack) {
-			break
-		}
-	}
+	p.placeTasks(d, rack)
 	if d.Starving && len(p.chosen) == before {
 		p.placeStarvingTask(d)
 	}
@@ -165,13 +163,10 @@
 		}
 	}
 	before, failed := len(p.chosen), len(p.failed)
-	for _, index := range d.Waiting {
-		if !p.placeTask(d, index, rack) {
-			p.removePlacements(before)
-			// A demand that did not fit alongside the gang may fit without it.
-			p.failed = p.failed[:failed]
-			return
-		}
+	if p.placeTasks(d, rack) < len(d.Waiting) {
+		p.removePlacements(before)
+		// A demand that did not fit alongside the gang may fit without it.
+		p.failed = p.failed[:failed]
 	}
 }
 
@@ -249,36 +244,65 @@
 	return ok
 }
 
-// placeTask places one task on the worker with the highest sum of score and
-// expected speed, and reports whether any worker could take it.
-func (p *Planner) placeTask(d *Demand, index int, rack string) bool {
+// placeTasks places the waiting tasks of a demand, each on the worker with the
+// highest sum of score and expected speed, until one fits on no worker. It returns
+// how many it placed.
+//
+// The tasks of a step are alike, and a placement changes the rating of the chosen
+// worker only. So each worker is rated once for the step, and the chosen one again
+// after each placement.
+func (p *Planner) placeTasks(d *Demand, rack string) int {
 	need := d.Step.ReservedCapacity()
 	constrained := d.Step.RequiredLabel != "" || d.Step.MaxPerWorker > 0 || rack != "" || d.Tickets != nil
 	if !constrained && p.cannotFit(d, need) {
-		return false
+		return 0
+	}
+	p.rateCandidates(d, need, rack)
+	for placed, index := range d.Waiting {
+		if len(p.ranking) == 0 {
+			if !constrained {
+				p.failed = append(p.failed, failure{service: d.Service, bestEffort: d.Step.Fills, need: d.Step.Need})
+			}
+			return placed
+		}
+		best := &p.candidates[p.ranking[0].candidate]
+		p.addPlacement(best, d, index)
+		if rating, ok := p.rate(best, d, need); ok {
+			p.ranking.replaceFirst(rating)
+		} else {
+			p.ranking.removeFirst()
+		}
 	}
-	best, bestScore := -1, 0.0
+	return len(d.Waiting)
+}
+
+// rateCandidates fills the ranking with the candidates that can take a task of the
+// demand.
+func (p *Planner) rateCandidates(d *Demand, need domain.Resources, rack string) {
+	p.ranking = p.ranking[:0]
 	for i := range p.candidates {
 		c := &p.candidates[i]
-		if !c.isEligible(d) || !need.Fits(c.free) || (rack != "" && c.worker.Rack() != rack) || !c.hasRoomFor(d) {
+		if !c.isEligible(d) || (rack != "" && c.worker.Rack() != rack) {
 			continue
 		}
-		speed := p.speed(c, d)
-		if speed < minExpectedSpeed {
-			continue
-		}
-		if score := p.score(c, d) + speed; best < 0 || score > bestScore {
-			best, bestScore = i, score
+		if rating, ok := p.rate(c, d, need); ok {
+			p.ranking = append(p.ranking, rated{candidate: i, rating: rating})
 		}
 	}
-	if best < 0 {
-		if !constrained {
-			p.failed = append(p.failed, failure{service: d.Service, bestEffort: d.Step.Fills, need: d.Step.Need})
-		}
-		return false
+	p.ranking.order()
+}
+
+// rate returns the rating of an eligible candidate for one more task of the demand;
+// ok is false if the candidate cannot take it.
+func (p *Planner) rate(c *candidate, d *Demand, need domain.Resources) (rating float64, ok bool) {
+	if !need.Fits(c.free) || !c.hasRoomFor(d) {
+		return 0, false
+	}
+	speed := p.speed(c, d)
+	if speed < minExpectedSpeed {
+		return 0, false
 	}
-	p.addPlacement(&p.candidates[best], d, index)
-	return true
+	return p.score(c, d) + speed, true
 }
 
 // addPlacement assigns a task to a candidate.
--- /dev/null
+++ b/core/scheduler/pace_test.go
@@ -0,0 +1,63 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/basilferry/basilferry/core/job"
+)
+
+// A backlog of best-effort tasks while workers report their completions all the time.
+// Guards against planning rounds for the backlog that take more than their share of
+// the time, and against a backlog that is never planned.
+func TestBacklogOfBestEffortTasksTakesItsShareOfTheTime(t *testing.T) {
+	const roundCost, duration = 30 * time.Millisecond, 10 * time.Second
+	var p bestEffortPace
+	spent, last, longestWait := time.Duration(0), time.Duration(0), time.Duration(0)
+	for now := time.Duration(0); now < duration; now += minPlanInterval {
+		p.startRound(now)
+		if p.admit() {
+			longestWait = max(longestWait, now-last)
+			p.finishRound(now, roundCost)
+			spent, last = spent+roundCost, now
+		}
+	}
+	assert.Assert(t, spent <= time.Duration(maxBestEffortPlanShare*float64(duration))+roundCost, "%v", spent)
+	assert.Assert(t, longestWait <= maxBestEffortPlanDelay+roundCost+minPlanInterval, "%v", longestWait)
+}
+
+// A round of one slow second, as on a machine that was suspended. Guards against
+// best-effort tasks that wait longer than the longest delay for it.
+func TestSlowRoundDelaysBestEffortTasksByTheLongestDelay(t *testing.T) {
+	var p bestEffortPace
+	p.startRound(0)
+	assert.Assert(t, p.admit())
+	p.finishRound(0, time.Second)
+	p.startRound(time.Second)
+	assert.Assert(t, !p.admit())
+	assert.Assert(t, !p.isDue(time.Second))
+	assert.Assert(t, p.isDue(time.Second+maxBestEffortPlanDelay))
+}
+
+// A short request arrives while the backlog waits for its next round. Guards against
+// a short request that waits for that round too.
+func TestShortRequestIsPlacedBetweenRoundsForTheBacklog(t *testing.T) {
+	h := newHarness(t, 2)
+	h.runFor(time.Second)
+	for i := range 20 {
+		j := singleStepJob(4, 1000)
+		j.ID = job.ID(fmt.Sprintf("%016x", 100+i))
+		j.Steps[0].Fills = true
+		h.scheduler.Accept(j, h.now)
+	}
+	h.scheduler.Advance(h.now, h.now.Milliseconds())
+	h.scheduler.ObserveRound(h.now, time.Second)
+	short := singleStepJob(1, 1000)
+	h.scheduler.Accept(short, h.now)
+	h.now += harnessStep
+	h.scheduler.Advance(h.now, h.now.Milliseconds())
+	assert.Equal(t, h.scheduler.Ledger().Entry(short.ID).PlacedCount(), 1)
+}
--- a/core/scheduler/plan.go
+++ b/core/scheduler/plan.go
@@ -13,9 +13,11 @@
 // job has no value.
 const noValueFactor = 3
 
-// plan places waiting tasks.
+// plan places waiting tasks. A round that is too early for best-effort tasks leaves
+// them to a later one.
 func (s *Scheduler) plan(now fleet.Instant, nowUnixMS int64) {
 	clear(s.freeShares)
+	s.bestEffort.startRound(now)
 	demands := s.demands(now, nowUnixMS)
 	if len(demands) == 0 {
 		return
@@ -119,6 +121,9 @@
 		if waiting == 0 || !e.DependenciesDone(k, i) || (step.Gang && waiting < step.Count) {
 			continue
 		}
+		if step.Fills && !s.bestEffort.admit() {
+			continue
+		}
 		d := dispatch.Demand{
 			ID: job.StepID{Job: e.Job.ID, Occurrence: k, Step: i}, Step: step,
 			Service: s.service(e.Job.Queue), Priority: queue.Priority,
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -99,6 +99,8 @@
 
 	needsPlan  bool
 	nextPlanAt fleet.Instant
+	// bestEffort limits the share of time that planning best-effort tasks takes.
+	bestEffort bestEffortPace
 	// nextDueUnixMS is when the next occurrence of a repeated job is due, in Unix
 	// milliseconds; 0 for none.
 	nextDueUnixMS int64
@@ -372,6 +374,9 @@
 		s.nextReplanAt = now + maxPlanInterval
 		s.needsPlan = true
 	}
+	if s.bestEffort.isDue(now) {
+		s.needsPlan = true
+	}
 	if s.needsPlan && now >= s.nextPlanAt && s.config != nil {
 		s.needsPlan = false
 		s.nextPlanAt = now + minPlanInterval
--- a/core/sharing/headroom.go
+++ b/core/sharing/headroom.go
@@ -68,8 +68,7 @@
 		}
 	}
 	headroom := stepHeadroom{regression: regression, step: s.Step, tasks: 1}
-	for k := range headroom.available {
-		load := h.model.loads.forecast(s.Step, now+horizon*time.Duration(k)/forecastPoints)
+	for k, load := range h.model.loads.forecastHorizon(s.Step, now) {
 		headroom.available[k] = utilizationAtTarget - load - relativeTailError*(1-load)
 	}
 	h.headroom = append(h.headroom, headroom)
--- a/core/sharing/loads.go
+++ b/core/sharing/loads.go
@@ -141,6 +141,24 @@
 	return sum / float64(len(solutions)), highest-lowest < maxSpread
 }
 
+// forecastHorizon returns the forecasts of a step's user load at the points of the
+// horizon that starts now. A planning round asks for it once for each worker that
+// serves the step, so the result is kept until the time or the load's samples change.
+func (l *loads) forecastHorizon(id job.StepID, now Instant) [forecastPoints]float64 {
+	var out [forecastPoints]float64
+	load := l.byStep[id]
+	if load != nil && load.horizonKnown && load.horizonAt == now && load.solvedPeriod == l.period {
+		return load.horizon
+	}
+	for k := range out {
+		out[k] = l.forecast(id, now+horizon*time.Duration(k)/forecastPoints)
+	}
+	if load != nil {
+		load.horizon, load.horizonAt, load.horizonKnown = out, now, true
+	}
+	return out
+}
+
 // forecast returns the highest utilization that the user load of a step can be
 // expected to cause at a time.
 func (l *loads) forecast(id job.StepID, t Instant) float64 {
--- a/core/sharing/sharing_test.go
+++ b/core/sharing/sharing_test.go
@@ -251,3 +251,20 @@
 	s = tail(0.7)
 	assert.Assert(t, !s.IsCloseToTarget(true))
 }
+
+// Many workers serve the same step, so one planning round asks for its forecast
+// hundreds of times. Guards against a kept forecast that outlives its time or a sample.
+func TestKeptForecastFollowsTimeAndSamples(t *testing.T) {
+	m, now := trainedModel()
+	for i := range 50 {
+		at := now + Instant(i)*20*time.Millisecond
+		if i%3 == 0 {
+			m.AddSample(at, []ServingTask{servingAt(0, 0.3+0.01*float64(i))}, nil, time.Second)
+		}
+		for range 2 {
+			for k, got := range m.loads.forecastHorizon(step(0), at) {
+				assert.Equal(t, got, m.loads.forecast(step(0), at+horizon*time.Duration(k)/forecastPoints))
+			}
+		}
+	}
+}
--- a/core/sharing/stepload.go
+++ b/core/sharing/stepload.go
@@ -46,6 +46,11 @@
 	// solvedPeriod. They are cleared and solvedPeriod is -1 after a new sample.
 	solutions    []harmonic
 	solvedPeriod int
+	// horizon is the latest result of loads.forecastHorizon, and horizonAt the time
+	// that it is for. horizonKnown is false after a new sample.
+	horizon      [forecastPoints]float64
+	horizonAt    Instant
+	horizonKnown bool
 }
 
 // harmonic is mean + c cos(2 pi t / period) + s sin(2 pi t / period).
@@ -83,6 +88,7 @@
 	}
 	l.solutions = l.solutions[:0]
 	l.solvedPeriod = -1
+	l.horizonKnown = false
 }
 
 // decaySamples reduces the weight of earlier samples.
--- a/node/dispatcher/term.go
+++ b/node/dispatcher/term.go
@@ -189,6 +189,7 @@
 	}
 	t.lastRound = now
 	t.jobScheduler.Advance(now, time.Now().UnixMilli())
+	t.jobScheduler.ObserveRound(now, d.cfg.Clock.Now()-now)
 	t.append(now)
 	for _, command := range t.jobScheduler.TakeCommands() {
 		go t.execute(command)
