Nodes on small links follow statuses instead of states; the owner does not read back what it wrote

All reads share the store's read capacity, so the owner's read of a new request waits behind them; without processor cost the owner writes more states and the queue grows to 3 s, which was the delay between acceptance and first placement that the processor does not explain.

Change: after a state is stored, the owner appends a status (3 bytes) to the requests partition if clients see the job differently; final ones at once, others with the next renewal. Nodes with a link under 100 Mbit/s follow only that partition and load the states when they become the owner. The owner applies what it has stored itself (Follower.SkipTo). A new owner appends the statuses that its predecessor has not stored. An ownership record that is due during another append to the requests follows it at once.

Ruled out: the decision loop standing still (its parts were logged each second), the bound of our log.

--- a/core/jobview/keys.go
+++ b/core/jobview/keys.go
@@ -14,8 +14,12 @@
 	KindJob Kind = 'j'
 	// KindCancel: a client cancelled a job.
 	KindCancel Kind = 'c'
-	// KindState: the state of a job's tasks.
+	// KindState: the state of a job's tasks. Only an owner needs it.
 	KindState Kind = 's'
+	// KindStatus: the part of a job's state that answers clients. It is written to the
+	// requests partition after the state is stored, and only when it has changed, so
+	// that nodes need not read every state.
+	KindStatus Kind = 't'
 	// KindInterferenceModel: the model that the owner has learned of the
 	// interference between colocated images.
 	KindInterferenceModel Kind = 'l'
@@ -46,7 +50,7 @@
 	switch kind {
 	case KindOwner, KindInterferenceModel, KindLeaseBounds:
 		return kind, "", id == ""
-	case KindJob, KindCancel, KindState:
+	case KindJob, KindCancel, KindState, KindStatus:
 		return kind, id, id.Valid()
 	}
 	return 0, "", false
--- a/core/jobview/view.go
+++ b/core/jobview/view.go
@@ -18,17 +18,42 @@
 	acceptanceRecord []byte
 	queue            string
 	stateRecord      []byte
-	// stateOffset is the offset of the newest state record that was applied; -1
-	// if there is none.
-	stateOffset int64
-	summary     ledger.Summary
-	cancelled   bool
+	// stateOffset is the offset of the newest state record that was applied, and
+	// statusOffset that of the newest status record; -1 if there is none.
+	stateOffset, statusOffset int64
+	// summary is from the newest state record, status from the newest status record.
+	// A status record follows the state record that it is taken from, so on a node
+	// that reads both the summary is at least as new.
+	summary, status ledger.Summary
+	cancelled       bool
 }
 
+// newest returns the newest known summary of the job's state.
+func (e *entry) newest() ledger.Summary {
+	if e.stateOffset < 0 || stateRank(e.status.State) > stateRank(e.summary.State) {
+		return e.status
+	}
+	return e.summary
+}
+
+// stateRank orders the states in the order in which a job goes through them.
+func stateRank(s job.State) int {
+	switch {
+	case s.IsFinal():
+		return 2
+	case s == job.StateActive:
+		return 1
+	}
+	return 0
+}
+
+// isFinished reports whether nothing is left to do for the job.
+func (e *entry) isFinished() bool { return e.summary.Finished() || e.status.Finished() }
+
 // isPending reports whether the job is open and none of its tasks has been placed
 // on a worker yet.
 func (e *entry) isPending() bool {
-	return e.known && !e.cancelled && e.summary.State == job.StatePending
+	return e.known && !e.cancelled && e.newest().State == job.StatePending
 }
 
 // View is the read model. It is safe for concurrent use.
@@ -67,7 +92,8 @@
 	}
 	e := v.jobs[id]
 	if e == nil {
-		e = &entry{summary: ledger.Summary{State: job.StatePending}, stateOffset: -1}
+		pending := ledger.Summary{State: job.StatePending}
+		e = &entry{summary: pending, status: pending, stateOffset: -1, statusOffset: -1}
 		v.jobs[id] = e
 	}
 	before := e.isPending()
@@ -124,13 +150,27 @@
 		if r.Offset >= e.stateOffset {
 			e.stateRecord, e.stateOffset, e.summary = r.Value, r.Offset, summary
 		}
+	case KindStatus:
+		status, err := ledger.DecodeSummary(r.Value)
+		if err != nil {
+			return fmt.Errorf("record %q at offset %d: %w", r.Key, r.Offset, err)
+		}
+		if r.Offset >= e.statusOffset {
+			e.status, e.statusOffset = status, r.Offset
+		}
 	}
-	if e.known && e.summary.Finished() {
+	if e.known && e.isFinished() {
 		e.acceptanceRecord, e.stateRecord = nil, nil
 	}
 	return nil
 }
 
+// SameForClients reports whether two summaries of a job need no status record between
+// them.
+func SameForClients(a, b ledger.Summary) bool {
+	return a.State == b.State && a.Finished() == b.Finished()
+}
+
 // State returns the state of a job as clients see it, and its queue; ok is
 // false for an unknown job.
 func (v *View) State(id job.ID) (state job.State, queue string, ok bool) {
@@ -140,7 +180,7 @@
 	if e == nil || !e.known {
 		return "", "", false
 	}
-	state = e.summary.State
+	state = e.newest().State
 	if e.cancelled && !state.IsFinal() {
 		state = job.StateCancelled
 	}
@@ -179,6 +219,9 @@
 	// Cancelled lists the jobs in Jobs that were cancelled but whose stored state
 	// does not show it yet.
 	Cancelled []job.ID
+	// Unshown holds the status records to write: those of jobs whose stored state
+	// differs from what the status records show.
+	Unshown []platform.KeyedRecord
 	// Unreadable has an error for each job whose records cannot be decoded. Such
 	// a job is in no other field.
 	Unreadable []error
@@ -195,8 +238,11 @@
 		if !e.known {
 			continue
 		}
-		if e.summary.Finished() {
-			out.Finished[id] = e.summary.State
+		if e.stateOffset >= 0 && !SameForClients(e.summary, e.status) {
+			out.Unshown = append(out.Unshown, platform.KeyedRecord{Key: Key(KindStatus, id), Value: e.summary.Record()})
+		}
+		if e.isFinished() {
+			out.Finished[id] = e.newest().State
 			continue
 		}
 		j, err := ledger.DecodeJob(e.acceptanceRecord)
--- a/core/jobview/view_test.go
+++ b/core/jobview/view_test.go
@@ -136,3 +136,53 @@
 		assert.Equal(t, v.PendingCount("checks"), 0)
 	}
 }
+
+func statusRecord(offset int64, status ledger.Summary) platform.KeyedRecord {
+	return platform.KeyedRecord{Offset: offset, Key: Key(KindStatus, testID), Value: status.Record()}
+}
+
+// A node that reads statuses only. Guards against a state that goes back, against a
+// finished job whose records are kept in memory, and against a job that counts as
+// pending after it has started.
+func TestStatusesAnswerClientsWithoutStates(t *testing.T) {
+	v := New()
+	assert.NilError(t, v.Apply(acceptanceRecord(t)))
+	active := ledger.Summary{State: job.StateActive, Started: true, Placed: true}
+	for _, r := range []struct {
+		offset  int64
+		status  ledger.Summary
+		want    job.State
+		pending int
+	}{
+		{4, ledger.Summary{State: job.StatePending}, job.StatePending, 1},
+		{7, active, job.StateActive, 0},
+		{5, ledger.Summary{State: job.StatePending}, job.StateActive, 0},
+		{9, ledger.Summary{State: job.StateCompleted, Started: true}, job.StateCompleted, 0},
+		{8, active, job.StateCompleted, 0},
+	} {
+		assert.NilError(t, v.Apply(statusRecord(r.offset, r.status)))
+		got, _, ok := v.State(testID)
+		assert.Assert(t, ok)
+		assert.Equal(t, got, r.want)
+		assert.Equal(t, v.PendingCount("checks"), r.pending)
+	}
+	assert.Assert(t, v.jobs[testID].acceptanceRecord == nil)
+	assert.Assert(t, v.Apply(platform.KeyedRecord{Offset: 10, Key: Key(KindStatus, testID), Value: []byte{99}}) != nil)
+}
+
+// An owner dies between the append of a state and that of its status. Guards against a
+// client that never sees the end of its job, and against a repeated status.
+func TestRestoreFindsStatesThatNoStatusShows(t *testing.T) {
+	v := New()
+	assert.NilError(t, v.Apply(acceptanceRecord(t)))
+	assert.NilError(t, v.Apply(statusRecord(2, ledger.Summary{State: job.StateActive, Started: true, Placed: true})))
+	assert.NilError(t, v.Apply(stateRecord(t, 5, finish)))
+	unshown := v.Restore().Unshown
+	assert.Equal(t, len(unshown), 1)
+	status, err := ledger.DecodeSummary(unshown[0].Value)
+	assert.NilError(t, err)
+	assert.Equal(t, status.State, job.StateCompleted)
+	unshown[0].Offset = 3
+	assert.NilError(t, v.Apply(unshown[0]))
+	assert.Equal(t, len(v.Restore().Unshown), 0)
+}
--- a/core/ledger/record.go
+++ b/core/ledger/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -34,6 +35,19 @@
 // Finished reports whether nothing is left to do for the job.
 func (s Summary) Finished() bool { return s.State.IsFinal() && !s.Placed }
 
+// Record returns the first bytes of a state record with this summary.
+func (s Summary) Record() []byte {
+	record := make([]byte, headerBytes)
+	record[stateByte] = byte(max(0, slices.Index(stateCodes, s.State)))
+	if s.Started {
+		record[startedByte] = 1
+	}
+	if s.Placed {
+		record[placedByte] = 1
+	}
+	return record
+}
+
 // DecodeSummary reads the first bytes of a state record.
 func DecodeSummary(record []byte) (Summary, error) {
 	if len(record) < headerBytes || int(record[stateByte]) >= len(stateCodes) {
@@ -89,19 +103,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("encode state of job %s: %w", e.Job.ID, err)
 	}
-	record := make([]byte, headerBytes, headerBytes+len(body))
-	for code, state := range stateCodes {
-		if state == e.State() {
-			record[stateByte] = byte(code)
-		}
-	}
-	if e.Started {
-		record[startedByte] = 1
-	}
-	if e.PlacedCount() > 0 {
-		record[placedByte] = 1
-	}
-	return append(record, body...), nil
+	summary := Summary{State: e.State(), Started: e.Started, Placed: e.PlacedCount() > 0}
+	return append(summary.Record(), body...), nil
 }
 
 func encodeOccurrence(index int, o *Occurrence, stored *storedEntry, workerIndexes map[domain.WorkerID]int) storedOccurrence {
--- a/node/dispatcher/config.go
+++ b/node/dispatcher/config.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"context"
 	"log/slog"
 	"time"
 
@@ -37,7 +38,10 @@
 	// RequestsFollower and StatesFollower pass the records that they read to View
 	// and to the dispatcher.
 	RequestsFollower, StatesFollower *storelog.Follower
-	Metrics                          Metrics
+	// FollowStates runs StatesFollower until ctx ends, for an ownership term. It is nil
+	// if the follower always runs.
+	FollowStates func(ctx context.Context)
+	Metrics      Metrics
 	// OnOwnershipChange is called with true when an ownership term of this node
 	// starts and with false when it ends.
 	OnOwnershipChange func(bool)
--- a/node/dispatcher/records.go
+++ b/node/dispatcher/records.go
@@ -43,19 +43,24 @@
 // ApplyState processes a record of the states partition. Only the owner writes
 // there, so each record shows that the owner is alive.
 func (d *Dispatcher) ApplyState(r platform.KeyedRecord) {
-	d.post(func() {
-		now := d.cfg.Clock.Now()
-		d.ownership.ObserveOwnerRecord(now)
+	d.post(func() { d.observeStates([]platform.KeyedRecord{r}) })
+}
+
+// observeStates records what a later term of this node has to know of the states.
+func (d *Dispatcher) observeStates(records []platform.KeyedRecord) {
+	now := d.cfg.Clock.Now()
+	d.ownership.ObserveOwnerRecord(now)
+	for _, r := range records {
 		switch r.Key {
 		case jobview.LeaseBoundsKey:
 			d.previousOwner.LeaseBounds, d.previousOwner.LeaseBoundsReadAt = r.Value, now
 		case jobview.OwnerKey:
 			if record, err := ownership.Decode(r.Value); err == nil && d.ownership.IsOwn(record) {
-				return // This process wrote the record to fence the previous owner.
+				continue // This process wrote the record to fence the previous owner.
 			}
 		}
 		d.previousOwner.LastSeenAt = now
-	})
+	}
 }
 
 func (d *Dispatcher) applyOwnershipRecord(r platform.KeyedRecord) {
--- a/node/dispatcher/term.go
+++ b/node/dispatcher/term.go
@@ -30,12 +30,15 @@
 	// read up to it.
 	fenceOffset int64
 
-	// renewing is true while an ownership record is being appended, appending while
-	// job states are.
-	renewing       bool
-	appending      bool
-	lastAppend     time.Duration
-	lastLoadReport time.Duration
+	// appendingRequests is true while an ownership record or statuses are being
+	// appended to the requests, appending while job states are. dueRecord is the kind
+	// of the ownership record that waits for the former, if hasDueRecord is true.
+	appendingRequests bool
+	appending         bool
+	dueRecord         ownership.RecordKind
+	hasDueRecord      bool
+	lastAppend        time.Duration
+	lastLoadReport    time.Duration
 	// reportedCounters are the scheduler's counters as of the last update of the
 	// metrics.
 	reportedCounters scheduler.Counters
@@ -47,6 +50,8 @@
 	// tombstones delete the states of removed jobs. They are part of the next
 	// append to states.
 	tombstones []platform.KeyedRecord
+	// statuses holds the status records that are not stored yet.
+	statuses statusQueue
 }
 
 // startTerm starts an ownership term. It fences the previous owner's writes; the
@@ -58,8 +63,12 @@
 		d: d, token: token, ctx: ctx, cancel: cancel, since: d.cfg.Clock.Now(), fenceOffset: -1,
 		requests: storelog.NewOwnerWriter(p.Store, p.Requests, token),
 		states:   storelog.NewOwnerWriter(p.Store, p.States, token),
+		statuses: newStatusQueue(),
 	}
 	d.term = t
+	if d.cfg.FollowStates != nil {
+		go d.cfg.FollowStates(ctx)
+	}
 	d.cfg.OnOwnershipChange(true)
 	d.cfg.Logger.Info("ownership term started", "token", token)
 	record := ownershipRecord(d.ownership.Record(ownership.KindRenewal))
@@ -124,6 +133,7 @@
 		}
 	}
 	s.RestoreFinishedJobs(restored.Finished, now)
+	t.statuses.addAll(restored.Unshown)
 	for _, id := range restored.Cancelled {
 		s.Cancel(id, now)
 	}
@@ -191,6 +201,9 @@
 	t.jobScheduler.Advance(now, time.Now().UnixMilli())
 	t.jobScheduler.ObserveRound(now, d.cfg.Clock.Now()-now)
 	t.append(now)
+	if t.statuses.isUrgent() {
+		t.appendRequests()
+	}
 	for _, command := range t.jobScheduler.TakeCommands() {
 		go t.execute(command)
 	}
@@ -232,8 +245,11 @@
 func (t *term) storeBatch(batch *scheduler.Batch, records []platform.KeyedRecord, sent time.Duration) {
 	d := t.d
 	var err error
+	var end int64
 	if len(records) > 0 {
-		_, err = t.states.Append(t.ctx, records)
+		if end, err = t.states.Append(t.ctx, records); err == nil {
+			t.applyStored(records, end)
+		}
 	}
 	d.postForTerm(t, func() {
 		t.appending = false
@@ -241,6 +257,7 @@
 			t.handleFenced(err)
 			return
 		}
+		t.statuses.addStates(batch.Records)
 		now := d.cfg.Clock.Now()
 		d.cfg.Metrics.Observe("store_append", now-sent)
 		d.ownership.ObserveOwnerRecord(now)
@@ -248,22 +265,55 @@
 	})
 }
 
-// appendOwnershipRecord appends a renewal or a release of the ownership.
+// applyStored applies records that this owner has stored, which end at the given
+// offset, to the read model. Reading its own records back would cost a call for nearly
+// every append.
+func (t *term) applyStored(records []platform.KeyedRecord, end int64) {
+	t.applyToView(records, end)
+	t.d.cfg.StatesFollower.SkipTo(end)
+	t.d.post(func() { t.d.observeStates(records) })
+}
+
+// applyToView applies stored records, the last of which is before the offset end, to
+// the read model.
+func (t *term) applyToView(records []platform.KeyedRecord, end int64) {
+	for i, r := range records {
+		r.Offset = end - int64(len(records)-i)
+		if err := t.d.cfg.View.Apply(r); err != nil {
+			t.d.cfg.Logger.Error("stored record cannot be applied to the read model", "key", r.Key, "err", err)
+		}
+	}
+}
+
+// appendOwnershipRecord appends a renewal or a release of the ownership. If an append
+// to the requests is in progress, the record is appended after it.
 func (t *term) appendOwnershipRecord(kind ownership.RecordKind) {
-	if t == nil || t.renewing {
+	if t == nil {
+		return
+	}
+	t.dueRecord, t.hasDueRecord = kind, true
+	t.appendRequests()
+}
+
+// appendRequests appends the ownership record that is due, and the status records that
+// are not stored yet, unless an append to the requests is in progress.
+func (t *term) appendRequests() {
+	if t.appendingRequests {
 		return
 	}
-	t.renewing = true
+	t.appendingRequests = true
 	d := t.d
 	sent := d.cfg.Clock.Now()
-	records := []platform.KeyedRecord{ownershipRecord(d.ownership.Record(kind))}
-	if kind == ownership.KindRenewal && t.jobScheduler != nil {
-		records = append(records, t.expiredJobTombstones(sent)...)
-	}
+	records := t.takeDueRecords(sent)
+	statuses := t.statuses.take()
+	records = append(records, statuses...)
 	go func() {
-		_, err := t.requests.Append(t.ctx, records)
+		end, err := t.requests.Append(t.ctx, records)
+		if err == nil {
+			t.applyToView(statuses, end)
+		}
 		d.postForTerm(t, func() {
-			t.renewing = false
+			t.appendingRequests = false
 			if err != nil {
 				t.handleFenced(err)
 				return
@@ -271,18 +321,37 @@
 			if t.jobScheduler != nil {
 				t.jobScheduler.RecordRenewal(sent)
 			}
+			if t.hasDueRecord {
+				t.appendRequests()
+			}
 		})
 	}()
 }
 
+// takeDueRecords returns the ownership record that is due, if any, and with a renewal
+// the records that remove expired jobs.
+func (t *term) takeDueRecords(now time.Duration) []platform.KeyedRecord {
+	if !t.hasDueRecord {
+		return nil
+	}
+	t.hasDueRecord = false
+	records := []platform.KeyedRecord{ownershipRecord(t.d.ownership.Record(t.dueRecord))}
+	if t.dueRecord == ownership.KindRenewal && t.jobScheduler != nil {
+		records = append(records, t.expiredJobTombstones(now)...)
+	}
+	return records
+}
+
 // expiredJobTombstones removes the finished jobs whose retention time has passed.
-// It returns the records that delete their acceptances and cancels, and adds those
+// It returns the records that delete their acceptances, cancels and statuses, and adds those
 // that delete their states to the next append.
 func (t *term) expiredJobTombstones(now time.Duration) []platform.KeyedRecord {
 	var out []platform.KeyedRecord
 	for _, id := range t.jobScheduler.RemoveExpiredJobs(now) {
 		out = append(out,
-			platform.KeyedRecord{Key: jobview.Key(jobview.KindJob, id)}, platform.KeyedRecord{Key: jobview.Key(jobview.KindCancel, id)})
+			platform.KeyedRecord{Key: jobview.Key(jobview.KindStatus, id)}, platform.KeyedRecord{Key: jobview.Key(jobview.KindCancel, id)},
+			platform.KeyedRecord{Key: jobview.Key(jobview.KindJob, id)})
+		t.statuses.forget(id)
 		t.tombstones = append(t.tombstones, platform.KeyedRecord{Key: jobview.Key(jobview.KindState, id)})
 	}
 	return out
--- a/node/entry/node.go
+++ b/node/entry/node.go
@@ -51,9 +51,13 @@
 	// statesPause is the same for the states partition. A client's request for the
 	// state of an unfinished job ends the pause, so that the response is current.
 	statesPause = 800 * time.Millisecond
-	// ownerPause is the same for both partitions on the owner, which schedules the
-	// requests that it reads.
+	// ownerPause is the same for the requests partition on the owner, which schedules
+	// the requests that it reads.
 	ownerPause = 0
+	// minBulkLinkMbps is the link from which on a node follows the states of all jobs,
+	// so that it can become the owner without loading them first. They would fill a
+	// smaller link.
+	minBulkLinkMbps = 100
 	// configPause is the time between two reads of the operator's partition, which
 	// batches its records.
 	configPause = 20 * time.Millisecond
@@ -128,7 +132,9 @@
 	routes       *intake.Routes
 
 	requests, states *storelog.Follower
-	operator         *storelog.Follower
+	// statesRun is held while states runs for an ownership term.
+	statesRun sync.Mutex
+	operator  *storelog.Follower
 	// evacuations is used by the goroutine of operator only.
 	evacuations evacuations
 	committer   *storelog.Committer
@@ -163,8 +169,13 @@
 		metrics: p.Metrics, view: p.View, routes: p.Routes,
 	}
 	incarnation := uint64(time.Now().UnixNano())
-	n.requests = n.newFollower(p.Platform.Requests, n.applyRequest, requestsPause)
-	n.states = n.newFollower(p.Platform.States, n.applyState, statesPause)
+	n.requests = n.newFollower(p.Platform.Requests, n.applyRequest, func() time.Duration {
+		if n.isOwner.Load() {
+			return ownerPause
+		}
+		return requestsPause
+	})
+	n.states = n.newFollower(p.Platform.States, n.applyState, func() time.Duration { return statesPause })
 	n.operator = storelog.NewFollower(storelog.FollowerConfig{
 		Store: p.Platform.OperatorStore, Partition: p.Platform.Operator, Clock: p.Clock, Wait: configReadWait,
 		Logger: decisionlog.Component(p.Logger, "config"), Apply: n.applyOperator,
@@ -175,7 +186,7 @@
 		fmt.Sprintf("%s-%x", p.Settings.Node.Name, incarnation), p.Clock, decisionlog.Component(p.Logger, "commit"))
 	n.dispatcher = dispatcher.New(n.dispatcherConfig(incarnation))
 	n.intake = intake.New(intake.Config{
-		Routes: p.Routes, View: p.View, Requests: n.requests, States: n.states, Committer: n.committer,
+		Routes: p.Routes, View: p.View, Requests: n.requests, Required: n.requiredFollowers(), Newest: n.newestStates, Committer: n.committer,
 		OnCommit: func(r platform.KeyedRecord) { n.dispatcher.ApplyRequest(r) }, Clock: p.Clock,
 		Logger: decisionlog.Component(p.Logger, "intake"),
 	})
@@ -183,24 +194,52 @@
 }
 
 // newFollower returns a follower of one of basilferry's own partitions. It pauses
-// between two reads, except on the owner, because clients wait for the owner to
-// schedule their jobs.
-func (n *Node) newFollower(p platform.Partition, apply func(platform.KeyedRecord), pause time.Duration) *storelog.Follower {
+// between two reads.
+func (n *Node) newFollower(p platform.Partition, apply func(platform.KeyedRecord), pause func() time.Duration) *storelog.Follower {
 	return storelog.NewFollower(storelog.FollowerConfig{
-		Store: n.platform.Store, Partition: p, Clock: n.clock, Logger: decisionlog.Component(n.logger, "follow"), Apply: apply,
-		Pause: func() time.Duration {
-			if n.isOwner.Load() {
-				return ownerPause
-			}
-			return pause
-		},
+		Store: n.platform.Store, Partition: p, Clock: n.clock, Logger: decisionlog.Component(n.logger, "follow"), Apply: apply, Pause: pause,
 	})
 }
 
+// followsStates reports whether this node follows the states of all jobs also while it
+// is not the owner. Other nodes learn from the requests partition what clients ask for.
+func (n *Node) followsStates() bool { return n.settings.Machine.LinkMbps >= minBulkLinkMbps }
+
+func (n *Node) requiredFollowers() []*storelog.Follower {
+	if n.followsStates() {
+		return []*storelog.Follower{n.requests, n.states}
+	}
+	return []*storelog.Follower{n.requests}
+}
+
+// newestStates returns the follower that reads the newest states of jobs. The owner
+// has them already.
+func (n *Node) newestStates() *storelog.Follower {
+	switch {
+	case n.isOwner.Load():
+		return nil
+	case n.followsStates():
+		return n.states
+	}
+	return n.requests
+}
+
+// followStatesInTerm follows the states while this node is the owner.
+func (n *Node) followStatesInTerm(ctx context.Context) {
+	n.statesRun.Lock()
+	defer n.statesRun.Unlock()
+	n.states.Run(ctx)
+}
+
 func (n *Node) dispatcherConfig(incarnation uint64) dispatcher.Config {
 	s := n.settings
+	followStates := n.followStatesInTerm
+	if n.followsStates() {
+		followStates = nil
+	}
 	return dispatcher.Config{
-		Platform: n.platform.Platform,
+		FollowStates: followStates,
+		Platform:     n.platform.Platform,
 		Ownership: ownership.Settings{
 			Node: s.Node.Name, Incarnation: incarnation,
 			OwnerTimeout: s.Ownership.SilenceMS.Duration(), RenewInterval: s.Ownership.RenewMS.Duration(),
@@ -289,9 +328,11 @@
 		cancel()
 		return err
 	}
-	for _, run := range []func(context.Context){
-		n.sink.Run, n.requests.Run, n.states.Run, n.operator.Run, n.committer.Run, n.dispatcher.Run, n.reloadOnHangup,
-	} {
+	runs := []func(context.Context){n.sink.Run, n.requests.Run, n.operator.Run, n.committer.Run, n.dispatcher.Run, n.reloadOnHangup}
+	if n.followsStates() {
+		runs = append(runs, n.states.Run)
+	}
+	for _, run := range runs {
 		n.goroutines.Go(func() { run(ctx) })
 	}
 	n.logger.Info("start", "part", "node", "failure_domain", n.settings.Node.Domain, "requests", n.settings.Listen.Requests)
--- a/node/entry/node_test.go
+++ b/node/entry/node_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -40,6 +41,26 @@
 	app    *fx.App
 	intake *intake.Intake
 	log    *lockedBuffer
+	// statesRead counts the records of the states partition that the node has read.
+	statesRead atomic.Int64
+}
+
+// countingStore counts the records of states that a node reads.
+type countingStore struct {
+	platform.Store
+	count *atomic.Int64
+}
+
+func (n *testNode) reads(store platform.Store) platform.Store {
+	return countingStore{store, &n.statesRead}
+}
+
+func (s countingStore) Read(ctx context.Context, p platform.Partition, from int64, wait time.Duration) (platform.ReadResult, error) {
+	result, err := s.Store.Read(ctx, p, from, wait)
+	if p == statesPartition {
+		s.count.Add(int64(len(result.Records)))
+	}
+	return result, err
 }
 
 type lockedBuffer struct {
@@ -89,8 +110,15 @@
 }
 
 func (c *cluster) start(name string) *testNode {
+	c.t.Helper()
+	return c.startWith(name, func(*Settings) {})
+}
+
+// startWith starts a node with changed settings.
+func (c *cluster) startWith(name string, change func(*Settings)) *testNode {
 	c.t.Helper()
 	s := defaultSettings()
+	change(&s)
 	s.Node.Name, s.Node.Domain = name, "north"
 	ports := testport.FreeAddresses(c.t, 2)
 	s.Listen.Requests, s.Listen.Readiness = ports[0], ports[1]
@@ -99,7 +127,7 @@
 	n := &testNode{log: &lockedBuffer{}}
 	n.app = New(s, "", Platform{
 		Platform: dispatcher.Platform{
-			Store: c.store, WorkerClient: c.workers, Requests: requestsPartition, States: statesPartition, Registry: registryPartition,
+			Store: n.reads(c.store), WorkerClient: c.workers, Requests: requestsPartition, States: statesPartition, Registry: registryPartition,
 			DecodeEntry: func(r platform.KeyedRecord) (platform.RegistryEntry, error) {
 				return platform.RegistryEntry{
 					ID: domain.WorkerID(r.Key), Address: "a", Service: "desk", Domain: "north",
@@ -317,3 +345,54 @@
 		return poll.Continue("no line with %s", text)
 	}, poll.WithTimeout(5*time.Second))
 }
+
+func onSmallLink(s *Settings) { s.Machine.LinkMbps = 20 }
+
+// Many nodes on small links beside an owner that stores a state for each change of a
+// task. Guards against nodes that read all states, which fills their links and takes
+// the store's read capacity from the owner, and against an owner that reads back what
+// it has written.
+func TestNodesOnSmallLinksAnswerWithoutReadingStates(t *testing.T) {
+	c := newCluster(t, 0)
+	owner := c.startWith("n1", func(*Settings) {})
+	c.owner()
+	for i := range 3 {
+		c.startWith(fmt.Sprintf("small-%d", i), onSmallLink)
+	}
+	for i := range 8 {
+		assert.NilError(t, c.nodes[i%4].intake.Submit(context.Background(), testJob(i)))
+	}
+	for i := range 8 {
+		for _, n := range c.nodes {
+			n.awaitState(t, testJob(i).ID, job.StateCompleted)
+		}
+	}
+	for _, n := range c.nodes[1:] {
+		assert.Equal(t, n.statesRead.Load(), int64(0))
+	}
+	stored, err := c.store.Read(context.Background(), statesPartition, 0, 0)
+	assert.NilError(t, err)
+	assert.Assert(t, owner.statesRead.Load() < int64(len(stored.Records))/2, "%d of %d", owner.statesRead.Load(), len(stored.Records))
+}
+
+// The only node that followed the states leaves while jobs run. Guards against a node on
+// a small link that cannot take over, that loses what the states say, or that executes a
+// task twice.
+func TestNodeOnSmallLinkTakesOver(t *testing.T) {
+	c := newCluster(t, 0)
+	owner := c.startWith("n1", func(*Settings) {})
+	c.owner()
+	small := c.startWith("small", onSmallLink)
+	for i := range 6 {
+		assert.NilError(t, small.intake.Submit(context.Background(), testJob(i)))
+	}
+	small.awaitState(t, testJob(0).ID, job.StateActive)
+	assert.NilError(t, owner.app.Stop(context.Background()))
+	for i := range 6 {
+		small.awaitState(t, testJob(i).ID, job.StateCompleted)
+	}
+	assert.DeepEqual(t, c.workers.OverlappingTasks(), []string(nil))
+	for i := range 6 {
+		assert.Equal(t, c.workers.StartCount(fmt.Sprintf("%016x.0.0.0", i)), 1)
+	}
+}
--- a/node/entry/settings.go
+++ b/node/entry/settings.go
@@ -45,9 +45,10 @@
 	} `json:"advice"`
 	Machine struct {
 		// CPUShare is the share of a CPU core that the node has, MemoryMB its memory
-		// limit in MiB.
+		// limit in MiB, and LinkMbps the bandwidth of its network link in Mbit/s.
 		CPUShare float64 `json:"cpu_share"`
 		MemoryMB int64   `json:"memory_mb"`
+		LinkMbps float64 `json:"link_mbps"`
 	} `json:"machine"`
 	Workers struct {
 		// LeaseMaxMS is the longest lease that a worker grants.
@@ -103,6 +104,7 @@
 	s.Runtime.MemoryLimitShare = 0.6
 	s.Machine.MemoryMB = 256
 	s.Machine.CPUShare = 1
+	s.Machine.LinkMbps = 1000
 	s.Log.Level = "info"
 	return s
 }
--- a/node/intake/intake.go
+++ b/node/intake/intake.go
@@ -39,9 +39,14 @@
 type Config struct {
 	Routes *Routes
 	View   *jobview.View
-	// Requests and States are the followers of the view's partitions.
-	Requests, States *storelog.Follower
-	Committer        *storelog.Committer
+	// Requests is the follower of the requests partition, and Required the followers
+	// that must be up to date for the node to be ready.
+	Requests *storelog.Follower
+	Required []*storelog.Follower
+	// Newest returns the follower that reads the newest states; nil if the view has
+	// them already.
+	Newest    func() *storelog.Follower
+	Committer *storelog.Committer
 	// OnCommit is called with each record that this node has committed.
 	OnCommit func(platform.KeyedRecord)
 	Clock    *steady.Clock
@@ -133,8 +138,10 @@
 		if state.IsFinal() {
 			return state, nil
 		}
-		in.cfg.States.Refresh(ctx, stateRefreshTimeout)
-		state, _, _ = in.cfg.View.State(id)
+		if newest := in.cfg.Newest(); newest != nil {
+			newest.Refresh(ctx, stateRefreshTimeout)
+			state, _, _ = in.cfg.View.State(id)
+		}
 		return state, nil
 	}
 	if err := in.waitForFreshView(ctx); err != nil {
@@ -193,7 +200,7 @@
 	if in.cfg.Routes.Version() == 0 {
 		return false
 	}
-	for _, f := range []*storelog.Follower{in.cfg.Requests, in.cfg.States} {
+	for _, f := range in.cfg.Required {
 		if lastRead, ok := f.LastRead(); !ok || in.cfg.Clock.Now()-lastRead > 2*storeUnreachableAfter {
 			return false
 		}
--- a/node/storelog/follower.go
+++ b/node/storelog/follower.go
@@ -79,6 +79,9 @@
 	failedReads int
 	lostSince   time.Duration
 	wake        chan struct{}
+	// applied is the offset up to which the records have been applied without a read;
+	// see SkipTo.
+	applied atomic.Int64
 	// paused is true between two reads. The store may then have records that the
 	// follower has not read.
 	paused atomic.Bool
@@ -110,6 +113,18 @@
 // first complete read.
 func (f *Follower) End() int64 { return f.end.Load() }
 
+// SkipTo tells the follower that the caller has applied the records before an offset
+// itself: it has written them, as the partition's only writer. Records that a read in
+// progress returns are applied again.
+func (f *Follower) SkipTo(offset int64) {
+	for {
+		applied := f.applied.Load()
+		if offset <= applied || f.applied.CompareAndSwap(applied, offset) {
+			return
+		}
+	}
+}
+
 // ReadNow ends the current pause between two reads, or the next one if the follower
 // is not paused.
 func (f *Follower) ReadNow() {
@@ -184,6 +199,7 @@
 // longer kept.
 func (f *Follower) follow(ctx context.Context, from int64) {
 	for ctx.Err() == nil {
+		from = max(from, f.applied.Load())
 		sent := f.cfg.Clock.Now()
 		batch, err := f.cfg.Store.Read(ctx, f.cfg.Partition, from, f.cfg.Wait)
 		if errors.Is(err, platform.ErrTrimmed) {
--- a/node/storelog/storelog_test.go
+++ b/node/storelog/storelog_test.go
@@ -133,3 +133,35 @@
 		assert.Equal(t, <-applied, key)
 	}
 }
+
+// An owner that appends every few milliseconds. Guards against an owner that reads back
+// what it has written, and against a follower that skips the records of others.
+func TestFollowerDoesNotReadWhatItsOwnerHasApplied(t *testing.T) {
+	s := newFakeStore()
+	applied := make(chan string, 100)
+	f := NewFollower(FollowerConfig{
+		Store: s, Partition: testPartition, Clock: steady.New(), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Apply: func(r platform.KeyedRecord) { applied <- r.Key },
+		Pause: func() time.Duration { return time.Hour },
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	go f.Run(ctx)
+	for f.End() < 0 && ctx.Err() == nil {
+		f.Refresh(ctx, time.Millisecond)
+	}
+	w := NewOwnerWriter(s, testPartition, 1)
+	for range 10 {
+		end, err := w.Append(ctx, []platform.KeyedRecord{record("own"), record("own")})
+		assert.NilError(t, err)
+		f.SkipTo(end)
+	}
+	f.SkipTo(3) // An earlier offset has no effect.
+	_, err := NewOwnerWriter(s, testPartition, 2).Append(ctx, []platform.KeyedRecord{record("next owner")})
+	assert.NilError(t, err)
+	for len(applied) == 0 && ctx.Err() == nil {
+		f.Refresh(ctx, 10*time.Millisecond)
+	}
+	assert.Equal(t, <-applied, "next owner")
+	assert.Equal(t, len(applied), 0)
+}
