ownership: a node that is much smaller than the latest owner claims later

About 60 of the 97 nodes claim within 0.4 s, and a node with 0.192 of a core and 20 Mbit/s wins: the claim delays by CPU share (0.24 s at most) are smaller than the pause between two reads (0.25 s) and their jitter. It schedules 540 workers for 5 s with 900 short tasks waiting, until it is silent itself.

Change: an owner stores its CPU share with its first renewal (a key of its own, which older builds ignore). A node with less than 0.6 of the share of the latest owner waits 0.7 s longer before it claims. On sites with nodes of one size nothing changes.

--- a/core/jobview/keys.go
+++ b/core/jobview/keys.go
@@ -10,6 +10,8 @@
 const (
 	// KindOwner: a claim, renewal or release of ownership.
 	KindOwner Kind = 'o'
+	// KindOwnerShare: the CPU share of the owner.
+	KindOwnerShare Kind = 'p'
 	// KindJob: a job was accepted.
 	KindJob Kind = 'j'
 	// KindCancel: a client cancelled a job.
@@ -34,6 +36,9 @@
 // OwnerKey is the key of the ownership records.
 const OwnerKey = string(KindOwner)
 
+// OwnerShareKey is the key of the records of the owner's CPU share.
+const OwnerShareKey = string(KindOwnerShare)
+
 // InterferenceModelKey is the key of the records of the interference model.
 const InterferenceModelKey = string(KindInterferenceModel)
 
@@ -48,7 +53,7 @@
 	}
 	kind, id = Kind(key[0]), job.ID(key[1:])
 	switch kind {
-	case KindOwner, KindInterferenceModel, KindLeaseBounds:
+	case KindOwner, KindOwnerShare, KindInterferenceModel, KindLeaseBounds:
 		return kind, "", id == ""
 	case KindJob, KindCancel, KindState, KindStatus:
 		return kind, id, id.Valid()
--- a/core/jobview/view.go
+++ b/core/jobview/view.go
@@ -77,7 +77,7 @@
 // record that cannot be decoded causes an error and changes no job's state.
 func (v *View) Apply(r platform.KeyedRecord) error {
 	kind, id, ok := ParseKey(r.Key)
-	if !ok || kind == KindOwner || kind == KindLeaseBounds {
+	if !ok || kind == KindOwner || kind == KindOwnerShare || kind == KindLeaseBounds {
 		return nil
 	}
 	v.mu.Lock()
--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -25,8 +25,18 @@
 	RenewInterval time.Duration
 	// ResignCooldown is how long a node that resigned does not claim ownership.
 	ResignCooldown time.Duration
+	// CPUShare is the share of a core that this node has. A node with less than
+	// smallNodeRatio of the share of the latest owner delays its claims by
+	// SmallNodeDelay: it would be a much slower owner, and nodes like the latest one
+	// probably exist.
+	CPUShare       float64
+	SmallNodeDelay time.Duration
 }
 
+// smallNodeRatio is the ratio of two nodes' CPU shares up to which the smaller one
+// counts as much slower.
+const smallNodeRatio = 0.6
+
 // Action is what the node should do next.
 type Action uint8
 
@@ -67,6 +77,8 @@
 	owner  Record
 	token  platform.Token
 	vacant bool
+	// ownerShare is the CPU share of the latest owner that has stored it; 0 if none has.
+	ownerShare float64
 	// ownerSeenAt is when a record of the owner was last read.
 	ownerSeenAt Instant
 	// renewedAt is when this owner last renewed its claim.
@@ -221,11 +233,21 @@
 	}
 	sinceOwnerSeen := now - o.ownerSeenAt
 	if o.vacant {
-		return sinceOwnerSeen >= o.settings.ClaimDelay
+		return sinceOwnerSeen >= o.claimDelay()
 	}
-	return sinceOwnerSeen >= o.settings.OwnerTimeout+o.settings.ClaimDelay
+	return sinceOwnerSeen >= o.settings.OwnerTimeout+o.claimDelay()
 }
 
+func (o *Ownership) claimDelay() time.Duration {
+	if o.settings.CPUShare < smallNodeRatio*o.ownerShare && !o.isPreviousIncarnation(o.owner) {
+		return o.settings.ClaimDelay + o.settings.SmallNodeDelay
+	}
+	return o.settings.ClaimDelay
+}
+
+// ObserveOwnerShare records the CPU share of an owner.
+func (o *Ownership) ObserveOwnerShare(share float64) { o.ownerShare = share }
+
 // RestartOwnerTimeout starts the owner's timeout anew. It is called when the
 // log can be read again after an outage, during which the owner may have been
 // unable to append renewals.
--- a/core/ownership/ownership_test.go
+++ b/core/ownership/ownership_test.go
@@ -91,6 +91,42 @@
 	assert.Equal(t, o.NextAction(1200*time.Millisecond, 1150*time.Millisecond), Claim)
 }
 
+// The owner of a large fleet dies. Guards against a much smaller node that replaces it
+// while larger ones are there, against waiting where all nodes are alike, and against a
+// fleet without an owner once the large nodes are gone.
+func TestMuchSmallerNodeClaimsLater(t *testing.T) {
+	for _, c := range []struct {
+		name              string
+		share, ownerShare float64
+		want              time.Duration
+	}{
+		{"same size", 0.8, 0.8, 2600 * time.Millisecond},
+		{"somewhat smaller", 0.6, 0.8, 2600 * time.Millisecond},
+		{"much smaller", 0.192, 0.8, 3300 * time.Millisecond},
+		{"larger", 0.8, 0.192, 2600 * time.Millisecond},
+		{"unknown owner", 0.192, 0, 2600 * time.Millisecond},
+	} {
+		s := settings
+		s.CPUShare, s.SmallNodeDelay = c.share, 700*time.Millisecond
+		o := New(s, 0)
+		o.ObserveOwnerShare(c.ownerShare)
+		o.Observe(claimBy("n2", 1), 4, 0)
+		assert.Equal(t, o.NextAction(c.want-time.Millisecond, c.want-time.Millisecond), Wait, c.name)
+		assert.Equal(t, o.NextAction(c.want, c.want), Claim, c.name)
+	}
+}
+
+// Guards against an odd record that makes a node wait forever or claim too early.
+func TestShareRecordIsChecked(t *testing.T) {
+	share, err := DecodeShare(EncodeShare(0.192))
+	assert.NilError(t, err)
+	assert.Equal(t, share, 0.192)
+	for _, odd := range []string{"", "x", "-1", "NaN", "Inf", "1e300"} {
+		_, err := DecodeShare([]byte(odd))
+		assert.ErrorContains(t, err, "decode CPU share", odd)
+	}
+}
+
 // Guards against a stored record that cannot be decoded.
 func TestRecordEncodingRoundTrip(t *testing.T) {
 	r := Record{Kind: KindRenewal, Node: "n1", Incarnation: 7, Token: 10}
--- a/core/ownership/record.go
+++ b/core/ownership/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -56,3 +57,21 @@
 
 // TokenAt returns the fencing token of a claim at an offset.
 func TokenAt(offset int64) platform.Token { return platform.Token(offset + 1) }
+
+// EncodeShare returns the stored form of an owner's CPU share.
+func EncodeShare(share float64) []byte { return strconv.AppendFloat(nil, share, 'g', -1, 64) }
+
+// DecodeShare decodes the stored form of an owner's CPU share.
+func DecodeShare(data []byte) (float64, error) {
+	share, err := strconv.ParseFloat(string(data), 64)
+	if err != nil {
+		return 0, fmt.Errorf("decode CPU share: %w", err)
+	}
+	if inRange := share >= 0 && share <= maxShare; !inRange { // Also for NaN.
+		return 0, fmt.Errorf("decode CPU share: %g is not between 0 and %d", share, maxShare)
+	}
+	return share, nil
+}
+
+// maxShare is the largest CPU share that is accepted, in cores.
+const maxShare = 1024
--- a/node/dispatcher/records.go
+++ b/node/dispatcher/records.go
@@ -33,6 +33,8 @@
 	switch kind {
 	case jobview.KindOwner:
 		d.applyOwnershipRecord(r)
+	case jobview.KindOwnerShare:
+		d.applyOwnerShare(r)
 	case jobview.KindJob:
 		d.post(func() { d.acceptJob(r) })
 	case jobview.KindCancel:
@@ -72,6 +74,15 @@
 	d.post(func() { d.observeOwner(record, r.Offset) })
 }
 
+func (d *Dispatcher) applyOwnerShare(r platform.KeyedRecord) {
+	share, err := ownership.DecodeShare(r.Value)
+	if err != nil {
+		d.cfg.Logger.Error("CPU share of the owner ignored", "offset", r.Offset, "err", err)
+		return
+	}
+	d.post(func() { d.ownership.ObserveOwnerShare(share) })
+}
+
 // observeOwner applies an ownership record. It starts a term if the record makes
 // this process the owner, and ends the current term if it no longer is.
 func (d *Dispatcher) observeOwner(record ownership.Record, offset int64) {
--- a/node/dispatcher/term.go
+++ b/node/dispatcher/term.go
@@ -37,8 +37,10 @@
 	appending         bool
 	dueRecord         ownership.RecordKind
 	hasDueRecord      bool
-	lastAppend        time.Duration
-	lastLoadReport    time.Duration
+	// shareStored is true once the CPU share of this owner has been appended.
+	shareStored    bool
+	lastAppend     time.Duration
+	lastLoadReport time.Duration
 	// reportedCounters are the scheduler's counters as of the last update of the
 	// metrics.
 	reportedCounters scheduler.Counters
@@ -336,6 +338,11 @@
 	}
 	t.hasDueRecord = false
 	records := []platform.KeyedRecord{ownershipRecord(t.d.ownership.Record(t.dueRecord))}
+	if !t.shareStored {
+		t.shareStored = true
+		share := ownership.EncodeShare(t.d.cfg.Ownership.CPUShare)
+		records = append(records, platform.KeyedRecord{Key: jobview.OwnerShareKey, Value: share})
+	}
 	if t.dueRecord == ownership.KindRenewal && t.jobScheduler != nil {
 		records = append(records, t.expiredJobTombstones(now)...)
 	}
--- a/node/entry/node.go
+++ b/node/entry/node.go
@@ -77,6 +77,10 @@
 	// it has a large CPU share.
 	maxClaimDelay  = 300 * time.Millisecond
 	maxClaimJitter = 120 * time.Millisecond
+	// smallNodeDelay is the additional claim delay of a node that is much smaller than
+	// the latest owner. It covers the time in which the larger nodes read that the owner
+	// is silent, at different times because of requestsPause, and claim.
+	smallNodeDelay = 700 * time.Millisecond
 	// headerTimeout applies to all listeners, idleTimeout to that for client requests.
 	// The operator's configuration can contain other values, but they have no effect,
 	// because the listeners are opened before the configuration is read.
@@ -244,6 +248,7 @@
 			Node: s.Node.Name, Incarnation: incarnation,
 			OwnerTimeout: s.Ownership.SilenceMS.Duration(), RenewInterval: s.Ownership.RenewMS.Duration(),
 			ResignCooldown: s.Ownership.RestMS.Duration(), ClaimDelay: claimDelay(s),
+			CPUShare: s.Machine.CPUShare, SmallNodeDelay: smallNodeDelay,
 		},
 		Scheduler: scheduler.Settings{
 			Lease:         min(s.Workers.LeaseMS, s.Workers.LeaseMaxMS).Duration() - leaseMargin,
