node: confine an unexpected error to the request, record, command or round in which it occurs

Cause (reported by other operators, possible here): a panic in a follower, a command or the decision loop ended the process; TestUnexpectedErrorEndsOnlyWhatItOccursIn crashed the test process before.

Change: node/guard reports a panic in the log (part, cause, stack) and in a counter. A record, command or request that causes one is given up alone; a command counts as sent without an answer; a commit counts as unknown. After a panic in the decision loop the term ends, because the scheduler's state may be inconsistent, and the next owner restores it from the store.

Measured: the test only.

--- a/node/dispatcher/config.go
+++ b/node/dispatcher/config.go
@@ -9,6 +9,7 @@
 	"github.com/basilferry/basilferry/core/ownership"
 	"github.com/basilferry/basilferry/core/platform"
 	"github.com/basilferry/basilferry/core/scheduler"
+	"github.com/basilferry/basilferry/node/guard"
 	"github.com/basilferry/basilferry/node/steady"
 	"github.com/basilferry/basilferry/node/storelog"
 )
@@ -42,6 +43,8 @@
 	// if the follower always runs.
 	FollowStates func(ctx context.Context)
 	Metrics      Metrics
+	// Guard confines panics to one event, round or command.
+	Guard *guard.Guard
 	// OnOwnershipChange is called with true when an ownership term of this node
 	// starts and with false when it ends.
 	OnOwnershipChange func(bool)
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -70,11 +70,11 @@
 			d.endTerm("the process is stopping")
 			return
 		case ev := <-d.events:
-			ev()
+			d.guarded("event", ev)
 			d.drainEvents()
 		case <-timer.C:
 		}
-		d.advance()
+		d.guarded("scheduling round", d.advance)
 		timer.Reset(d.tickInterval())
 	}
 }
@@ -85,13 +85,41 @@
 	for {
 		select {
 		case ev := <-d.events:
-			ev()
+			d.guarded("event", ev)
 		default:
 			return
 		}
 	}
 }
 
+// guarded calls f in the decision goroutine. If f panics, the scheduler's state may be
+// inconsistent, so the term ends: the next owner, perhaps this node, restores it from
+// the store.
+func (d *Dispatcher) guarded(name string, f func()) {
+	if err := d.cfg.Guard.Do(name, f); err != nil {
+		d.abandonTerm(err)
+	}
+}
+
+// abandonTerm ends the current term because of a defect.
+func (d *Dispatcher) abandonTerm(err error) {
+	if d.term == nil {
+		return
+	}
+	d.ownership.ObserveReplacement(d.cfg.Clock.Now())
+	d.endTerm(err.Error())
+}
+
+// background runs f in a goroutine. If f panics, failed is called in the decision
+// goroutine.
+func (d *Dispatcher) background(name string, f func(), failed func(error)) {
+	go func() {
+		if err := d.cfg.Guard.Do(name, f); err != nil {
+			d.post(func() { failed(err) })
+		}
+	}()
+}
+
 func (d *Dispatcher) tickInterval() time.Duration {
 	if d.term != nil {
 		return ownerTick
@@ -143,18 +171,22 @@
 	record := ownershipRecord(claim)
 	owner, token := d.ownership.Owner()
 	d.cfg.Logger.Info("claiming ownership", "at", at, "former_owner", owner, "former_token", token)
-	go func() {
+	claimFailed := func(err error) {
+		d.claiming = false
+		d.cfg.Logger.Info("ownership claim failed", "at", at, "err", err)
+		d.ownership.ObserveClaimFailure(d.cfg.Clock.Now())
+	}
+	d.background("claim", func() {
 		err := d.appendClaim(record, at)
 		d.post(func() {
-			d.claiming = false
 			d.cfg.RequestsFollower.ReadNow()
 			if err != nil {
-				d.cfg.Logger.Info("ownership claim failed", "at", at, "err", err)
-				d.ownership.ObserveClaimFailure(d.cfg.Clock.Now())
+				claimFailed(err)
 				return
 			}
+			d.claiming = false
 			// The follower reads the claim too, but usually after this response.
 			d.observeOwner(claim, at)
 		})
-	}()
+	}, claimFailed)
 }
--- a/node/dispatcher/execute.go
+++ b/node/dispatcher/execute.go
@@ -13,8 +13,23 @@
 // execute sends one command and passes its result to the scheduler.
 func (t *term) execute(command *scheduler.Command) {
 	result := scheduler.Result{Command: command}
-	workerClient := t.d.cfg.Platform.WorkerClient
 	sent := t.d.cfg.Clock.Now()
+	if err := t.d.cfg.Guard.Do("command", func() { t.call(command, &result) }, "worker", command.Worker); err != nil {
+		// The command may have been carried out.
+		result = scheduler.Result{Command: command, Err: err}
+	}
+	t.d.postForTerm(t, func() {
+		now := t.d.cfg.Clock.Now()
+		if command.Kind == scheduler.CommandStart {
+			t.d.cfg.Metrics.Observe("worker_start", now-sent)
+		}
+		t.jobScheduler.HandleResult(result, now)
+	})
+}
+
+// call sends one command and records its result.
+func (t *term) call(command *scheduler.Command, result *scheduler.Result) {
+	workerClient := t.d.cfg.Platform.WorkerClient
 	switch command.Kind {
 	case scheduler.CommandHeartbeat:
 		result.Report, result.Err = workerClient.Heartbeat(t.ctx, command.To, command.Heartbeat)
@@ -27,13 +42,6 @@
 	case scheduler.CommandAdvise:
 		result.Advice, result.Err = t.advise(command)
 	}
-	t.d.postForTerm(t, func() {
-		now := t.d.cfg.Clock.Now()
-		if command.Kind == scheduler.CommandStart {
-			t.d.cfg.Metrics.Observe("worker_start", now-sent)
-		}
-		t.jobScheduler.HandleResult(result, now)
-	})
 }
 
 // advise asks the policy service for advice about a step.
--- a/node/dispatcher/term.go
+++ b/node/dispatcher/term.go
@@ -69,12 +69,12 @@
 	}
 	d.term = t
 	if d.cfg.FollowStates != nil {
-		go d.cfg.FollowStates(ctx)
+		t.background("follow states", func() { d.cfg.FollowStates(ctx) })
 	}
 	d.cfg.OnOwnershipChange(true)
 	d.cfg.Logger.Info("ownership term started", "token", token)
 	record := ownershipRecord(d.ownership.Record(ownership.KindRenewal))
-	go func() {
+	t.background("fence", func() {
 		end, err := t.states.Append(ctx, []platform.KeyedRecord{record})
 		d.postForTerm(t, func() {
 			if err != nil {
@@ -84,7 +84,16 @@
 			t.fenceOffset = end
 			d.cfg.StatesFollower.ReadNow()
 		})
-	}()
+	})
+}
+
+// background runs f in a goroutine. If f panics, the term ends.
+func (t *term) background(name string, f func()) {
+	t.d.background(name, f, func(err error) {
+		if t.d.term == t {
+			t.d.abandonTerm(err)
+		}
+	})
 }
 
 // postForTerm queues an event of a term for the decision goroutine, which drops
@@ -163,9 +172,9 @@
 			clear(registered)
 		},
 		Apply: func(r platform.KeyedRecord) { t.applyRegistryRecord(r, registered) },
-		Pause: func() time.Duration { return registryPause },
+		Pause: func() time.Duration { return registryPause }, Guard: d.cfg.Guard,
 	})
-	go f.Run(t.ctx)
+	t.background("follow registry", func() { f.Run(t.ctx) })
 }
 
 func (t *term) applyRegistryRecord(r platform.KeyedRecord, registered map[string]bool) {
@@ -241,7 +250,7 @@
 	if batch.LeaseBounds != nil {
 		records = append(records, platform.KeyedRecord{Key: jobview.LeaseBoundsKey, Value: batch.LeaseBounds})
 	}
-	go t.storeBatch(batch, records, now)
+	t.background("store batch", func() { t.storeBatch(batch, records, now) })
 }
 
 func (t *term) storeBatch(batch *scheduler.Batch, records []platform.KeyedRecord, sent time.Duration) {
@@ -309,7 +318,7 @@
 	records := t.takeDueRecords(sent)
 	statuses := t.statuses.take()
 	records = append(records, statuses...)
-	go func() {
+	t.background("append to requests", func() {
 		end, err := t.requests.Append(t.ctx, records)
 		if err == nil {
 			t.applyToView(statuses, end)
@@ -327,7 +336,7 @@
 				t.appendRequests()
 			}
 		})
-	}()
+	})
 }
 
 // takeDueRecords returns the ownership record that is due, if any, and with a renewal
--- a/node/entry/node.go
+++ b/node/entry/node.go
@@ -23,6 +23,7 @@
 	"github.com/basilferry/basilferry/core/scheduler"
 	"github.com/basilferry/basilferry/node/decisionlog"
 	"github.com/basilferry/basilferry/node/dispatcher"
+	"github.com/basilferry/basilferry/node/guard"
 	"github.com/basilferry/basilferry/node/intake"
 	"github.com/basilferry/basilferry/node/steady"
 	"github.com/basilferry/basilferry/node/storelog"
@@ -132,6 +133,7 @@
 	sink         *decisionlog.Sink
 	logger       *slog.Logger
 	metrics      *metrics
+	guard        *guard.Guard
 	view         *jobview.View
 	routes       *intake.Routes
 
@@ -172,6 +174,7 @@
 		settings: p.Settings, settingsFile: string(p.SettingsFile), platform: p.Platform, clock: p.Clock, sink: p.Sink, logger: p.Logger,
 		metrics: p.Metrics, view: p.View, routes: p.Routes,
 	}
+	n.guard = guard.New(p.Logger, func(count int64) { p.Metrics.Count("unexpected_error_confined", count) })
 	incarnation := uint64(time.Now().UnixNano())
 	n.requests = n.newFollower(p.Platform.Requests, n.applyRequest, func() time.Duration {
 		if n.isOwner.Load() {
@@ -184,10 +187,10 @@
 		Store: p.Platform.OperatorStore, Partition: p.Platform.Operator, Clock: p.Clock, Wait: configReadWait,
 		Logger: decisionlog.Component(p.Logger, "config"), Apply: n.applyOperator,
 		Reset: n.evacuations.startReload, OnCaughtUp: func(int64) { n.endUnlistedEvacuations() },
-		Pause: func() time.Duration { return configPause }, OnRead: n.countConfigRead,
+		Pause: func() time.Duration { return configPause }, OnRead: n.countConfigRead, Guard: n.guard,
 	})
 	n.committer = storelog.NewCommitter(p.Platform.Store, p.Platform.Requests,
-		fmt.Sprintf("%s-%x", p.Settings.Node.Name, incarnation), p.Clock, decisionlog.Component(p.Logger, "commit"))
+		fmt.Sprintf("%s-%x", p.Settings.Node.Name, incarnation), p.Clock, decisionlog.Component(p.Logger, "commit"), n.guard)
 	n.dispatcher = dispatcher.New(n.dispatcherConfig(incarnation))
 	n.intake = intake.New(intake.Config{
 		Routes: p.Routes, View: p.View, Requests: n.requests, Required: n.requiredFollowers(), Newest: n.newestStates, Committer: n.committer,
@@ -201,7 +204,7 @@
 // between two reads.
 func (n *Node) newFollower(p platform.Partition, apply func(platform.KeyedRecord), pause func() time.Duration) *storelog.Follower {
 	return storelog.NewFollower(storelog.FollowerConfig{
-		Store: n.platform.Store, Partition: p, Clock: n.clock, Logger: decisionlog.Component(n.logger, "follow"), Apply: apply, Pause: pause,
+		Store: n.platform.Store, Partition: p, Clock: n.clock, Logger: decisionlog.Component(n.logger, "follow"), Apply: apply, Pause: pause, Guard: n.guard,
 	})
 }
 
@@ -255,7 +258,7 @@
 			HeartbeatWait: heartbeatWait, Retention: s.Retention(), MaxOffline: s.Ownership.OfflineMS.Duration(),
 		},
 		Clock: n.clock, Logger: decisionlog.Component(n.logger, "schedule"), View: n.view,
-		RequestsFollower: n.requests, StatesFollower: n.states, Metrics: n.metrics,
+		RequestsFollower: n.requests, StatesFollower: n.states, Metrics: n.metrics, Guard: n.guard,
 		OnOwnershipChange: n.isOwner.Store,
 	}
 }
@@ -338,12 +341,26 @@
 		runs = append(runs, n.states.Run)
 	}
 	for _, run := range runs {
-		n.goroutines.Go(func() { run(ctx) })
+		n.goroutines.Go(func() { n.runGuarded(ctx, run) })
 	}
 	n.logger.Info("start", "part", "node", "failure_domain", n.settings.Node.Domain, "requests", n.settings.Listen.Requests)
 	return nil
 }
 
+// componentRestartDelay is the pause before a component that has ended unexpectedly is
+// run again.
+const componentRestartDelay = 100 * time.Millisecond
+
+// runGuarded runs a component until ctx ends, again if it panics.
+func (n *Node) runGuarded(ctx context.Context, run func(context.Context)) {
+	for ctx.Err() == nil && n.guard.Do("component", func() { run(ctx) }) != nil {
+		select {
+		case <-time.After(componentRestartDelay):
+		case <-ctx.Done():
+		}
+	}
+}
+
 // startListeners opens the listeners synchronously, so that the start fails if an
 // address cannot be used.
 func (n *Node) startListeners() error {
@@ -400,7 +417,11 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		n.openRequests.Add(1)
 		defer n.openRequests.Add(-1)
-		next.ServeHTTP(w, r)
+		if n.guard.Do("request", func() { next.ServeHTTP(w, r) }, "method", r.Method, "path", r.URL.Path) != nil {
+			// Whether the request took effect is unknown. The client sends it again
+			// after a broken connection.
+			panic(http.ErrAbortHandler)
+		}
 	})
 }
 
--- a/node/entry/node_test.go
+++ b/node/entry/node_test.go
@@ -41,6 +41,8 @@
 	app    *fx.App
 	intake *intake.Intake
 	log    *lockedBuffer
+	// requests is the URL for client requests.
+	requests string
 	// statesRead counts the records of the states partition that the node has read.
 	statesRead atomic.Int64
 }
@@ -87,6 +89,19 @@
 	operatorPartition = platform.Partition{Topic: "operator"}
 )
 
+// panickingKey is the key of a record that the decoders of the test cluster panic on,
+// and panickingPayload the payload of a job that the client of the workers panics on.
+const panickingKey, panickingPayload = "odd", "odd"
+
+type panickingWorkers struct{ platform.WorkerClient }
+
+func (w panickingWorkers) Start(ctx context.Context, to platform.Endpoint, command platform.StartCommand) (time.Duration, error) {
+	if command.Payload == panickingPayload {
+		panic("odd payload")
+	}
+	return w.WorkerClient.Start(ctx, to, command)
+}
+
 const testTaskDuration = 300 * time.Millisecond
 
 func newCluster(t *testing.T, nodes int) *cluster {
@@ -124,11 +139,14 @@
 	s.Listen.Requests, s.Listen.Readiness = ports[0], ports[1]
 	s.Store.Address = "unused"
 	s.Stop.GraceS = 4
-	n := &testNode{log: &lockedBuffer{}}
+	n := &testNode{log: &lockedBuffer{}, requests: "http://" + s.Listen.Requests}
 	n.app = New(s, "", Platform{
 		Platform: dispatcher.Platform{
-			Store: n.reads(c.store), WorkerClient: c.workers, Requests: requestsPartition, States: statesPartition, Registry: registryPartition,
+			Store: n.reads(c.store), WorkerClient: panickingWorkers{c.workers}, Requests: requestsPartition, States: statesPartition, Registry: registryPartition,
 			DecodeEntry: func(r platform.KeyedRecord) (platform.RegistryEntry, error) {
+				if r.Key == panickingKey {
+					panic("odd entry")
+				}
 				return platform.RegistryEntry{
 					ID: domain.WorkerID(r.Key), Address: "a", Service: "desk", Domain: "north",
 					Capacity: domain.Resources{CPUMilli: 4000, MemoryMiB: 4000}, Labels: []string{"a", "r1"},
@@ -137,6 +155,9 @@
 		},
 		Operator: operatorPartition, OperatorStore: c.store,
 		DecodeOperatorRecord: func(r platform.KeyedRecord) (platform.OperatorChange, error) {
+			if r.Key == panickingKey {
+				panic("odd record")
+			}
 			if zone, ok := strings.CutPrefix(r.Key, "evacuate/"); ok {
 				return platform.OperatorChange{Evacuate: domain.FailureDomain(zone), Removed: len(r.Value) == 0}, nil
 			}
@@ -146,7 +167,7 @@
 		},
 		Ingress: func(jobs *intake.Intake, _ func() bool) http.Handler {
 			n.intake = jobs
-			return http.NotFoundHandler()
+			return http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { panic("odd request " + r.URL.Path) })
 		},
 	}, n.log)
 	assert.NilError(c.t, n.app.Start(context.Background()))
@@ -396,3 +417,27 @@
 		assert.Equal(t, c.workers.StartCount(fmt.Sprintf("%016x.0.0.0", i)), 1)
 	}
 }
+
+// One odd record, command or request of each kind. Guards against an unexpected error
+// that ends the process, or that stops the work that has nothing to do with it.
+func TestUnexpectedErrorEndsOnlyWhatItOccursIn(t *testing.T) {
+	c := newCluster(t, 1)
+	n := c.nodes[0]
+	c.owner()
+	odd := platform.KeyedRecord{Key: panickingKey, Value: []byte("{}")}
+	c.write(operatorPartition, odd)
+	c.write(registryPartition, odd)
+	oddJob := testJob(1)
+	oddJob.Payload = panickingPayload
+	assert.NilError(t, n.intake.Submit(context.Background(), oddJob))
+	_, err := http.Get(n.requests + "/odd")
+	assert.ErrorContains(t, err, "EOF")
+	for _, in := range []string{`"in":"apply record"`, `"in":"command"`, `"in":"request"`} {
+		c.waitForLog(0, in)
+	}
+	c.write(operatorPartition, platform.KeyedRecord{Key: "evacuate/south", Value: []byte("{}")})
+	c.waitForLog(0, `"failure_domain":"south","out":true`)
+	assert.NilError(t, n.intake.Submit(context.Background(), testJob(2)))
+	n.awaitState(t, testJob(2).ID, job.StateCompleted)
+	assert.NilError(t, n.intake.Cancel(context.Background(), oddJob.ID))
+}
--- a/node/storelog/committer.go
+++ b/node/storelog/committer.go
@@ -8,6 +8,7 @@
 
 	"github.com/basilferry/basilferry/core/domain"
 	"github.com/basilferry/basilferry/core/platform"
+	"github.com/basilferry/basilferry/node/guard"
 	"github.com/basilferry/basilferry/node/steady"
 )
 
@@ -36,6 +37,7 @@
 	logger    *slog.Logger
 	producer  platform.Producer
 	queue     chan *commit
+	guard     *guard.Guard
 }
 
 type commit struct {
@@ -46,9 +48,9 @@
 // NewCommitter returns a committer. Run must be called to start it. The name is the
 // producer's name in the store. It must be different each time the process starts,
 // because the epoch and the sequence number start from 1.
-func NewCommitter(store platform.Store, p platform.Partition, name string, clock *steady.Clock, logger *slog.Logger) *Committer {
+func NewCommitter(store platform.Store, p platform.Partition, name string, clock *steady.Clock, logger *slog.Logger, g *guard.Guard) *Committer {
 	return &Committer{
-		store: store, partition: p, clock: clock, logger: logger,
+		store: store, partition: p, clock: clock, logger: logger, guard: g,
 		producer: platform.Producer{Name: name, Epoch: 1, Seq: 1},
 		queue:    make(chan *commit, queueLength),
 	}
@@ -83,6 +85,8 @@
 	}
 }
 
+var errPanicked = errors.New("an unexpected error ended the append")
+
 func (c *Committer) group(first *commit) []*commit {
 	group := []*commit{first}
 	for len(group) < maxGroupRecords {
@@ -101,7 +105,11 @@
 	for i, item := range group {
 		records[i] = item.record
 	}
-	err := c.appendUntilResolved(ctx, records)
+	var err error
+	if c.guard.Do("commit", func() { err = c.appendUntilResolved(ctx, records) }) != nil {
+		c.startNewEpoch(errPanicked)
+		err = unknownOutcome()
+	}
 	for _, item := range group {
 		item.done <- err
 	}
--- a/node/storelog/follower.go
+++ b/node/storelog/follower.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/basilferry/basilferry/core/platform"
+	"github.com/basilferry/basilferry/node/guard"
 	"github.com/basilferry/basilferry/node/steady"
 )
 
@@ -47,6 +48,8 @@
 	OnCaughtUp func(end int64)
 	// OnRead is called after each read. It may be nil.
 	OnRead func(ReadStats)
+	// Guard confines panics of Apply to one record, and others to one read. It may be nil.
+	Guard *guard.Guard
 	// Pause returns the time to wait before the next read, which batches the records
 	// of a busy partition. It may be nil.
 	Pause func() time.Duration
@@ -157,15 +160,27 @@
 // Run reads until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		from, err := f.loadNewest(ctx)
+		var err error
+		if unexpected := f.cfg.Guard.Do("follow", func() { err = f.runOnce(ctx) }); unexpected != nil {
+			err = unexpected
+		}
 		if err != nil {
 			f.handleReadError(ctx, err)
-			continue
 		}
-		f.follow(ctx, from)
 	}
 }
 
+// runOnce applies the newest records and then follows the partition, until it has to
+// start over.
+func (f *Follower) runOnce(ctx context.Context) error {
+	from, err := f.loadNewest(ctx)
+	if err != nil {
+		return err
+	}
+	f.follow(ctx, from)
+	return nil
+}
+
 // loadNewest applies the newest record of each key and returns the offset to continue
 // from. The pages are not a consistent snapshot, so this is the end of the partition
 // as of the first page.
@@ -255,7 +270,8 @@
 func (f *Follower) apply(records []platform.KeyedRecord, transfer platform.Transfer) {
 	start := f.cfg.Clock.Now()
 	for _, r := range records {
-		f.cfg.Apply(r)
+		// The guard reports the error. The other records still apply.
+		_ = f.cfg.Guard.Do("apply record", func() { f.cfg.Apply(r) }, "topic", f.cfg.Partition.Topic, "key", r.Key, "offset", r.Offset)
 	}
 	stats := ReadStats{Transfer: transfer, Apply: f.cfg.Clock.Now() - start, Records: len(records)}
 	if transfer.Duration+stats.Apply > slowRead {
--- a/node/storelog/storelog_test.go
+++ b/node/storelog/storelog_test.go
@@ -59,7 +59,7 @@
 
 func startCommitter(t *testing.T, s *fakeStore) *Committer {
 	t.Helper()
-	c := NewCommitter(s, testPartition, "node-1", steady.New(), slog.New(slog.NewTextHandler(io.Discard, nil)))
+	c := NewCommitter(s, testPartition, "node-1", steady.New(), slog.New(slog.NewTextHandler(io.Discard, nil)), nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); c.Run(ctx) }()
@@ -138,17 +138,18 @@
 // what it has written, and against a follower that skips the records of others.
 func TestFollowerDoesNotReadWhatItsOwnerHasApplied(t *testing.T) {
 	s := newFakeStore()
-	applied := make(chan string, 100)
+	applied, caughtUp := make(chan string, 100), make(chan struct{}, 100)
 	f := NewFollower(FollowerConfig{
 		Store: s, Partition: testPartition, Clock: steady.New(), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Apply: func(r platform.KeyedRecord) { applied <- r.Key },
-		Pause: func() time.Duration { return time.Hour },
+		Pause: func() time.Duration { return time.Hour }, OnCaughtUp: func(int64) { caughtUp <- struct{}{} },
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	go f.Run(ctx)
-	for f.End() < 0 && ctx.Err() == nil {
-		f.Refresh(ctx, time.Millisecond)
+	// After the newest records and one empty read, the follower pauses.
+	for range 2 {
+		<-caughtUp
 	}
 	w := NewOwnerWriter(s, testPartition, 1)
 	for range 10 {
