dispatcher: a resigning owner stores its release; a new process schedules only after it has read all operator records

Change: the term ends only once the ownership follows another owner; the scheduler gets the configuration and the evacuations once all operator records have been read (heartbeats and leases go on before that). The dispatcher has tests of its own for the orderings of a hand-over.

Measured: the tests only.

--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -106,6 +106,10 @@
 // owner that it belongs to.
 func (o *Ownership) OwnToken() (platform.Token, bool) { return o.token, o.state == owning }
 
+// IsResigning reports whether this process is the owner and its release is not stored
+// yet.
+func (o *Ownership) IsResigning() bool { return o.state == resigning }
+
 // Owner returns the name of the owner and the newest fencing token. The name is
 // empty if there is no owner.
 func (o *Ownership) Owner() (string, platform.Token) {
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -336,6 +336,9 @@
 // SetEvacuated takes a failure domain out, so that no new attempts start in it, or
 // puts it back.
 func (s *Scheduler) SetEvacuated(d domain.FailureDomain, isEvacuated bool) {
+	if s.evacuated[d] == isEvacuated {
+		return
+	}
 	s.evacuated[d] = isEvacuated
 	s.needsPlan = true
 }
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -21,6 +21,8 @@
 	// failure domains. They are kept for the next term.
 	config    *platform.OperatorConfig
 	evacuated map[domain.FailureDomain]bool
+	// operatorRead is true once all operator records have been read.
+	operatorRead bool
 	// lastReadAt is when the log was last read to its end, as of the last call of
 	// advance.
 	lastReadAt time.Duration
--- /dev/null
+++ b/node/dispatcher/handover_test.go
@@ -0,0 +1,98 @@
+package dispatcher
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/basilferry/basilferry/core/jobview"
+	"github.com/basilferry/basilferry/core/ownership"
+	"github.com/basilferry/basilferry/core/platform"
+	"github.com/basilferry/basilferry/node/steady"
+	"github.com/basilferry/basilferry/node/storelog"
+	"github.com/basilferry/basilferry/standin/fleet"
+)
+
+// newTestDispatcher returns a dispatcher whose decision goroutine does not run: the
+// tests call its methods in the order that they are about.
+func newTestDispatcher(t *testing.T) *Dispatcher {
+	t.Helper()
+	clock, logger, store := steady.New(), slog.New(slog.NewTextHandler(io.Discard, nil)), fleet.NewStore()
+	requests, states := platform.Partition{Topic: "own"}, platform.Partition{Topic: "own", Part: 1}
+	follower := func(p platform.Partition) *storelog.Follower {
+		return storelog.NewFollower(storelog.FollowerConfig{Store: store, Partition: p, Clock: clock, Logger: logger, Apply: func(platform.KeyedRecord) {}})
+	}
+	d := New(Config{
+		Platform:  Platform{Store: store, Requests: requests, States: states},
+		Ownership: ownership.Settings{Node: "n1", Incarnation: 7, OwnerTimeout: time.Second, RenewInterval: 500 * time.Millisecond, ResignCooldown: time.Minute},
+		Clock:     clock, Logger: logger, View: jobview.New(),
+		RequestsFollower: follower(requests), StatesFollower: follower(states), OnOwnershipChange: func(bool) {},
+	})
+	t.Cleanup(d.cancel)
+	return d
+}
+
+func ownRecord(kind ownership.RecordKind, token platform.Token) ownership.Record {
+	return ownership.Record{Kind: kind, Node: "n1", Incarnation: 7, Token: token}
+}
+
+// Orderings of the records that an owner reads while it hands over. Guards against a
+// term that ends before the release is appended, so that the next owner waits for the
+// owner timeout, and against one that goes on after a newer claim.
+func TestTermEndsWithItsReleaseOrANewerClaim(t *testing.T) {
+	newerClaim := ownership.Record{Kind: ownership.KindClaim, Node: "n2", Incarnation: 1}
+	for _, c := range []struct {
+		name    string
+		resigns bool
+		record  ownership.Record
+		offset  int64
+		goesOn  bool
+	}{
+		{"own renewal", false, ownRecord(ownership.KindRenewal, 5), 5, true},
+		{"own renewal while resigning", true, ownRecord(ownership.KindRenewal, 5), 5, true},
+		{"own release", true, ownRecord(ownership.KindRelease, 5), 5, false},
+		{"newer claim", false, newerClaim, 6, false},
+		{"newer claim while resigning", true, newerClaim, 6, false},
+		{"older claim", false, newerClaim, 2, true},
+	} {
+		d := newTestDispatcher(t)
+		d.observeOwner(ownRecord(ownership.KindClaim, 0), 4)
+		assert.Assert(t, d.term != nil, c.name)
+		term := d.term
+		if c.resigns {
+			d.ownership.MarkUnfit(d.cfg.Clock.Now())
+		}
+		d.observeOwner(c.record, c.offset)
+		assert.Equal(t, d.term == term, c.goesOn, c.name)
+		assert.Equal(t, term.ctx.Err() == nil, c.goesOn, "%s: commands of an ended term are not sent", c.name)
+	}
+}
+
+// Results and acknowledgements that arrive after the hand-over. Guards against an event
+// of an ended term that changes the next one.
+func TestEventOfAnEndedTermIsDropped(t *testing.T) {
+	d := newTestDispatcher(t)
+	d.observeOwner(ownRecord(ownership.KindClaim, 0), 4)
+	ended := d.term
+	handled := false
+	d.postForTerm(ended, func() { handled = true })
+	d.endTerm("test")
+	d.observeOwner(ownRecord(ownership.KindClaim, 0), 9)
+	assert.Assert(t, d.term != ended && d.term != nil)
+	d.drainEvents()
+	assert.Assert(t, !handled)
+}
+
+// A panic in the decision goroutine. Guards against a scheduler that goes on with an
+// inconsistent state, and against a node that never owns again.
+func TestPanicEndsTheTermAndLeavesTheNodeFitToClaim(t *testing.T) {
+	d := newTestDispatcher(t)
+	d.observeOwner(ownRecord(ownership.KindClaim, 0), 4)
+	d.guarded("event", func() { panic("odd") })
+	assert.Assert(t, d.term == nil)
+	later := d.cfg.Clock.Now() + 2*time.Second
+	assert.Equal(t, d.ownership.NextAction(later, later), ownership.Claim)
+}
--- a/node/dispatcher/records.go
+++ b/node/dispatcher/records.go
@@ -104,7 +104,7 @@
 	case owning && (d.term == nil || d.term.token != own):
 		d.endTerm("this process made a newer claim")
 		d.startTerm(own)
-	case !owning && d.term != nil:
+	case !owning && !d.ownership.IsResigning() && d.term != nil:
 		d.endTerm("this process is no longer the owner")
 	}
 }
@@ -127,14 +127,11 @@
 	}
 }
 
-// SetConfig passes the operator's configuration to the scheduler of the current term,
-// if there is one, and of later terms.
+// SetConfig sets the operator's configuration.
 func (d *Dispatcher) SetConfig(c *platform.OperatorConfig) {
 	d.post(func() {
 		d.config = c
-		if d.term != nil && d.term.jobScheduler != nil {
-			d.term.jobScheduler.SetConfig(c)
-		}
+		d.passOperatorRecords()
 	})
 }
 
@@ -142,12 +139,37 @@
 func (d *Dispatcher) Evacuate(change platform.OperatorChange) {
 	d.post(func() {
 		d.evacuated[change.Evacuate] = !change.Removed
-		if d.term != nil && d.term.jobScheduler != nil {
-			d.term.jobScheduler.SetEvacuated(change.Evacuate, !change.Removed)
+		d.passOperatorRecords()
+	})
+}
+
+// MarkOperatorRead records that all operator records have been read.
+func (d *Dispatcher) MarkOperatorRead() {
+	d.post(func() {
+		if !d.operatorRead {
+			d.operatorRead = true
+			d.passOperatorRecords()
 		}
 	})
 }
 
+// passOperatorRecords passes the configuration and the evacuations to the scheduler of
+// the current term. It passes nothing before all of them have been read: without a
+// configuration nothing starts, and with a part of the records a task could start in
+// an evacuated failure domain.
+func (d *Dispatcher) passOperatorRecords() {
+	if !d.operatorRead || d.term == nil || d.term.jobScheduler == nil {
+		return
+	}
+	s := d.term.jobScheduler
+	for domain, isEvacuated := range d.evacuated {
+		s.SetEvacuated(domain, isEvacuated)
+	}
+	if d.config != nil {
+		s.SetConfig(d.config)
+	}
+}
+
 // ResignForShutdown resigns ownership, if this node has it, and prevents new
 // claims, for a planned stop of the process.
 func (d *Dispatcher) ResignForShutdown() {
--- a/node/dispatcher/term.go
+++ b/node/dispatcher/term.go
@@ -148,12 +148,7 @@
 	for _, id := range restored.Cancelled {
 		s.Cancel(id, now)
 	}
-	if d.config != nil {
-		s.SetConfig(d.config)
-	}
-	for domain, isEvacuated := range d.evacuated {
-		s.SetEvacuated(domain, isEvacuated)
-	}
+	d.passOperatorRecords()
 	d.cfg.Logger.Info("scheduling started", "token", t.token, "jobs", restored.Jobs.Len(), "over", len(restored.Finished), "cancelled", len(restored.Cancelled), "after", now-t.since,
 		"former_token", d.previousOwner.Token, "former_dead", d.previousOwner.ProcessEnded, "former_age_ms", (now - d.previousOwner.LastSeenAt).Milliseconds())
 	t.followRegistry()
--- a/node/entry/node.go
+++ b/node/entry/node.go
@@ -186,7 +186,10 @@
 	n.operator = storelog.NewFollower(storelog.FollowerConfig{
 		Store: p.Platform.OperatorStore, Partition: p.Platform.Operator, Clock: p.Clock, Wait: configReadWait,
 		Logger: decisionlog.Component(p.Logger, "config"), Apply: n.applyOperator,
-		Reset: n.evacuations.startReload, OnCaughtUp: func(int64) { n.endUnlistedEvacuations() },
+		Reset: n.evacuations.startReload, OnCaughtUp: func(int64) {
+			n.endUnlistedEvacuations()
+			n.dispatcher.MarkOperatorRead()
+		},
 		Pause: func() time.Duration { return configPause }, OnRead: n.countConfigRead, Guard: n.guard,
 	})
 	n.committer = storelog.NewCommitter(p.Platform.Store, p.Platform.Requests,
--- a/node/entry/node_test.go
+++ b/node/entry/node_test.go
@@ -35,6 +35,8 @@
 	store   *fleet.Store
 	workers *fleet.Workers
 	nodes   []*testNode
+	// operatorStore is the store from which nodes read the operator's records.
+	operatorStore platform.Store
 }
 
 type testNode struct {
@@ -108,6 +110,7 @@
 	t.Helper()
 	ids := []domain.WorkerID{"w1", "w2"}
 	c := &cluster{t: t, store: fleet.NewStore(), workers: fleet.NewWorkers(ids, testTaskDuration)}
+	c.operatorStore = c.store
 	c.write(operatorPartition, platform.KeyedRecord{Key: "config", Value: []byte("{}")})
 	for _, id := range ids {
 		c.write(registryPartition, platform.KeyedRecord{Key: string(id), Value: []byte("{}")})
@@ -153,7 +156,7 @@
 				}, nil
 			},
 		},
-		Operator: operatorPartition, OperatorStore: c.store,
+		Operator: operatorPartition, OperatorStore: c.operatorStore,
 		DecodeOperatorRecord: func(r platform.KeyedRecord) (platform.OperatorChange, error) {
 			if r.Key == panickingKey {
 				panic("odd record")
@@ -441,3 +444,44 @@
 	n.awaitState(t, testJob(2).ID, job.StateCompleted)
 	assert.NilError(t, n.intake.Cancel(context.Background(), oddJob.ID))
 }
+
+// pagedStore returns the newest records in pages of one record, and the second page only
+// after a delay.
+type pagedStore struct {
+	platform.Store
+	delay time.Duration
+}
+
+func (s pagedStore) ReadNewest(ctx context.Context, p platform.Partition, after string) (platform.NewestPage, error) {
+	page, err := s.Store.ReadNewest(ctx, p, "")
+	if err != nil {
+		return page, err
+	}
+	if after != "" {
+		time.Sleep(s.delay)
+	}
+	for i, r := range page.Records {
+		if r.Key > after {
+			page.Records, page.More = page.Records[i:i+1], i+1 < len(page.Records)
+			return page, nil
+		}
+	}
+	page.Records = nil
+	return page, nil
+}
+
+// All nodes restart while a failure domain is evacuated and the store answers slowly.
+// Guards against a new process that has read the configuration but not yet the
+// evacuation, and starts tasks in the domain.
+func TestRestartedNodeStartsNothingInEvacuatedDomain(t *testing.T) {
+	c := newCluster(t, 0)
+	c.write(operatorPartition, platform.KeyedRecord{Key: "evacuate/north", Value: []byte("{}")})
+	c.operatorStore = pagedStore{c.store, 1500 * time.Millisecond}
+	n := c.start("n1")
+	assert.NilError(t, n.intake.Submit(context.Background(), testJob(1)))
+	c.waitForLog(0, `"failure_domain":"north","out":true`)
+	time.Sleep(500 * time.Millisecond) // A start that was prepared would be sent by now.
+	assert.Equal(t, c.workers.StartCount("0000000000000001.0.0.0"), 0)
+	c.write(operatorPartition, platform.KeyedRecord{Key: "evacuate/north"})
+	n.awaitState(t, testJob(1).ID, job.StateCompleted)
+}
