--- /dev/null
+++ b/core/ledger/fuzz_test.go
@@ -0,0 +1,75 @@
+package ledger
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/job"
+	"github.com/basilferry/basilferry/core/platform"
+)
+
+func fuzzJob() *job.Job {
+	step := job.Step{Count: 3, Need: domain.Resources{CPUMilli: 100}}
+	second := step
+	second.DependsOn = []int{0}
+	return &job.Job{ID: "0123456789abcdef", Steps: []job.Step{step, second}, Queue: job.Queue{Route: "q", MaxAttempts: 2}, Repeat: job.Repeat{Count: 2, IntervalMS: 5}}
+}
+
+// Guards against an acceptance record that ends the process or that describes a job
+// which no client could have submitted.
+func FuzzAcceptanceRecord(f *testing.F) {
+	record, err := EncodeJob(fuzzJob())
+	assert.NilError(f, err)
+	f.Add(record)
+	f.Add([]byte{3, 'a'})
+	f.Fuzz(func(t *testing.T, record []byte) {
+		j, err := DecodeJob(record)
+		if err != nil {
+			return
+		}
+		assert.NilError(t, j.Validate())
+		New().Accept(j)
+	})
+}
+
+// Guards against a state record that ends the process, that leaves a job with tasks in
+// no usable phase, or whose counts differ from its tasks.
+func FuzzStateRecord(f *testing.F) {
+	l := New()
+	e := l.Accept(fuzzJob())
+	first := job.TaskID{StepID: job.StepID{Job: e.Job.ID}}
+	l.Place(first, 1, "w1")
+	l.RecordCompletion(first, 1, platform.CompletionDone, "c")
+	record, err := EncodeState(e)
+	assert.NilError(f, err)
+	f.Add(record)
+	f.Add(record[:headerBytes])
+	f.Fuzz(func(t *testing.T, record []byte) {
+		restored := New()
+		if restored.Restore(fuzzJob(), record) != nil {
+			return
+		}
+		e := restored.Entry("0123456789abcdef")
+		placed := 0
+		e.ForEachPlaced(func(job.TaskID, Task) { placed++ })
+		assert.Equal(t, e.PlacedCount(), placed)
+		for k := range e.Occurrences {
+			for i := range e.Job.Steps {
+				waiting, exhausted := 0, 0
+				e.ForEachWaiting(k, i, func(int, Task) { waiting++ })
+				if o := e.Occurrences[k]; o != nil {
+					for _, task := range o.Steps[i].Tasks {
+						if task.Phase == Exhausted {
+							exhausted++
+						}
+					}
+				}
+				assert.Equal(t, e.WaitingCount(k, i), waiting+exhausted)
+			}
+		}
+		_, err := EncodeState(e)
+		assert.NilError(t, err)
+	})
+}
--- a/core/ledger/record.go
+++ b/core/ledger/record.go
@@ -158,6 +158,9 @@
 		if o.Index < 0 || o.Index >= len(e.Occurrences) || len(o.Steps) != len(e.Job.Steps) {
 			return fmt.Errorf("occurrence %d with %d steps does not fit the job", o.Index, len(o.Steps))
 		}
+		if e.Occurrences[o.Index] != nil {
+			return fmt.Errorf("the record has occurrence %d twice", o.Index)
+		}
 		if err := e.restoreOccurrence(o, stored.Workers); err != nil {
 			return err
 		}
@@ -190,6 +193,9 @@
 	if s.Worker < 0 || s.Worker >= len(workers) {
 		return fmt.Errorf("the record refers to worker %d but lists only %d", s.Worker, len(workers))
 	}
+	if s.Phase > Exhausted || s.Attempt < 0 {
+		return fmt.Errorf("the record has a task in phase %d with attempt number %d", s.Phase, s.Attempt)
+	}
 	*t = Task{Attempt: s.Attempt, FailedAttempts: s.FailedAttempts, Worker: workers[s.Worker], Checkpoint: s.Checkpoint}
 	switch s.Phase {
 	case Placed:
@@ -249,5 +255,8 @@
 	if err := cbor.Unmarshal(record[1+len(name):], &stored); err != nil {
 		return nil, fmt.Errorf("decode acceptance record: %w", err)
 	}
+	if err := stored.Job.Validate(); err != nil {
+		return nil, fmt.Errorf("decode acceptance record: %w", err)
+	}
 	return &stored.Job, nil
 }
--- a/core/scheduler/bounds.go
+++ b/core/scheduler/bounds.go
@@ -129,6 +129,13 @@
 			stored, err = storedLeaseBounds{}, fmt.Errorf("decode lease bounds: %w", err)
 		}
 	}
+	for _, b := range stored.Workers {
+		if b.RemainingMS < 0 || b.RemainingMS > (s.settings.MaxOffline+s.maxLeaseDuration()).Milliseconds() {
+			err = fmt.Errorf("decode lease bounds: a lease of worker %s lasts %d ms", b.ID, b.RemainingMS)
+			stored = storedLeaseBounds{}
+			break
+		}
+	}
 	last := previous.LastSeenAt + s.settings.MaxOffline
 	if previous.ProcessEnded && stored.Token == int64(previous.Token) {
 		// The latest previous owner granted its last lease before now, and its
--- a/core/sharing/record.go
+++ b/core/sharing/record.go
@@ -1,7 +1,9 @@
 package sharing
 
 import (
+	"errors"
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -70,6 +72,9 @@
 	if err := cbor.Unmarshal(data, &stored); err != nil {
 		return nil, fmt.Errorf("decode the interference model: %w", err)
 	}
+	if !areFinite(stored.Mean, stored.Amplitude) {
+		return nil, fmt.Errorf("decode the interference model: the load is not a number")
+	}
 	m := NewModel()
 	m.loads.prior = harmonic{mean: float64(stored.Mean), c: float64(stored.Amplitude)}
 	for i, p := range periods {
@@ -93,14 +98,22 @@
 		return nil, fmt.Errorf("%d images but %d rows and %d targets", size, len(s.Products), len(s.Targets))
 	}
 	r := newRegression()
-	for _, image := range s.Images {
-		r.column(image)
+	for i, image := range s.Images {
+		if r.column(image) != i {
+			return nil, fmt.Errorf("image %s is listed twice", image)
+		}
+	}
+	if !areFinite(s.Weight, s.SumSquares) || !areFinite(s.Targets...) {
+		return nil, errors.New("a sum is not a number")
 	}
 	r.weight, r.sumSquares = float64(s.Weight), float64(s.SumSquares)
 	for i, row := range s.Products {
 		if len(row) != i+1 {
 			return nil, fmt.Errorf("row %d of the triangular matrix has %d columns", i, len(row))
 		}
+		if !areFinite(row...) {
+			return nil, errors.New("a sum is not a number")
+		}
 		r.targets[i] = float64(s.Targets[i])
 		for j, v := range row {
 			r.products[i][j], r.products[j][i] = float64(v), float64(v)
@@ -109,3 +122,12 @@
 	r.solve()
 	return r, nil
 }
+
+func areFinite(values ...float32) bool {
+	for _, v := range values {
+		if math.IsNaN(float64(v)) || math.IsInf(float64(v), 0) {
+			return false
+		}
+	}
+	return true
+}
