--- a/core/scheduler/harness_test.go
+++ b/core/scheduler/harness_test.go
@@ -31,7 +31,8 @@
 	finishedAttempts map[string]int
 	// An unresponsive worker neither carries out nor answers commands.
 	// dropStartResults makes the worker carry out start requests without answering.
-	unresponsive, dropStartResults bool
+	// dropResults makes it carry out all commands without answering.
+	unresponsive, dropStartResults, dropResults bool
 	// The attempts on a stalled worker make no progress.
 	stalled bool
 	started []platform.AttemptKey
@@ -67,8 +68,8 @@
 }
 
 // execute carries out a command. It returns false if the worker does not answer.
-func (w *fakeWorker) execute(command *Command) (Result, bool) {
-	result := Result{Command: command}
+func (w *fakeWorker) execute(command *Command) (result Result, answered bool) {
+	result = Result{Command: command}
 	if w.unresponsive {
 		return result, false
 	}
@@ -77,6 +78,9 @@
 		return result, true
 	}
 	w.maxToken = command.Token
+	if w.dropResults {
+		defer func() { answered = false }()
+	}
 	switch command.Kind {
 	case CommandHeartbeat:
 		w.leaseUntil = max(w.leaseUntil, command.Heartbeat.Until)
