Stages of a job by queue: histograms, the queue on decision lines, and the longest stage in basilferry trace

Cause: a complaint about one class of requests could not be followed: decision lines did not name the queue, and the time between acceptance and start was known only by comparing sampled lines.

Change: the scheduler measures accept to view, view to place, place to start and end to next place, by queue (metric basilferry_stage). basilferry trace prints the longest time of each stage of a job. The end on the worker has no time of its own in its reports, so that stage is not measured. TestTraceOrdersLinesOfOneJob expects the additional line, with the same exactness as before.

Measured: the tests only.

--- a/cli/command/trace.go
+++ b/cli/command/trace.go
@@ -35,6 +35,9 @@
 type traceLine struct {
 	at   time.Time
 	text string
+	// message, task and attempt are those of a decision; empty and 0 in other lines.
+	message, task string
+	attempt       int
 }
 
 func (e *Env) runTrace(_ context.Context, c *cli.Command) error {
@@ -67,7 +70,7 @@
 			return err
 		}
 	}
-	return nil
+	return writeStages(e.Out, lines)
 }
 
 func readTraceFile(name, id string) ([]traceLine, error) {
@@ -114,6 +117,11 @@
 	if err != nil {
 		return traceLine{}, false
 	}
+	line := traceLine{at: at, message: fmt.Sprint(fields["msg"])}
+	line.task, _ = fields["task"].(string)
+	if attempt, ok := fields["run"].(float64); ok {
+		line.attempt = int(attempt)
+	}
 	head := fmt.Sprintf("%s %v %v: %v", at.Format("15:04:05.000"), fields["node"], fields["part"], fields["msg"])
 	for _, name := range []string{"time", "level", "node", "part", "msg", "job"} {
 		delete(fields, name)
@@ -123,5 +131,6 @@
 		rest = append(rest, fmt.Sprintf("%s=%v", name, value))
 	}
 	slices.Sort(rest)
-	return traceLine{at: at, text: strings.TrimSpace(head + " " + strings.Join(rest, " "))}, true
+	line.text = strings.TrimSpace(head + " " + strings.Join(rest, " "))
+	return line, true
 }
--- a/cli/command/trace_test.go
+++ b/cli/command/trace_test.go
@@ -21,7 +21,8 @@
 	var out, errs bytes.Buffer
 	env := Env{In: strings.NewReader(traceLog), Out: &out, Err: &errs}
 	assert.Equal(t, Run(context.Background(), []string{"basilferry", "trace", "527a3d70119eb1ef"}, env), 0)
-	assert.Equal(t, out.String(), "16:23:09.116 n1 intake: accept config=2\n16:23:12.126 n2 schedule: place run=2 worker=i-1\n")
+	assert.Equal(t, out.String(), "16:23:09.116 n1 intake: accept config=2\n16:23:12.126 n2 schedule: place run=2 worker=i-1\n"+
+		"stages: accept_to_place=3010ms; longest: accept_to_place\n")
 }
 
 // Guards against an empty result without an error for an id that no line contains.
--- a/core/scheduler/command.go
+++ b/core/scheduler/command.go
@@ -72,6 +72,8 @@
 	Action string
 	// Job is the job concerned; empty if the decision concerns only a worker.
 	Job job.ID
+	// Route is the queue of the job; empty if the job is not known.
+	Route string
 	// Task and Attempt identify the attempt concerned; empty and 0 if there is
 	// none. For "advice", Attempt is the number of tickets received.
 	Task    string
--- a/core/scheduler/heartbeat.go
+++ b/core/scheduler/heartbeat.go
@@ -246,6 +246,7 @@
 	}
 	closed := e.IsClosed()
 	s.ledger.RecordCompletion(id, completion.Attempt, completion.Kind, completion.Checkpoint)
+	s.recordStepEnd(e, id, now)
 	s.countCompletion(completion.Kind)
 	s.recordDecision(Decision{Action: "end", Job: id.Job, Task: completion.Task, Attempt: completion.Attempt, Worker: w.ID, Reason: string(completion.Kind)})
 	if !closed && e.IsClosed() {
--- a/core/scheduler/plan.go
+++ b/core/scheduler/plan.go
@@ -60,6 +60,7 @@
 	if p.Step.Gang {
 		attempt = s.gangAttemptNumber(p, attempt)
 	}
+	s.recordPlaceStage(p, now)
 	s.ledger.Place(p.Task, attempt, p.Worker.ID)
 	r := &fleet.Attempt{
 		ID: p.Task, Attempt: attempt, Phase: fleet.AttemptUnsent, Step: p.Step, Need: p.Step.ReservedCapacity(), PlacedAt: now, SpeedPercent: fullSpeedPercent, SpeedKnown: true,
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -139,6 +139,10 @@
 	// TakeDecisions.
 	dropped  int64
 	Counters Counters
+	// stages are the measured stages that the driver has not taken yet, and stepEndedAt
+	// is when the last step of each open job ended.
+	stages      []StageTime
+	stepEndedAt map[job.ID]fleet.Instant
 }
 
 // Counters count the scheduler's decisions and their results, for the metrics.
@@ -182,6 +186,7 @@
 		idleSince:      map[job.ID]fleet.Instant{},
 		freeShares:     map[string]float64{},
 		boundedWorkers: map[domain.WorkerID]bool{},
+		stepEndedAt:    map[job.ID]fleet.Instant{},
 		lastStoreAck:   claimed,
 	}
 }
@@ -227,6 +232,9 @@
 		s.dropped++
 		return
 	}
+	if e := s.ledger.Entry(d.Job); e != nil {
+		d.Route = e.Job.Queue.Route
+	}
 	s.decisions = append(s.decisions, d)
 }
 
@@ -309,6 +317,7 @@
 func (s *Scheduler) stopAttemptsOf(e *ledger.Entry, now fleet.Instant) {
 	s.dropAdvice(e.Job.ID)
 	delete(s.idleSince, e.Job.ID)
+	delete(s.stepEndedAt, e.Job.ID)
 	e.ForEachPlaced(func(id job.TaskID, t ledger.Task) {
 		w := s.fleet.Worker(t.Worker)
 		if w == nil {
--- a/core/scheduler/start.go
+++ b/core/scheduler/start.go
@@ -108,6 +108,9 @@
 	if r.Phase == fleet.AttemptSent {
 		r.Phase = fleet.AttemptStarted
 		r.StartedAt = now
+		if e := s.ledger.Entry(r.ID.Job); e != nil {
+			s.recordStage(StageStart, e.Job.Queue, now-r.PlacedAt)
+		}
 		s.setStartSpeed(w, r, now)
 	}
 	s.recordDecision(Decision{
--- a/node/dispatcher/config.go
+++ b/node/dispatcher/config.go
@@ -58,6 +58,8 @@
 	Gauge(name string, value float64)
 	// Observe records the latency of the named call.
 	Observe(name string, d time.Duration)
+	// ObserveStage records the time of a stage of a job of the named queue.
+	ObserveStage(stage, queue string, d time.Duration)
 }
 
 const (
--- a/node/dispatcher/execute.go
+++ b/node/dispatcher/execute.go
@@ -66,6 +66,9 @@
 		t.d.cfg.Logger.Warn("decisions were dropped and not logged", "count", dropped)
 	}
 	t.countDecisions()
+	for _, stage := range t.jobScheduler.TakeStages() {
+		t.d.cfg.Metrics.ObserveStage(string(stage.Stage), stage.Route, stage.Took)
+	}
 }
 
 func (t *term) logDecision(d *scheduler.Decision) {
@@ -76,6 +79,7 @@
 		}
 	}
 	add("job", string(d.Job))
+	add("queue", d.Route)
 	add("task", d.Task)
 	if d.Attempt > 0 {
 		attrs = append(attrs, slog.Int("run", d.Attempt))
--- a/node/dispatcher/records.go
+++ b/node/dispatcher/records.go
@@ -1,11 +1,14 @@
 package dispatcher
 
 import (
+	"time"
+
 	"github.com/basilferry/basilferry/core/job"
 	"github.com/basilferry/basilferry/core/jobview"
 	"github.com/basilferry/basilferry/core/ledger"
 	"github.com/basilferry/basilferry/core/ownership"
 	"github.com/basilferry/basilferry/core/platform"
+	"github.com/basilferry/basilferry/core/scheduler"
 	"github.com/basilferry/basilferry/node/storelog"
 )
 
@@ -118,6 +121,10 @@
 		d.cfg.Logger.Error("job ignored", "key", r.Key, "offset", r.Offset, "err", err)
 		return
 	}
+	if d.term.jobScheduler.State(j.ID) == "" {
+		sinceSubmission := time.Duration(max(0, time.Now().UnixMilli()-j.SubmittedUnixMS)) * time.Millisecond
+		d.cfg.Metrics.ObserveStage(string(scheduler.StageView), j.Queue.Route, sinceSubmission)
+	}
 	d.term.jobScheduler.Accept(j, d.cfg.Clock.Now())
 }
 
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -41,3 +41,8 @@
 func (m *metrics) Observe(name string, d time.Duration) {
 	m.scope.Tagged(map[string]string{"call": name}).Histogram("latency", latencyBuckets).RecordDuration(d)
 }
+
+// ObserveStage records the time of a stage of a job of the named queue.
+func (m *metrics) ObserveStage(stage, queue string, d time.Duration) {
+	m.scope.Tagged(map[string]string{"stage": stage, "queue": queue}).Histogram("stage", latencyBuckets).RecordDuration(d)
+}
