dispatcher: an owner hands over when its failure domain is evacuated

Operators evacuate a domain because it is about to go.

Change: an owner resigns when the evacuation of its own failure domain starts, unless no other domain with workers is in service. Nodes in an evacuated domain claim 0.7 s later.

--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -27,10 +27,10 @@
 	ResignCooldown time.Duration
 	// CPUShare is the share of a core that this node has. A node with less than
 	// smallNodeRatio of the share of the latest owner delays its claims by
-	// SmallNodeDelay: it would be a much slower owner, and nodes like the latest one
-	// probably exist.
-	CPUShare       float64
-	SmallNodeDelay time.Duration
+	// UnsuitedDelay: it would be a much slower owner, and nodes like the latest one
+	// probably exist. So does a node in an evacuated failure domain.
+	CPUShare      float64
+	UnsuitedDelay time.Duration
 }
 
 // smallNodeRatio is the ratio of two nodes' CPU shares up to which the smaller one
@@ -79,6 +79,8 @@
 	vacant bool
 	// ownerShare is the CPU share of the latest owner that has stored it; 0 if none has.
 	ownerShare float64
+	// evacuated is true while this node's failure domain is evacuated.
+	evacuated bool
 	// ownerSeenAt is when a record of the owner was last read.
 	ownerSeenAt Instant
 	// renewedAt is when this owner last renewed its claim.
@@ -243,12 +245,16 @@
 }
 
 func (o *Ownership) claimDelay() time.Duration {
-	if o.settings.CPUShare < smallNodeRatio*o.ownerShare && !o.isPreviousIncarnation(o.owner) {
-		return o.settings.ClaimDelay + o.settings.SmallNodeDelay
+	isSmall := o.settings.CPUShare < smallNodeRatio*o.ownerShare && !o.isPreviousIncarnation(o.owner)
+	if isSmall || o.evacuated {
+		return o.settings.ClaimDelay + o.settings.UnsuitedDelay
 	}
 	return o.settings.ClaimDelay
 }
 
+// SetEvacuated records whether this node's failure domain is evacuated.
+func (o *Ownership) SetEvacuated(evacuated bool) { o.evacuated = evacuated }
+
 // ObserveOwnerShare records the CPU share of an owner.
 func (o *Ownership) ObserveOwnerShare(share float64) { o.ownerShare = share }
 
--- a/core/ownership/ownership_test.go
+++ b/core/ownership/ownership_test.go
@@ -107,7 +107,7 @@
 		{"unknown owner", 0.192, 0, 2600 * time.Millisecond},
 	} {
 		s := settings
-		s.CPUShare, s.SmallNodeDelay = c.share, 700*time.Millisecond
+		s.CPUShare, s.UnsuitedDelay = c.share, 700*time.Millisecond
 		o := New(s, 0)
 		o.ObserveOwnerShare(c.ownerShare)
 		o.Observe(claimBy("n2", 1), 4, 0)
@@ -116,6 +116,23 @@
 	}
 }
 
+// The owner dies while a failure domain is evacuated, often because it is about to be
+// switched off. Guards against a next owner in that domain while others could claim, and
+// against a fleet without an owner if they do not.
+func TestNodeInEvacuatedDomainClaimsLater(t *testing.T) {
+	s := settings
+	s.UnsuitedDelay = 700 * time.Millisecond
+	o := New(s, 0)
+	o.Observe(claimBy("n2", 1), 4, 0)
+	o.SetEvacuated(true)
+	assert.Equal(t, o.NextAction(3200*time.Millisecond, 3200*time.Millisecond), Wait)
+	assert.Equal(t, o.NextAction(3300*time.Millisecond, 3300*time.Millisecond), Claim)
+	o.ObserveClaimFailure(3300 * time.Millisecond)
+	o.SetEvacuated(false)
+	o.Observe(claimBy("n2", 2), 9, 4*time.Second)
+	assert.Equal(t, o.NextAction(6600*time.Millisecond, 6600*time.Millisecond), Claim)
+}
+
 // Guards against an odd record that makes a node wait forever or claim too early.
 func TestShareRecordIsChecked(t *testing.T) {
 	share, err := DecodeShare(EncodeShare(0.192))
--- a/node/dispatcher/config.go
+++ b/node/dispatcher/config.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/basilferry/basilferry/core/domain"
 	"github.com/basilferry/basilferry/core/jobview"
 	"github.com/basilferry/basilferry/core/ownership"
 	"github.com/basilferry/basilferry/core/platform"
@@ -30,6 +31,8 @@
 
 // Config configures a Dispatcher.
 type Config struct {
+	// Domain is the failure domain of this node.
+	Domain    domain.FailureDomain
 	Platform  Platform
 	Ownership ownership.Settings
 	Scheduler scheduler.Settings
--- a/node/dispatcher/handover_test.go
+++ b/node/dispatcher/handover_test.go
@@ -8,9 +8,11 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/basilferry/basilferry/core/domain"
 	"github.com/basilferry/basilferry/core/jobview"
 	"github.com/basilferry/basilferry/core/ownership"
 	"github.com/basilferry/basilferry/core/platform"
+	"github.com/basilferry/basilferry/core/scheduler"
 	"github.com/basilferry/basilferry/node/steady"
 	"github.com/basilferry/basilferry/node/storelog"
 	"github.com/basilferry/basilferry/standin/fleet"
@@ -26,6 +28,7 @@
 		return storelog.NewFollower(storelog.FollowerConfig{Store: store, Partition: p, Clock: clock, Logger: logger, Apply: func(platform.KeyedRecord) {}})
 	}
 	d := New(Config{
+		Domain:    "north",
 		Platform:  Platform{Store: store, Requests: requests, States: states},
 		Ownership: ownership.Settings{Node: "n1", Incarnation: 7, OwnerTimeout: time.Second, RenewInterval: 500 * time.Millisecond, ResignCooldown: time.Minute},
 		Clock:     clock, Logger: logger, View: jobview.New(),
@@ -96,3 +99,32 @@
 	later := d.cfg.Clock.Now() + 2*time.Second
 	assert.Equal(t, d.ownership.NextAction(later, later), ownership.Claim)
 }
+
+// Guards against an owner that stays in a failure domain which is about to be switched
+// off, and against one that resigns although no other domain can serve, or again for a
+// repeated record.
+func TestOwnerLeavesAnEvacuatedDomain(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		evacuations []platform.OperatorChange
+		resigns     bool
+	}{
+		{"own domain", []platform.OperatorChange{{Evacuate: "north"}}, true},
+		{"other domain", []platform.OperatorChange{{Evacuate: "south"}}, false},
+		{"all domains", []platform.OperatorChange{{Evacuate: "south"}, {Evacuate: "north"}}, false},
+		{"end of the evacuation", []platform.OperatorChange{{Evacuate: "north", Removed: true}}, false},
+	} {
+		d := newTestDispatcher(t)
+		d.observeOwner(ownRecord(ownership.KindClaim, 0), 4)
+		now := d.cfg.Clock.Now()
+		d.term.jobScheduler = scheduler.New(scheduler.Settings{}, 5, now, now)
+		for _, worker := range []domain.FailureDomain{"north", "south"} {
+			d.term.jobScheduler.RegisterWorker(platform.RegistryEntry{ID: domain.WorkerID(worker), Domain: worker}, now)
+		}
+		for _, change := range c.evacuations {
+			d.Evacuate(change)
+		}
+		d.drainEvents()
+		assert.Equal(t, d.ownership.IsResigning(), c.resigns, c.name)
+	}
+}
--- a/node/dispatcher/records.go
+++ b/node/dispatcher/records.go
@@ -145,11 +145,41 @@
 // Evacuate takes a failure domain out of service or back into service.
 func (d *Dispatcher) Evacuate(change platform.OperatorChange) {
 	d.post(func() {
+		starts := !change.Removed && !d.evacuated[change.Evacuate]
 		d.evacuated[change.Evacuate] = !change.Removed
 		d.passOperatorRecords()
+		if change.Evacuate == d.cfg.Domain {
+			d.ownership.SetEvacuated(!change.Removed)
+			d.handOver(starts)
+		}
 	})
 }
 
+// handOver resigns ownership, if this node has it, when an evacuation of its failure
+// domain starts and another domain is in service. A planned change of owner takes a
+// moment; if the domain is switched off, the other nodes wait for the owner timeout.
+func (d *Dispatcher) handOver(starts bool) {
+	if _, owning := d.ownership.OwnToken(); !starts || !owning || !d.servesOtherDomain() {
+		return
+	}
+	d.cfg.Logger.Info("resigning ownership", "reason", "the node's failure domain is evacuated", "failure_domain", d.cfg.Domain)
+	d.ownership.MarkUnfit(d.cfg.Clock.Now())
+}
+
+// servesOtherDomain reports whether a failure domain other than the node's own has
+// registered workers and is not evacuated.
+func (d *Dispatcher) servesOtherDomain() bool {
+	if d.term == nil || d.term.jobScheduler == nil {
+		return false
+	}
+	for _, w := range d.term.jobScheduler.Fleet().All() {
+		if w.Registered && w.Domain != d.cfg.Domain && !d.evacuated[w.Domain] {
+			return true
+		}
+	}
+	return false
+}
+
 // MarkOperatorRead records that all operator records have been read.
 func (d *Dispatcher) MarkOperatorRead() {
 	d.post(func() {
--- a/node/entry/node.go
+++ b/node/entry/node.go
@@ -78,10 +78,11 @@
 	// it has a large CPU share.
 	maxClaimDelay  = 300 * time.Millisecond
 	maxClaimJitter = 120 * time.Millisecond
-	// smallNodeDelay is the additional claim delay of a node that is much smaller than
-	// the latest owner. It covers the time in which the larger nodes read that the owner
-	// is silent, at different times because of requestsPause, and claim.
-	smallNodeDelay = 700 * time.Millisecond
+	// unsuitedDelay is the additional claim delay of a node that is much smaller than
+	// the latest owner, or whose failure domain is evacuated. It covers the time in which
+	// the other nodes read that the owner is silent, at different times because of
+	// requestsPause, and claim.
+	unsuitedDelay = 700 * time.Millisecond
 	// headerTimeout applies to all listeners, idleTimeout to that for client requests.
 	// The operator's configuration can contain other values, but they have no effect,
 	// because the listeners are opened before the configuration is read.
@@ -248,13 +249,13 @@
 		followStates = nil
 	}
 	return dispatcher.Config{
-		FollowStates: followStates,
-		Platform:     n.platform.Platform,
+		FollowStates: followStates, Domain: s.Node.Domain,
+		Platform: n.platform.Platform,
 		Ownership: ownership.Settings{
 			Node: s.Node.Name, Incarnation: incarnation,
 			OwnerTimeout: s.Ownership.SilenceMS.Duration(), RenewInterval: s.Ownership.RenewMS.Duration(),
 			ResignCooldown: s.Ownership.RestMS.Duration(), ClaimDelay: claimDelay(s),
-			CPUShare: s.Machine.CPUShare, SmallNodeDelay: smallNodeDelay,
+			CPUShare: s.Machine.CPUShare, UnsuitedDelay: unsuitedDelay,
 		},
 		Scheduler: scheduler.Settings{
 			Lease:         min(s.Workers.LeaseMS, s.Workers.LeaseMaxMS).Duration() - leaseMargin,
