dispatcher: the owner shows that it is alive in a partition of its own

Change: the owner appends a pulse to partition 2 each renewal interval; nodes that do not follow the states follow it. After an append of statuses the next one that carries only statuses waits three times as long as it took, so that a slow store's time goes to accepted jobs.

Measured: TestSlowRequestsDoNotReplaceAnOwnerThatIsWell fails without the pulse.

--- a/node/cmd/basilferryd/platform.go
+++ b/node/cmd/basilferryd/platform.go
@@ -18,6 +18,7 @@
 	topicName         = "basilferry"
 	requestsPartition = 0
 	statesPartition   = 1
+	pulsePartition    = 2
 
 	// settingsRemedy is the remedy if the platform provides no settings file.
 	settingsRemedy = "run this on the platform, which provides the path of the settings file, or use --settings"
@@ -56,6 +57,7 @@
 			Advisor:      advisor,
 			Requests:     wire.Partition{Topic: ownTopic, Part: requestsPartition},
 			States:       wire.Partition{Topic: ownTopic, Part: statesPartition},
+			Pulse:        wire.Partition{Topic: ownTopic, Part: pulsePartition},
 			Registry:     platform.RegistryPartition,
 			DecodeEntry:  platform.DecodeRegistryEntry,
 		},
--- a/node/dispatcher/config.go
+++ b/node/dispatcher/config.go
@@ -22,8 +22,10 @@
 	// Advisor is the client of the policy service; nil if there is none.
 	Advisor platform.Advisor
 	// Requests holds the records of client requests and of ownership, States the
-	// job states that the owner writes, and Registry the registered workers.
-	Requests, States, Registry platform.Partition
+	// job states that the owner writes, and Registry the registered workers. In Pulse
+	// the owner shows that it is alive to the nodes that do not follow States: a slow
+	// store queues the appends of all nodes to Requests.
+	Requests, States, Pulse, Registry platform.Partition
 	// DecodeEntry decodes a record of Registry. An entry that it returns an error
 	// for is ignored.
 	DecodeEntry func(platform.KeyedRecord) (platform.RegistryEntry, error)
@@ -75,6 +77,10 @@
 	// batches changes, because calls to the store and bytes are charged for and
 	// each append wakes the other nodes.
 	appendInterval = 25 * time.Millisecond
+	// statusLoad is the pause after an append of statuses, as a multiple of the time
+	// that it took. The store performs the appends to a partition one by one, and those
+	// of accepted jobs wait there too.
+	statusLoad = 3
 	// registryPause is the time between two reads of the worker registry. It
 	// batches the records that the workers' heartbeats write.
 	registryPause = 400 * time.Millisecond
--- a/node/dispatcher/handover_test.go
+++ b/node/dispatcher/handover_test.go
@@ -23,13 +23,13 @@
 func newTestDispatcher(t *testing.T) *Dispatcher {
 	t.Helper()
 	clock, logger, store := steady.New(), slog.New(slog.NewTextHandler(io.Discard, nil)), fleet.NewStore()
-	requests, states := platform.Partition{Topic: "own"}, platform.Partition{Topic: "own", Part: 1}
+	requests, states, pulse := platform.Partition{Topic: "own"}, platform.Partition{Topic: "own", Part: 1}, platform.Partition{Topic: "own", Part: 2}
 	follower := func(p platform.Partition) *storelog.Follower {
 		return storelog.NewFollower(storelog.FollowerConfig{Store: store, Partition: p, Clock: clock, Logger: logger, Apply: func(platform.KeyedRecord) {}})
 	}
 	d := New(Config{
 		Domain:    "north",
-		Platform:  Platform{Store: store, Requests: requests, States: states},
+		Platform:  Platform{Store: store, Requests: requests, States: states, Pulse: pulse},
 		Ownership: ownership.Settings{Node: "n1", Incarnation: 7, OwnerTimeout: time.Second, RenewInterval: 500 * time.Millisecond, ResignCooldown: time.Minute},
 		Clock:     clock, Logger: logger, View: jobview.New(),
 		RequestsFollower: follower(requests), StatesFollower: follower(states), OnOwnershipChange: func(bool) {},
--- a/node/dispatcher/term.go
+++ b/node/dispatcher/term.go
@@ -37,6 +37,13 @@
 	appending         bool
 	dueRecord         ownership.RecordKind
 	hasDueRecord      bool
+	// statusesFrom is the earliest time of the next append that contains only statuses.
+	statusesFrom time.Duration
+	// pulses appends the signs of life. pulsing is true while one is being appended, and
+	// lastPulse is when the last one was sent.
+	pulses    *storelog.OwnerWriter
+	pulsing   bool
+	lastPulse time.Duration
 	// shareStored is true once the CPU share of this owner has been appended.
 	shareStored    bool
 	lastAppend     time.Duration
@@ -65,6 +72,7 @@
 		d: d, token: token, ctx: ctx, cancel: cancel, since: d.cfg.Clock.Now(), fenceOffset: -1,
 		requests: storelog.NewOwnerWriter(p.Store, p.Requests, token),
 		states:   storelog.NewOwnerWriter(p.Store, p.States, token),
+		pulses:   storelog.NewOwnerWriter(p.Store, p.Pulse, token),
 		statuses: newStatusQueue(),
 	}
 	d.term = t
@@ -207,7 +215,8 @@
 	t.jobScheduler.Advance(now, time.Now().UnixMilli())
 	t.jobScheduler.ObserveRound(now, d.cfg.Clock.Now()-now)
 	t.append(now)
-	if t.statuses.isUrgent() {
+	t.pulse(now)
+	if t.statuses.isUrgent() && now >= t.statusesFrom {
 		t.appendRequests()
 	}
 	for _, command := range t.jobScheduler.TakeCommands() {
@@ -324,6 +333,8 @@
 				t.handleFenced(err)
 				return
 			}
+			now := d.cfg.Clock.Now()
+			t.statusesFrom = now + statusLoad*(now-sent)
 			if t.jobScheduler != nil {
 				t.jobScheduler.RecordRenewal(sent)
 			}
@@ -334,6 +345,24 @@
 	})
 }
 
+// pulse shows that the owner is alive, once per renewal interval.
+func (t *term) pulse(now time.Duration) {
+	if t.pulsing || now-t.lastPulse < t.d.cfg.Ownership.RenewInterval {
+		return
+	}
+	t.pulsing, t.lastPulse = true, now
+	record := ownershipRecord(t.d.ownership.Record(ownership.KindRenewal))
+	t.background("pulse", func() {
+		_, err := t.pulses.Append(t.ctx, []platform.KeyedRecord{record})
+		t.d.postForTerm(t, func() {
+			t.pulsing = false
+			if err != nil {
+				t.handleFenced(err)
+			}
+		})
+	})
+}
+
 // takeDueRecords returns the ownership record that is due, if any, and with a renewal
 // the records that remove expired jobs.
 func (t *term) takeDueRecords(now time.Duration) []platform.KeyedRecord {
--- a/node/entry/node.go
+++ b/node/entry/node.go
@@ -52,6 +52,8 @@
 	// statesPause is the same for the states partition. A client's request for the
 	// state of an unfinished job ends the pause, so that the response is current.
 	statesPause = 800 * time.Millisecond
+	// pulsePause is the same for the owner's signs of life.
+	pulsePause = 300 * time.Millisecond
 	// ownerPause is the same for the requests partition on the owner, which schedules
 	// the requests that it reads.
 	ownerPause = 0
@@ -139,6 +141,8 @@
 	routes       *intake.Routes
 
 	requests, states *storelog.Follower
+	// pulse follows the owner's signs of life on a node that does not follow the states.
+	pulse *storelog.Follower
 	// statesRun is held while states runs for an ownership term.
 	statesRun sync.Mutex
 	operator  *storelog.Follower
@@ -184,6 +188,7 @@
 		return requestsPause
 	})
 	n.states = n.newFollower(p.Platform.States, n.applyState, func() time.Duration { return statesPause })
+	n.pulse = n.newFollower(p.Platform.Pulse, func(r platform.KeyedRecord) { n.dispatcher.ApplyState(r) }, func() time.Duration { return pulsePause })
 	n.operator = storelog.NewFollower(storelog.FollowerConfig{
 		Store: p.Platform.OperatorStore, Partition: p.Platform.Operator, Clock: p.Clock, Wait: configReadWait,
 		Logger: decisionlog.Component(p.Logger, "config"), Apply: n.applyOperator,
@@ -343,6 +348,8 @@
 	runs := []func(context.Context){n.sink.Run, n.requests.Run, n.operator.Run, n.committer.Run, n.dispatcher.Run, n.reloadOnHangup}
 	if n.followsStates() {
 		runs = append(runs, n.states.Run)
+	} else {
+		runs = append(runs, n.pulse.Run)
 	}
 	for _, run := range runs {
 		n.goroutines.Go(func() { n.runGuarded(ctx, run) })
--- a/node/entry/node_test.go
+++ b/node/entry/node_test.go
@@ -35,6 +35,8 @@
 	store   *fleet.Store
 	workers *fleet.Workers
 	nodes   []*testNode
+	// nodeStore is the store of the nodes' own records.
+	nodeStore platform.Store
 	// operatorStore is the store from which nodes read the operator's records.
 	operatorStore platform.Store
 }
@@ -87,6 +89,7 @@
 var (
 	requestsPartition = platform.Partition{Topic: "own", Part: 0}
 	statesPartition   = platform.Partition{Topic: "own", Part: 1}
+	pulsePartition    = platform.Partition{Topic: "own", Part: 2}
 	registryPartition = platform.Partition{Topic: "registry"}
 	operatorPartition = platform.Partition{Topic: "operator"}
 )
@@ -110,7 +113,7 @@
 	t.Helper()
 	ids := []domain.WorkerID{"w1", "w2"}
 	c := &cluster{t: t, store: fleet.NewStore(), workers: fleet.NewWorkers(ids, testTaskDuration)}
-	c.operatorStore = c.store
+	c.nodeStore, c.operatorStore = c.store, c.store
 	c.write(operatorPartition, platform.KeyedRecord{Key: "config", Value: []byte("{}")})
 	for _, id := range ids {
 		c.write(registryPartition, platform.KeyedRecord{Key: string(id), Value: []byte("{}")})
@@ -145,7 +148,7 @@
 	n := &testNode{log: &lockedBuffer{}, requests: "http://" + s.Listen.Requests}
 	n.app = New(s, "", Platform{
 		Platform: dispatcher.Platform{
-			Store: n.reads(c.store), WorkerClient: panickingWorkers{c.workers}, Requests: requestsPartition, States: statesPartition, Registry: registryPartition,
+			Store: n.reads(c.nodeStore), WorkerClient: panickingWorkers{c.workers}, Requests: requestsPartition, States: statesPartition, Pulse: pulsePartition, Registry: registryPartition,
 			DecodeEntry: func(r platform.KeyedRecord) (platform.RegistryEntry, error) {
 				if r.Key == panickingKey {
 					panic("odd entry")
@@ -399,6 +402,39 @@
 	assert.Assert(t, owner.statesRead.Load() < int64(len(stored.Records))/2, "%d of %d", owner.statesRead.Load(), len(stored.Records))
 }
 
+// slowRequestsStore delays each append to the requests, as a store does that performs the
+// appends of hundreds of nodes one by one while it is slow.
+type slowRequestsStore struct {
+	platform.Store
+	delay *atomic.Int64
+}
+
+func (s slowRequestsStore) Append(ctx context.Context, a platform.Append) (platform.AppendResult, error) {
+	if a.Partition == requestsPartition {
+		time.Sleep(time.Duration(s.delay.Load()))
+	}
+	return s.Store.Append(ctx, a)
+}
+
+// The appends to the requests take longer than the owner timeout, while the owner is well.
+// Guards against nodes on small links that see no renewal and claim ownership together.
+func TestSlowRequestsDoNotReplaceAnOwnerThatIsWell(t *testing.T) {
+	c := newCluster(t, 0)
+	slow := slowRequestsStore{c.store, &atomic.Int64{}}
+	c.nodeStore = slow
+	c.startWith("n1", func(*Settings) {})
+	c.owner()
+	for i := range 2 {
+		c.startWith(fmt.Sprintf("small-%d", i), onSmallLink)
+	}
+	slow.delay.Store(int64(4 * time.Second))
+	time.Sleep(5 * time.Second) // Twice the owner timeout with all claim delays.
+	for _, n := range c.nodes[1:] {
+		assert.Assert(t, !strings.Contains(n.log.String(), `"msg":"claiming ownership"`), n.log.String())
+	}
+	slow.delay.Store(0)
+}
+
 // The only node that followed the states leaves while jobs run. Guards against a node on
 // a small link that cannot take over, that loses what the states say, or that executes a
 // task twice.
