storelog: requests behind an unconfirmed append are refused at once

Cause: while the store is slow a group of requests waits up to 2.2 s for its append, and those that arrive meanwhile wait behind it; their clients' time is over before they are sent.

TestRequestsBehindAnUnconfirmedAppendAreRefusedAtOnce failed before.

--- a/node/storelog/committer.go
+++ b/node/storelog/committer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/basilferry/basilferry/core/domain"
@@ -26,6 +27,9 @@
 	unresolvedTimeout = 2200 * time.Millisecond
 	// queueLength is the maximum number of records that wait for a commit.
 	queueLength = 4096
+	// maxQueueWait is how long a record may wait before it is part of an append. A record
+	// waits this long only while an earlier append is not confirmed.
+	maxQueueWait = 250 * time.Millisecond
 )
 
 // Committer appends the records of client requests in groups. It tries to resolve
@@ -43,8 +47,15 @@
 type commit struct {
 	record platform.KeyedRecord
 	done   chan error
+	// taken is set once, either by the committer, which then appends the record, or by
+	// the caller, which gives up.
+	taken atomic.Bool
 }
 
+// withdraw reports whether the record was withdrawn before it became part of an append.
+// It is then certainly not stored.
+func (c *commit) withdraw() bool { return c.taken.CompareAndSwap(false, true) }
+
 // NewCommitter returns a committer. Run must be called to start it. The name is the
 // producer's name in the store. It must be different each time the process starts,
 // because the epoch and the sequence number start from 1.
@@ -65,11 +76,22 @@
 	default:
 		return notStored("too many requests are waiting for the store")
 	}
-	select {
-	case err := <-item.done:
-		return err
-	case <-ctx.Done():
-		return unknownOutcome()
+	queued := time.NewTimer(maxQueueWait)
+	defer queued.Stop()
+	for {
+		select {
+		case err := <-item.done:
+			return err
+		case <-queued.C:
+			if item.withdraw() {
+				return notStored("the store has not confirmed earlier requests yet")
+			}
+		case <-ctx.Done():
+			if item.withdraw() {
+				return notStored("the client's time is over")
+			}
+			return unknownOutcome()
+		}
 	}
 }
 
@@ -78,7 +100,9 @@
 	for {
 		select {
 		case first := <-c.queue:
-			c.commit(ctx, c.group(first))
+			if group := c.group(first); len(group) > 0 {
+				c.commit(ctx, group)
+			}
 		case <-ctx.Done():
 			return
 		}
@@ -87,17 +111,22 @@
 
 var errPanicked = errors.New("an unexpected error ended the append")
 
+// group returns the first record and those that wait, without the withdrawn ones.
 func (c *Committer) group(first *commit) []*commit {
-	group := []*commit{first}
-	for len(group) < maxGroupRecords {
+	var group []*commit
+	for next := first; ; {
+		if next.taken.CompareAndSwap(false, true) {
+			group = append(group, next)
+		}
+		if len(group) == maxGroupRecords {
+			return group
+		}
 		select {
-		case item := <-c.queue:
-			group = append(group, item)
+		case next = <-c.queue:
 		default:
 			return group
 		}
 	}
-	return group
 }
 
 func (c *Committer) commit(ctx context.Context, group []*commit) {
--- a/node/storelog/storelog_test.go
+++ b/node/storelog/storelog_test.go
@@ -57,7 +57,7 @@
 	assert.Equal(t, len(s.records[testPartition]), 2)
 }
 
-func startCommitter(t *testing.T, s *fakeStore) *Committer {
+func startCommitter(t *testing.T, s platform.Store) *Committer {
 	t.Helper()
 	c := NewCommitter(s, testPartition, "node-1", steady.New(), slog.New(slog.NewTextHandler(io.Discard, nil)), nil)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -90,6 +90,41 @@
 	assert.Equal(t, len(s.records[testPartition]), 0)
 }
 
+// silentStore does not answer an append for a while. It has performed it.
+type silentStore struct {
+	*fakeStore
+	silence time.Duration
+}
+
+func (s silentStore) Append(ctx context.Context, a platform.Append) (platform.AppendResult, error) {
+	time.Sleep(s.silence)
+	return s.fakeStore.Append(ctx, a)
+}
+
+// Requests arrive while a slow store has an earlier append. Guards against clients that
+// wait until their time is over, and learn then that the outcome is unknown, although
+// their requests were never sent; and against a request that is stored after it was
+// refused.
+func TestRequestsBehindAnUnconfirmedAppendAreRefusedAtOnce(t *testing.T) {
+	s := silentStore{newFakeStore(), 1500 * time.Millisecond}
+	c := startCommitter(t, s)
+	first := make(chan error, 1)
+	go func() { first <- c.Commit(context.Background(), record("first")) }()
+	time.Sleep(50 * time.Millisecond) // The first append is on its way.
+	began := time.Now()
+	err := c.Commit(context.Background(), record("second"))
+	assert.Equal(t, domain.KindOf(err), domain.KindNotRun)
+	assert.Assert(t, time.Since(began) < time.Second, "%v", time.Since(began))
+	assert.NilError(t, <-first)
+	assert.NilError(t, c.Commit(context.Background(), record("third")))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.records[testPartition] {
+		assert.Assert(t, r.Key != "second")
+	}
+	assert.Equal(t, len(s.records[testPartition]), 2)
+}
+
 // Guards against reporting "not run" after an append whose outcome stays unknown.
 // The committer must work again once the store responds.
 func TestCommitterReportsUnknownOutcome(t *testing.T) {
