scheduler: long-running work that has waited for 4 s comes before short work

Short work comes before long-running work of its priority, without a limit.

Change: a step with long-running tasks that have waited for 4 s comes before short work of its priority.

Measured: TestLongRunningTaskRunsAgainBesideSteadyShortWork fails without it.

--- a/core/dispatch/order.go
+++ b/core/dispatch/order.go
@@ -35,6 +35,9 @@
 	// capacity is free. One task is then placed on any worker on which it fits,
 	// however slow it would be there.
 	Starving bool
+	// Overdue is true if a long-running task has waited so long that it comes before
+	// short work. Otherwise steady short work near full load would keep it waiting for ever.
+	Overdue bool
 	// deferred is set by DeferJobs for jobs that wait so that others finish on
 	// time.
 	deferred bool
@@ -74,7 +77,8 @@
 //
 // Short work comes first because it uses its capacity for about a second, so a
 // long-running task waits only briefly for it. The other way round, the short
-// work would wait until the long-running task finishes.
+// work would wait until the long-running task finishes. Overdue long-running work
+// comes first.
 func SortDemands(demands []Demand, now time.Duration) {
 	slices.SortStableFunc(demands, func(a, b Demand) int {
 		return cmp.Or(
@@ -87,7 +91,10 @@
 }
 
 func durationRank(d Demand) int {
-	if d.Step.LongRunning {
+	switch {
+	case d.Overdue:
+		return -1
+	case d.Step.LongRunning:
 		return 1
 	}
 	return 0
--- a/core/scheduler/pace_test.go
+++ b/core/scheduler/pace_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/basilferry/basilferry/core/job"
+	"github.com/basilferry/basilferry/core/platform"
 )
 
 // A backlog of best-effort tasks while workers report their completions all the time.
@@ -61,3 +62,33 @@
 	h.scheduler.Advance(h.now, h.now.Milliseconds())
 	assert.Equal(t, h.scheduler.Ledger().Entry(short.ID).PlacedCount(), 1)
 }
+
+// Short requests keep all workers full, and there are always more of them. Guards against
+// a long-running task that failed and never runs again, because each free worker goes to
+// short work.
+func TestLongRunningTaskRunsAgainBesideSteadyShortWork(t *testing.T) {
+	h := newHarness(t, 1)
+	lasting := singleStepJob(1, 4000)
+	lasting.Steps[0].LongRunning = true
+	h.scheduler.Accept(lasting, h.now)
+	h.runFor(time.Second)
+	assert.Equal(t, len(h.workersRunning(firstTaskID)), 1)
+	accept := func(n int) {
+		short := singleStepJob(1, 4000)
+		short.ID = job.ID(fmt.Sprintf("%016x", n))
+		h.scheduler.Accept(short, h.now)
+	}
+	h.workersRunning(firstTaskID)[0].finish(firstTaskID, platform.CompletionFailed)
+	next, failed := 1000, h.now
+	for ; h.startCount(firstTaskID) < 2 && h.now < failed+10*time.Second; next++ {
+		accept(next)
+		h.runFor(200 * time.Millisecond)
+		for task := range h.workers[0].attempts {
+			if task != firstTaskID {
+				h.workers[0].finish(task, platform.CompletionDone)
+			}
+		}
+	}
+	assert.Assert(t, h.startCount(firstTaskID) == 2, "started %d times", h.startCount(firstTaskID))
+	assert.Assert(t, h.now-failed <= 6*time.Second, "%v", h.now-failed)
+}
--- a/core/scheduler/plan.go
+++ b/core/scheduler/plan.go
@@ -119,6 +119,9 @@
 	for i := range e.Job.Steps {
 		step := &e.Job.Steps[i]
 		waiting := e.WaitingCount(k, i)
+		if waiting == 0 && step.LongRunning {
+			delete(s.waitingSince, job.StepID{Job: e.Job.ID, Occurrence: k, Step: i})
+		}
 		if waiting == 0 || !e.DependenciesDone(k, i) || (step.Gang && waiting < step.Count) {
 			continue
 		}
@@ -133,6 +136,7 @@
 		}
 		e.ForEachWaiting(k, i, func(index int, _ ledger.Task) { d.Waiting = append(d.Waiting, index) })
 		d.Starving = d.Step.Fills && s.isStarving(e, d.Service, now)
+		d.Overdue = step.LongRunning && s.isOverdue(d.ID, now)
 		if queue.Advice && !s.setTickets(&d, now) {
 			continue
 		}
@@ -141,6 +145,21 @@
 	return out
 }
 
+// overdueDelay is how long tasks of a long-running step may wait for short work. The
+// platform allows 6 s until a task runs again, which include an append and a start.
+const overdueDelay = 4 * time.Second
+
+// isOverdue reports whether tasks of a long-running step, which now wait, have waited
+// for overdueDelay.
+func (s *Scheduler) isOverdue(id job.StepID, now fleet.Instant) bool {
+	since, ok := s.waitingSince[id]
+	if !ok {
+		s.waitingSince[id] = now
+		return false
+	}
+	return now-since >= overdueDelay
+}
+
 // starvationDelay is how long a job with a task that could start may have no
 // attempts before one task is placed wherever there is free capacity. The platform
 // limits that time to 3 s, which includes a stop, an append and a start.
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -128,6 +128,9 @@
 	// since which the job has had no attempts although at least minFreeShare of the
 	// capacity was free.
 	idleSince map[job.ID]fleet.Instant
+	// waitingSince is, for each long-running step with waiting tasks, the time since which
+	// it has had some.
+	waitingSince map[job.StepID]fleet.Instant
 	// freeShares is the share of each service's CPU capacity that was free at the
 	// start of the planning round.
 	freeShares map[string]float64
@@ -184,6 +187,7 @@
 		accepted:       map[job.ID]fleet.Instant{},
 		finished:       map[job.ID]job.State{},
 		idleSince:      map[job.ID]fleet.Instant{},
+		waitingSince:   map[job.StepID]fleet.Instant{},
 		freeShares:     map[string]float64{},
 		boundedWorkers: map[domain.WorkerID]bool{},
 		stepEndedAt:    map[job.ID]fleet.Instant{},
@@ -318,6 +322,14 @@
 	s.dropAdvice(e.Job.ID)
 	delete(s.idleSince, e.Job.ID)
 	delete(s.stepEndedAt, e.Job.ID)
+	for i, step := range e.Job.Steps {
+		if !step.LongRunning {
+			continue
+		}
+		for k := range e.Occurrences {
+			delete(s.waitingSince, job.StepID{Job: e.Job.ID, Occurrence: k, Step: i})
+		}
+	}
 	e.ForEachPlaced(func(id job.TaskID, t ledger.Task) {
 		w := s.fleet.Worker(t.Worker)
 		if w == nil {
