--- a/review/rig/cluster.go
+++ b/review/rig/cluster.go
@@ -309,7 +309,7 @@
 			"name": "r-3hwrr6x", "hostname": hostName, "path_prefix": prefix, "route_type": "non_idempotent", "timeout_ms": 3000, "slo_ms": 250,
 			"priority": 0, "service": serviceName, "max_attempts": maxAttempts, "stretch": 1.5,
 		}},
-		"services": []map[string]any{{"name": serviceName, "health_path": "/health", "max_conns": 64, "protocol": "h1", names["rejects_overload"]: true, "standby": false}},
+		"services": []map[string]any{{"name": serviceName, "health_path": "/health", "max_conns": 64, "protocol": "h1", names["overload"]: true, "standby": false}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	}
 	data, _ := json.Marshal(config)
