--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -67,7 +67,7 @@
 			select {
 			case <-stop:
 				return
-			case <-time.After(95 * time.Millisecond):
+			case <-time.After(75 * time.Millisecond):
 				c.submit(newID(), i, jobSpec{Spec: "ms=300 cpu=1000", Steps: []step{{Count: 2, CPU: 1000, MemMB: 100, EstimateMS: 300}}})
 			}
 		}
