scheduler: log a worker's restart and the clock in the answer to a start

The log shows the release ("the worker restarted") but neither which incarnation answered the start nor which completions the heartbeat that found the restart acknowledged, so the hypotheses cannot be told apart. Adds both; no decision changes.

--- a/core/fleet/lease.go
+++ b/core/fleet/lease.go
@@ -50,6 +50,15 @@
 	return until
 }
 
+// EarliestClock returns the lowest value that the worker's clock can show at now; 0
+// while its clock is unknown.
+func (l *Lease) EarliestClock(now Instant) time.Duration {
+	if !l.known {
+		return 0
+	}
+	return l.reading.worker + time.Duration(float64(now-l.reading.at)*slowestClockRate)
+}
+
 // ExtendLatestEnd records that the lease can last at least until latestEnd.
 func (l *Lease) ExtendLatestEnd(latestEnd Instant) { l.latestEnd = max(l.latestEnd, latestEnd) }
 
--- a/core/scheduler/command.go
+++ b/core/scheduler/command.go
@@ -43,6 +43,9 @@
 	Workers []domain.WorkerID
 	// incarnation is the incarnation of the worker that the command is meant for.
 	incarnation int64
+	// earliestClock is the lowest value that the clock of that incarnation can show
+	// when it carries out the command; 0 if unknown.
+	earliestClock time.Duration
 }
 
 // Key returns the key of the attempt that the command concerns.
--- a/core/scheduler/heartbeat.go
+++ b/core/scheduler/heartbeat.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/basilferry/basilferry/core/fleet"
@@ -120,6 +121,10 @@
 func (s *Scheduler) applyReport(w *fleet.Worker, result Result, now fleet.Instant) {
 	report := &result.Report
 	if w.HeartbeatAnswered && report.StartedUnixMS != w.Incarnation {
+		s.recordDecision(Decision{
+			Action: "worker restarted", Worker: w.ID, Age: now - w.LastContact,
+			Reason: fmt.Sprintf("incarnation %d follows %d; the heartbeat acknowledged completions up to %d of the former", report.StartedUnixMS, w.Incarnation, result.Command.Heartbeat.LastStored),
+		})
 		s.handleRestart(w, now)
 	}
 	first := !w.HeartbeatAnswered
--- a/core/scheduler/start.go
+++ b/core/scheduler/start.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"fmt"
+
 	"github.com/basilferry/basilferry/core/fleet"
 	"github.com/basilferry/basilferry/core/platform"
 )
@@ -41,7 +43,7 @@
 	}
 	s.commands = append(s.commands, &Command{
 		Kind: CommandStart, Worker: w.ID, To: w.Endpoint(), Token: s.token, IssuedAt: now, incarnation: w.Incarnation,
-		Task: r.ID, Attempt: r.Attempt,
+		Task: r.ID, Attempt: r.Attempt, earliestClock: w.Lease.EarliestClock(now),
 		Start: platform.StartCommand{
 			AttemptKey: r.Key(), Token: s.token, Payload: payload, Checkpoint: checkpoint, Ticket: start.ticket,
 			Until: w.Lease.Until(s.settings.Lease, now),
@@ -115,6 +117,7 @@
 	}
 	s.recordDecision(Decision{
 		Action: "started", Job: r.ID.Job, Task: r.ID.String(), Attempt: r.Attempt, Worker: w.ID, Age: now - r.PlacedAt,
+		Reason: fmt.Sprintf("the worker's clock shows %d ms, at least %d expected", result.Clock.Milliseconds(), result.Command.earliestClock.Milliseconds()),
 	})
 }
 
