scheduler: nothing of one incarnation of a worker is used for the next one

Cause: only heartbeat responses and registry entries name the incarnation they come from. The owner compared the former with the last known incarnation, but used everything else for whichever incarnation it believed in.

Change: fleet.Incarnation holds what belongs to one incarnation and is replaced by an empty value when it ends; fleet.AttemptStatus does so for what it reported of an attempt. - An attempt ran on the ended incarnation only if that has listed it; the others wait for the report of the new one (listed, completed, or missing although the start was answered before the heartbeat). - Completions are acknowledged once, and only while every started attempt is listed. - A stop, speed limit, ticket or clock reading counts only for the incarnation that the command was issued to; an acknowledged stop is repeated to the next one. - A registry entry of a later incarnation ends the former one, and a worker gets attempts only if its entry describes the incarnation that answers. - A 421 ends an incarnation only at the address where it has answered; a report of an ended incarnation is ignored. - The clock in the answer to a start shows a restart at once; the lease bound then covers the longest lease that the new incarnation can have granted.

--- /dev/null
+++ b/core/fleet/incarnation.go
@@ -0,0 +1,71 @@
+package fleet
+
+// Incarnation is what is known about the current incarnation of a worker, which is
+// the process that runs under the worker's ID. Numbers, clock readings and
+// confirmations of one incarnation mean nothing for the next one, so a new
+// incarnation starts from the zero value.
+type Incarnation struct {
+	// IncarnationID identifies the incarnation: the time at which its process started, in
+	// Unix milliseconds; 0 if no heartbeat has been answered.
+	IncarnationID int64
+	// HeartbeatAnswered is true if the incarnation has answered a heartbeat of
+	// this owner.
+	HeartbeatAnswered bool
+	// HeartbeatAddress is where the incarnation answered its first heartbeat.
+	HeartbeatAddress string
+	// LeavesAt is when the incarnation is going to leave; 0 if it has not
+	// announced that.
+	LeavesAt Instant
+	Lease    Lease
+	// LastRead is the number of the last completion that was read, Stored that of
+	// the last one whose effect is stored, and Forgotten that of the last one that
+	// the worker has been told to forget.
+	LastRead, Stored, Forgotten int64
+	// Superseded is true if the answer to a start has shown that a later
+	// incarnation runs, which has not answered a heartbeat yet.
+	Superseded bool
+	// AvoidUntil is until when the incarnation gets no new attempts, for example
+	// after it refused one.
+	AvoidUntil Instant
+	// Health rates how attempts finish on the incarnation.
+	Health Health
+	// BestEffortFinishedAt is when a best-effort attempt last finished. Its CPU use
+	// still affects the tail latencies of the last half second although it is no
+	// longer in Attempts.
+	BestEffortFinishedAt Instant
+}
+
+// BeginIncarnation records that an incarnation has answered its first heartbeat at
+// the address.
+func (w *Worker) BeginIncarnation(id int64, address string) {
+	w.IncarnationID, w.HeartbeatAnswered, w.HeartbeatAddress = id, true, address
+}
+
+// EndIncarnation records that the current incarnation no longer runs. The worker's
+// attempts stay, and so does the latest time at which their lease can expire.
+func (w *Worker) EndIncarnation() {
+	w.endedIncarnation = w.IncarnationID
+	w.Incarnation = Incarnation{Lease: Lease{latestEnd: w.Lease.latestEnd}}
+}
+
+// HasEnded reports whether the incarnation is the one that ended last. An answer of
+// it that arrives late describes nothing that still runs.
+func (w *Worker) HasEnded(id int64) bool { return id != 0 && id == w.endedIncarnation }
+
+// MatchesRegistry reports whether the registry entry describes the incarnation that
+// answers. Address, capacity and labels may differ between incarnations.
+func (w *Worker) MatchesRegistry() bool {
+	return w.StartedUnixMS == w.IncarnationID
+}
+
+// HasUnlistedAttempts reports whether a start request was sent to the worker whose
+// attempt the current incarnation has not listed yet. A later incarnation may have
+// carried it out.
+func (w *Worker) HasUnlistedAttempts() bool {
+	for _, r := range w.Attempts {
+		if r.Phase != AttemptUnsent && !r.Listed {
+			return true
+		}
+	}
+	return false
+}
--- a/core/fleet/lease.go
+++ b/core/fleet/lease.go
@@ -11,6 +11,15 @@
 // workers are at most 2% slow.
 const slowestClockRate = 0.98
 
+// clockResolution is the resolution of the clock readings of workers.
+const clockResolution = time.Millisecond
+
+// LongestLease returns how long a lease can last that the worker limits to the
+// given time on its own clock.
+func LongestLease(limit time.Duration) time.Duration {
+	return time.Duration(float64(limit) / slowestClockRate)
+}
+
 // clockReading is one reading of a worker's clock.
 type clockReading struct {
 	worker time.Duration
@@ -51,12 +60,12 @@
 }
 
 // EarliestClock returns the lowest value that the worker's clock can show at now; 0
-// while its clock is unknown.
+// while its clock is unknown. A lower reading is from another incarnation.
 func (l *Lease) EarliestClock(now Instant) time.Duration {
 	if !l.known {
 		return 0
 	}
-	return l.reading.worker + time.Duration(float64(now-l.reading.at)*slowestClockRate)
+	return max(0, l.reading.worker+time.Duration(float64(now-l.reading.at)*slowestClockRate)-clockResolution)
 }
 
 // ExtendLatestEnd records that the lease can last at least until latestEnd.
@@ -71,7 +80,3 @@
 
 // IsExpired reports whether the lease has certainly expired.
 func (l *Lease) IsExpired(now Instant) bool { return now > l.latestEnd }
-
-// ResetClock discards the clock reading of a previous incarnation of the
-// worker.
-func (l *Lease) ResetClock() { l.reading, l.known = clockReading{}, false }
--- a/core/fleet/worker.go
+++ b/core/fleet/worker.go
@@ -46,11 +46,27 @@
 	// StopWanted is set once the attempt is to be stopped. StopSent is set while
 	// a stop command has no answer yet.
 	StopWanted, StopSent bool
-	// StopAckedAt is when the worker confirmed the stop; 0 before.
-	StopAckedAt Instant
 	// PlacedAt is when the attempt was placed, and StartedAt when the worker
 	// confirmed it.
 	PlacedAt, StartedAt Instant
+	AttemptStatus
+	// SpeedPercent is the last speed limit that was sent, in percent of full speed.
+	// SpeedKnown is false if the speed limit is unknown, for example because a
+	// previous owner placed the attempt.
+	SpeedPercent int
+	SpeedKnown   bool
+	// ThrottleSent is set while a command that sets the speed limit has no
+	// answer yet.
+	ThrottleSent bool
+}
+
+// AttemptStatus is what the current incarnation of the worker has reported about an
+// attempt. The zero value is that of an attempt that it has not reported.
+type AttemptStatus struct {
+	// Listed is true if a heartbeat response has listed the attempt as running.
+	Listed bool
+	// StopAckedAt is when the worker confirmed the stop; 0 before.
+	StopAckedAt Instant
 	// ProgressPercent and Observed are the latest values that the worker reported; see
 	// platform.Running.
 	ProgressPercent int
@@ -60,14 +76,6 @@
 	// last changed.
 	FirstProgressAt, ProgressChangedAt Instant
 	FirstProgressPercent               int
-	// SpeedPercent is the last speed limit that was sent, in percent of full speed.
-	// SpeedKnown is false for an attempt that a previous owner placed: its speed
-	// limit is unknown.
-	SpeedPercent int
-	SpeedKnown   bool
-	// ThrottleSent is set while a command that sets the speed limit has no
-	// answer yet.
-	ThrottleSent bool
 	// OverTargetSince is since when the tail latency has been over its target,
 	// and CloseToTargetSince since when it has been close to or over it; 0 if it
 	// is not.
@@ -79,25 +87,18 @@
 	return platform.AttemptKey{Task: r.ID.String(), Attempt: r.Attempt}
 }
 
-// Worker is one worker with the attempts that may be executing on it.
+// Worker is one worker with the attempts that may be executing on it. Its attempts
+// may belong to an incarnation other than the current one until it is known which
+// incarnation carried out their start requests.
 type Worker struct {
 	platform.RegistryEntry
 	// Registered is true if the worker is registered.
 	Registered bool
-	// Incarnation identifies the worker process that answered last.
-	Incarnation int64
-	// HeartbeatAnswered is true if the current incarnation of the worker has
-	// answered a heartbeat of this owner.
-	HeartbeatAnswered bool
+	Incarnation
+	// endedIncarnation is the incarnation that ended last; 0 for none.
+	endedIncarnation int64
 	// Fenced is true if the worker has seen a higher fencing token.
 	Fenced bool
-	// LeavesAt is when the worker is going to leave; 0 if it has not announced
-	// that.
-	LeavesAt Instant
-	Lease    Lease
-	// Stored is the number of the last completion whose effect is stored, and
-	// LastRead that of the last completion that was read.
-	Stored, LastRead int64
 	// Used is the capacity that all attempts reserve.
 	Used domain.Resources
 	// BestEffortCPU is the CPU demand of the best-effort attempts, in
@@ -108,9 +109,6 @@
 	Attempts map[job.TaskID]*Attempt
 	// LastContact is when the last answer of the worker arrived.
 	LastContact Instant
-	// AvoidUntil is until when the worker gets no new attempts, for example
-	// after it refused one.
-	AvoidUntil Instant
 	// MissedHeartbeats counts the heartbeats in a row that failed.
 	MissedHeartbeats int
 	// UnresponsiveSince is since when no heartbeat of this owner has succeeded;
@@ -120,17 +118,12 @@
 	// be stored lists the worker. It gets no lease until a newer record that
 	// does not list it is stored.
 	LeaseSuspended bool
-	// Health rates how attempts finish on the worker.
-	Health Health
 	// serving counts the attempts with a tail latency target, and ServingCPU is
 	// their CPU demand in millicores.
 	serving    int
 	ServingCPU int64
-	// bestEffort counts the best-effort attempts, and BestEffortFinishedAt is
-	// when one of them last finished. Its CPU use still affects the tail
-	// latencies of the last half second although it is no longer in Attempts.
-	bestEffort           int
-	BestEffortFinishedAt Instant
+	// bestEffort counts the best-effort attempts.
+	bestEffort int
 }
 
 func newWorker(entry platform.RegistryEntry) *Worker {
@@ -167,7 +160,7 @@
 // AcceptsAttempts reports whether the worker's state allows new attempts. It
 // does not consider free capacity.
 func (w *Worker) AcceptsAttempts(now Instant) bool {
-	return w.Registered && w.HeartbeatAnswered && !w.Fenced && !w.LeaseSuspended && !w.Draining && w.LeavesAt == 0 && w.MissedHeartbeats == 0 &&
+	return w.Registered && w.HeartbeatAnswered && w.MatchesRegistry() && !w.Superseded && !w.Fenced && !w.LeaseSuspended && !w.Draining && w.LeavesAt == 0 && w.MissedHeartbeats == 0 &&
 		now >= w.AvoidUntil && now-w.LastContact < unresponsiveAfter
 }
 
--- a/core/scheduler/advice.go
+++ b/core/scheduler/advice.go
@@ -54,7 +54,7 @@
 	}
 	d.Tickets = map[string]string{}
 	for id, grant := range advice.tickets {
-		if w := s.fleet.Worker(id); w != nil && w.Incarnation == grant.incarnation && now < grant.validUntil && s.isUsable(w, now) {
+		if w := s.fleet.Worker(id); w != nil && w.IncarnationID == grant.incarnation && now < grant.validUntil && s.isUsable(w, now) {
 			d.Tickets[string(id)] = grant.ticket
 		}
 	}
@@ -71,14 +71,15 @@
 		return
 	}
 	var workers []domain.WorkerID
+	var incarnations []int64
 	for _, w := range s.fleet.All() {
 		grant, ok := advice.tickets[w.ID]
-		valid := ok && grant.incarnation == w.Incarnation && now < grant.validUntil
+		valid := ok && grant.incarnation == w.IncarnationID && now < grant.validUntil
 		if valid || advice.refused[w.ID] || w.Service != d.Service || !s.isUsable(w, now) || !w.HasLabel(d.Step.RequiredLabel) {
 			continue
 		}
 		if d.Step.ReservedCapacity().Fits(w.FreeCapacity()) {
-			workers = append(workers, w.ID)
+			workers, incarnations = append(workers, w.ID), append(incarnations, w.IncarnationID)
 		}
 		if len(workers) == maxAdvisedWorkers {
 			break
@@ -88,7 +89,7 @@
 		return
 	}
 	s.policyAdvice.requestInProgress = true
-	s.commands = append(s.commands, &Command{Kind: CommandAdvise, IssuedAt: now, Step: d.ID, Workers: workers})
+	s.commands = append(s.commands, &Command{Kind: CommandAdvise, IssuedAt: now, Step: d.ID, Workers: workers, incarnations: incarnations})
 }
 
 func (s *Scheduler) handleAdviceResult(result Result, now fleet.Instant) {
@@ -99,16 +100,18 @@
 		s.policyAdvice.retryAt = now + adviceRetryDelay
 		return
 	}
-	for _, id := range result.Command.Workers {
+	asked := map[domain.WorkerID]int64{}
+	for i, id := range result.Command.Workers {
 		advice.refused[id] = true
+		asked[id] = result.Command.incarnations[i]
 	}
 	for _, t := range result.Advice.Tickets {
 		delete(advice.refused, t.Worker)
-		w := s.fleet.Worker(t.Worker)
-		if w == nil {
+		incarnation, ok := asked[t.Worker]
+		if !ok {
 			continue
 		}
-		advice.tickets[t.Worker] = ticketGrant{ticket: t.Ticket, incarnation: w.Incarnation, validUntil: result.Command.IssuedAt + result.Advice.Valid - ticketMargin}
+		advice.tickets[t.Worker] = ticketGrant{ticket: t.Ticket, incarnation: incarnation, validUntil: result.Command.IssuedAt + result.Advice.Valid - ticketMargin}
 	}
 	s.recordDecision(Decision{Action: "advice", Job: result.Command.Step.Job, Reason: "workers allowed by the policy service", Attempt: len(result.Advice.Tickets), Age: now - result.Command.IssuedAt})
 }
--- a/core/scheduler/command.go
+++ b/core/scheduler/command.go
@@ -41,8 +41,10 @@
 	// Step and Workers are the request to the policy service.
 	Step    job.StepID
 	Workers []domain.WorkerID
-	// incarnation is the incarnation of the worker that the command is meant for.
-	incarnation int64
+	// incarnation is the incarnation of the worker that the command is meant for; 0 if
+	// none has answered. incarnations are those of Workers.
+	incarnation  int64
+	incarnations []int64
 	// earliestClock is the lowest value that the clock of that incarnation can show
 	// when it carries out the command; 0 if unknown.
 	earliestClock time.Duration
@@ -53,6 +55,12 @@
 	return platform.AttemptKey{Task: c.Task.String(), Attempt: c.Attempt}
 }
 
+// acknowledges reports whether the worker has no completions to list again after it
+// has carried out the heartbeat. Otherwise it answers at once.
+func (c *Command) acknowledges(w *fleet.Worker) bool {
+	return w.LastRead == w.Stored && max(w.Forgotten, c.Heartbeat.LastStored) == w.Stored
+}
+
 // Result is the outcome of a command.
 type Result struct {
 	Command *Command
--- a/core/scheduler/harness_test.go
+++ b/core/scheduler/harness_test.go
@@ -1,7 +1,9 @@
 package scheduler
 
 import (
+	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -21,6 +23,7 @@
 // are reported until they are stored.
 type fakeWorker struct {
 	id               domain.WorkerID
+	address, kind    string
 	incarnation      int64
 	clock            time.Duration
 	maxToken         platform.Token
@@ -40,10 +43,18 @@
 
 func newFakeWorker(id string) *fakeWorker {
 	return &fakeWorker{
-		id: domain.WorkerID(id), incarnation: 1, clock: time.Hour, attempts: map[string]*fakeAttempt{}, finishedAttempts: map[string]int{}, nextNumber: 1,
+		id: domain.WorkerID(id), address: "address of " + id, kind: "a", incarnation: 1, clock: time.Hour, attempts: map[string]*fakeAttempt{}, finishedAttempts: map[string]int{}, nextNumber: 1,
 	}
 }
 
+// restart ends the worker's process and starts a new one, which knows nothing of the
+// former.
+func (w *fakeWorker) restart() {
+	w.incarnation++
+	w.attempts, w.finishedAttempts, w.completions = map[string]*fakeAttempt{}, map[string]int{}, nil
+	w.nextNumber, w.maxToken, w.clock, w.leaseUntil = 1, 0, time.Second, 0
+}
+
 func (w *fakeWorker) finish(task string, kind platform.CompletionKind) {
 	r := w.attempts[task]
 	delete(w.attempts, task)
@@ -139,15 +150,21 @@
 	// unanswered are the commands that get no result, with the time at which they
 	// fail.
 	unanswered map[*Command]fleet.Instant
+	// delays selects commands that reach no worker by themselves. They are added to
+	// delayed and get no result.
+	delays  func(*Command) bool
+	delayed []*Command
 }
 
+var errNoAnswer = errors.New("no answer")
+
 const harnessStep = 20 * time.Millisecond
 
 // commandTimeout is how long after its issue a command without a result fails.
 const commandTimeout = 700 * time.Millisecond
 
 var testSettings = Settings{
-	Lease: 6 * time.Second, HeartbeatWait: time.Second, MaxOffline: 9 * time.Second,
+	Lease: 6 * time.Second, LeaseLimit: 6500 * time.Millisecond, HeartbeatWait: time.Second, MaxOffline: 9 * time.Second,
 	Retention: time.Minute,
 }
 
@@ -167,14 +184,21 @@
 	h.batch = nil
 	clear(h.unanswered)
 	scheduler.SetConfig(&platform.OperatorConfig{Version: 1, Routes: []platform.Route{{Queue: testQueue}}})
-	for i, f := range h.workers {
-		scheduler.RegisterWorker(platform.RegistryEntry{
-			ID: f.id, Address: "a", Service: "desk", Domain: domain.FailureDomain([]string{"north", "south"}[i%2]),
-			Capacity: domain.Resources{CPUMilli: 4000, MemoryMiB: 1000}, Labels: []string{"a", fmt.Sprintf("r%d", i%2)},
-		}, h.now)
+	for _, f := range h.workers {
+		h.register(f)
 	}
 }
 
+// register passes the current registry entry of a worker to the scheduler.
+func (h *harness) register(f *fakeWorker) {
+	i := slices.Index(h.workers, f)
+	h.scheduler.RegisterWorker(platform.RegistryEntry{
+		ID: f.id, Address: f.address, Service: "desk", Domain: domain.FailureDomain([]string{"north", "south"}[i%2]),
+		Capacity: domain.Resources{CPUMilli: 4000, MemoryMiB: 1000}, Labels: []string{f.kind, fmt.Sprintf("r%d", i%2)},
+		StartedUnixMS: f.incarnation,
+	}, h.now)
+}
+
 var testQueue = job.Queue{Route: "checks", Service: "desk", MaxAttempts: 2, Stretch: 1.5, Objective: time.Second}
 
 func (h *harness) worker(id domain.WorkerID) *fakeWorker {
@@ -187,6 +211,21 @@
 	return nil
 }
 
+// execute lets the worker at the address of a command carry it out. It returns false
+// if there is no answer.
+func (h *harness) execute(command *Command) (result Result, answered bool) {
+	for _, f := range h.workers {
+		if f.address != command.To.Address {
+			continue
+		}
+		if f.id != command.To.ID && !f.unresponsive {
+			return Result{Command: command, Err: &platform.RefusedError{Reason: platform.RefusedIncarnation}}, true
+		}
+		return f.execute(command)
+	}
+	return Result{Command: command}, false
+}
+
 func (h *harness) step() {
 	h.now += harnessStep
 	for _, f := range h.workers {
@@ -197,7 +236,9 @@
 	for _, command := range h.scheduler.TakeCommands() {
 		if command.Kind == CommandAdvise {
 			h.scheduler.HandleResult(h.advise(command), h.now)
-		} else if result, ok := h.worker(command.Worker).execute(command); ok {
+		} else if h.delays != nil && h.delays(command) {
+			h.delayed = append(h.delayed, command)
+		} else if result, ok := h.execute(command); ok {
 			h.scheduler.HandleResult(result, h.now)
 		} else {
 			h.unanswered[command] = h.now + commandTimeout
@@ -206,7 +247,7 @@
 	for command, at := range h.unanswered {
 		if h.now >= at {
 			delete(h.unanswered, command)
-			h.scheduler.HandleResult(Result{Command: command, Err: fmt.Errorf("no answer")}, h.now)
+			h.scheduler.HandleResult(Result{Command: command, Err: errNoAnswer}, h.now)
 		}
 	}
 	h.scheduler.TakeDecisions()
--- a/core/scheduler/heartbeat.go
+++ b/core/scheduler/heartbeat.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/basilferry/basilferry/core/fleet"
@@ -28,15 +27,15 @@
 		hb.inProgress = true
 		s.Counters.Heartbeats++
 		command := &Command{
-			Kind: CommandHeartbeat, Worker: w.ID, To: w.Endpoint(), Token: s.token, IssuedAt: now, incarnation: w.Incarnation,
-			Heartbeat: platform.HeartbeatCommand{Token: s.token, LastStored: w.Stored},
+			Kind: CommandHeartbeat, Worker: w.ID, To: w.Endpoint(), Token: s.token, IssuedAt: now, incarnation: w.IncarnationID,
+			Heartbeat: platform.HeartbeatCommand{Token: s.token, LastStored: completionsToForget(w)},
 		}
 		if w.MissedHeartbeats == 0 && !w.LeaseSuspended && s.leaseBoundsStored {
 			// The lease of a worker that does not respond is not extended. Otherwise
 			// its attempts could never be released.
 			command.Heartbeat.Until = w.Lease.Until(s.settings.Lease, now)
 		}
-		if w.HeartbeatAnswered && !w.LeaseSuspended && w.LastRead == w.Stored {
+		if w.HeartbeatAnswered && !w.Superseded && !w.LeaseSuspended && command.acknowledges(w) {
 			command.Heartbeat.Wait = s.heartbeatWait(w)
 		}
 		s.commands = append(s.commands, command)
@@ -69,6 +68,9 @@
 		return
 	}
 	s.recordFencing(w, result.Err)
+	if platform.RefusalOf(result.Err) == platform.RefusedIncarnation {
+		s.handleOtherInstance(w, result.Command, now)
+	}
 	switch result.Command.Kind {
 	case CommandHeartbeat:
 		s.handleHeartbeatResult(w, result, now)
@@ -99,17 +101,18 @@
 		if w.UnresponsiveSince == 0 {
 			w.UnresponsiveSince = now
 		}
-		if platform.RefusalOf(result.Err) == platform.RefusedIncarnation {
-			// Another worker responds at this address, so this worker no longer
-			// exists.
-			s.releaseAll(w, "another instance answers at the address", now)
-		}
+		return
+	}
+	if !s.observeIncarnation(w, result, now) {
+		hb.next = now + heartbeatRetryDelay
 		return
 	}
 	s.applyReport(w, result, now)
 	switch {
 	case w.LastRead != w.Stored, w.LeaseSuspended:
 		hb.next = now + unstoredHeartbeatDelay
+	case w.Stored != w.Forgotten && w.HasUnlistedAttempts():
+		hb.next = now + unlistedHeartbeatDelay
 	case len(w.Attempts) == 0:
 		hb.next = now + idleHeartbeatInterval
 	default:
@@ -120,20 +123,9 @@
 // applyReport applies the status that a worker returned for a heartbeat.
 func (s *Scheduler) applyReport(w *fleet.Worker, result Result, now fleet.Instant) {
 	report := &result.Report
-	if w.HeartbeatAnswered && report.StartedUnixMS != w.Incarnation {
-		s.recordDecision(Decision{
-			Action: "worker restarted", Worker: w.ID, Age: now - w.LastContact,
-			Reason: fmt.Sprintf("incarnation %d follows %d; the heartbeat acknowledged completions up to %d of the former", report.StartedUnixMS, w.Incarnation, result.Command.Heartbeat.LastStored),
-		})
-		s.handleRestart(w, now)
-	}
-	first := !w.HeartbeatAnswered
-	w.HeartbeatAnswered, w.Incarnation, w.LastContact, w.MissedHeartbeats, w.UnresponsiveSince = true, report.StartedUnixMS, now, 0, 0
+	w.Superseded, w.LastContact, w.MissedHeartbeats, w.UnresponsiveSince = false, now, 0, 0
 	w.Lease.ObserveClock(report.Clock, now)
-	if first {
-		// The worker can get attempts from now on.
-		s.needsPlan = true
-	}
+	recordForgotten(w, result.Command)
 	if report.Draining && w.LeavesAt == 0 {
 		w.LeavesAt = now + report.Remaining
 		s.stopLongRunning(w, now)
@@ -179,6 +171,7 @@
 		s.stopOrphan(w, id, running, now)
 		return
 	}
+	r.Listed = true
 	if r.Phase != fleet.AttemptStarted {
 		r.Phase = fleet.AttemptStarted
 		r.StartedAt = now
@@ -196,7 +189,9 @@
 		// again. The worker stops it by itself or has refused the newer attempt.
 		return
 	}
-	r := &fleet.Attempt{ID: id, Attempt: running.Attempt, Phase: fleet.AttemptStarted, StartedAt: now}
+	r := &fleet.Attempt{
+		ID: id, Attempt: running.Attempt, Phase: fleet.AttemptStarted, StartedAt: now, AttemptStatus: fleet.AttemptStatus{Listed: true},
+	}
 	if e := s.ledger.Entry(id.Job); e != nil && id.Step < len(e.Job.Steps) {
 		r.Need = e.Job.Steps[id.Step].ReservedCapacity()
 	}
@@ -332,33 +327,6 @@
 	}
 }
 
-// handleRestart handles a worker that has restarted under the same ID. It has lost
-// its earlier attempts and numbers its completions from 1 again.
-func (s *Scheduler) handleRestart(w *fleet.Worker, now fleet.Instant) {
-	w.Stored, w.LastRead, w.LeavesAt = 0, 0, 0
-	w.Health = fleet.Health{}
-	w.Lease.ResetClock()
-	for _, r := range w.Attempts {
-		switch r.Phase {
-		case fleet.AttemptUnsent:
-		case fleet.AttemptSent, fleet.AttemptUnresolved:
-			// The new incarnation may still carry out the start request.
-			r.Phase = fleet.AttemptUnresolved
-			s.requestStop(w, r, "the worker restarted while the start request was unresolved", now)
-		default:
-			s.releaseAttempt(w, r, "the worker restarted", now)
-		}
-	}
-}
-
-// releaseAll releases all attempts on a worker that no longer exists.
-func (s *Scheduler) releaseAll(w *fleet.Worker, reason string, now fleet.Instant) {
-	for _, r := range w.Attempts {
-		s.releaseAttempt(w, r, reason, now)
-	}
-	w.HeartbeatAnswered = false
-}
-
 // releaseExpired releases the attempts on workers whose lease has expired.
 func (s *Scheduler) releaseExpired(now fleet.Instant) {
 	for _, w := range s.fleet.All() {
--- /dev/null
+++ b/core/scheduler/incarnation_test.go
@@ -0,0 +1,284 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/fleet"
+	"github.com/basilferry/basilferry/core/job"
+	"github.com/basilferry/basilferry/core/platform"
+)
+
+const earlierJobID = job.ID("00000000000000aa")
+
+// newIdleHarness returns a harness whose workers have finished tasks that are stored,
+// so that they have numbers of completions which a restart resets. No heartbeat is
+// due for some time.
+func newIdleHarness(t *testing.T, workers int) *harness {
+	t.Helper()
+	h := newHarness(t, workers)
+	h.runFor(200 * time.Millisecond)
+	earlier := singleStepJob(4*workers, 1000)
+	earlier.ID = earlierJobID
+	h.scheduler.Accept(earlier, h.now)
+	h.runFor(200 * time.Millisecond)
+	for _, f := range h.workers {
+		h.finishAll(f)
+	}
+	for h.scheduler.State(earlierJobID) != job.StateCompleted {
+		h.runFor(harnessStep)
+	}
+	h.runFor(3 * harnessStep)
+	for _, w := range h.scheduler.Fleet().All() {
+		assert.Equal(t, w.Forgotten, int64(4))
+	}
+	return h
+}
+
+func (h *harness) finishAll(f *fakeWorker) {
+	for task := range f.attempts {
+		f.finish(task, platform.CompletionDone)
+	}
+}
+
+// runOnce runs the first task to its end. It checks at each step that the task runs on
+// one worker at a time and is not started again after it has finished.
+func (h *harness) runOnce(duration time.Duration) {
+	h.t.Helper()
+	for elapsed := time.Duration(0); elapsed < 4*time.Second; elapsed += harnessStep {
+		h.runFor(harnessStep)
+		running := h.workersRunning(firstTaskID)
+		assert.Assert(h.t, len(running) <= 1, "%v after the acceptance", elapsed)
+		if elapsed == duration {
+			assert.Equal(h.t, len(running), 1)
+			running[0].finish(firstTaskID, platform.CompletionDone)
+		}
+		if elapsed == 400*time.Millisecond {
+			for _, f := range h.workers {
+				h.register(f)
+			}
+		}
+	}
+	assert.Equal(h.t, h.startCount(firstTaskID), 1)
+	assert.Equal(h.t, h.scheduler.State(testJobID), job.StateCompleted)
+}
+
+// Guards against running a task twice that a worker started after it had restarted
+// unnoticed: the task is still running when the restart is noticed.
+func TestTaskStartedByRestartedWorkerRunsOnce(t *testing.T) {
+	h := newIdleHarness(t, 2)
+	for _, f := range h.workers {
+		f.restart()
+	}
+	h.scheduler.Accept(singleStepJob(1, 1000), h.now)
+	h.runOnce(3 * time.Second)
+}
+
+// Guards against losing the completion of such a task: the heartbeat that notices the
+// restart must not make the worker forget it.
+func TestTaskFinishedByRestartedWorkerRunsOnce(t *testing.T) {
+	h := newIdleHarness(t, 2)
+	for _, f := range h.workers {
+		f.restart()
+	}
+	h.scheduler.Accept(singleStepJob(1, 1000), h.now)
+	h.runOnce(60 * time.Millisecond)
+}
+
+// Guards against losing the completion of such a task by acknowledging completions of
+// the former incarnation that were stored only after the start.
+func TestNothingIsAcknowledgedWhileAStartIsUnlisted(t *testing.T) {
+	h := newIdleHarness(t, 1)
+	f := h.workers[0]
+	other := singleStepJob(1, 1000)
+	other.ID = "00000000000000bb"
+	h.scheduler.Accept(other, h.now)
+	h.runFor(1500 * time.Millisecond)
+	h.storeDown = true
+	h.scheduler.Accept(singleStepJob(1, 1000), h.now)
+	h.step() // The placement is on its way to the store.
+	h.finishAll(f)
+	h.step() // The former incarnation reports its last completion.
+	assert.Equal(t, h.scheduler.Fleet().Worker(f.id).LastRead, int64(5))
+	f.restart()
+	h.storeDown = false
+	h.step()
+	h.finishAll(f)
+	h.runFor(time.Second)
+	assert.Equal(t, h.startCount(firstTaskID), 1)
+	assert.Equal(t, h.scheduler.State(testJobID), job.StateCompleted)
+}
+
+// Guards against running each task of a worker twice that restarts at another address:
+// the numbers of its completions must not be compared with the former ones.
+func TestWorkerRestartedAtAnotherAddressStartsWithNewNumbers(t *testing.T) {
+	h := newIdleHarness(t, 2)
+	for _, f := range h.workers {
+		f.restart()
+	}
+	h.workers[0].address, h.workers[1].address = h.workers[1].address, h.workers[0].address
+	h.runFor(1500 * time.Millisecond) // The heartbeats to the former addresses are refused.
+	for _, f := range h.workers {
+		h.register(f)
+	}
+	h.runFor(time.Second)
+	h.scheduler.Accept(singleStepJob(1, 1000), h.now)
+	h.runOnce(200 * time.Millisecond)
+}
+
+// Guards against giving up the attempts of a worker because another one answers at an
+// address at which the worker has never answered.
+func TestRefusalAtAnotherAddressDoesNotReleaseAttempts(t *testing.T) {
+	h := newHarness(t, 2)
+	h.scheduler.Accept(singleStepJob(1, 1000), h.now)
+	h.runFor(200 * time.Millisecond)
+	f := h.workersRunning(firstTaskID)[0]
+	address := f.address
+	f.address = h.workers[1-int(f.id[1]-'0')].address
+	h.register(f) // A misleading entry: the worker stays where it is.
+	f.address = address
+	for range 100 {
+		h.runFor(harnessStep)
+		assert.Assert(t, len(h.workersRunning(firstTaskID)) <= 1)
+	}
+	assert.Equal(t, h.startCount(firstTaskID), 1)
+}
+
+// Guards against taking the confirmation of a stop by the former incarnation for one of
+// the new incarnation, which may still carry out the start request.
+func TestStopConfirmedByFormerIncarnationIsRepeated(t *testing.T) {
+	h := newIdleHarness(t, 2)
+	h.delays = func(c *Command) bool { return c.Kind == CommandStart && c.Attempt == 1 }
+	j := singleStepJob(1, 1000)
+	j.Steps[0].RequiredLabel = "a"
+	h.scheduler.Accept(j, h.now)
+	for len(h.delayed) == 0 {
+		h.runFor(harnessStep)
+	}
+	start := h.delayed[0]
+	for range maxStartSends {
+		h.scheduler.HandleResult(Result{Command: start, Err: errNoAnswer}, h.now)
+	}
+	r := h.scheduler.Fleet().Worker(start.Worker).Attempts[start.Task]
+	for r.StopAckedAt == 0 {
+		h.step()
+	}
+	f := h.worker(start.Worker)
+	f.restart()
+	f.kind = "b" // The task starts again on the other worker.
+	h.register(f)
+	h.runFor(2 * time.Second)
+	_, _ = f.execute(start) // The first start request arrives late.
+	h.runOnce(time.Second)
+}
+
+// Guards against starting tasks on a restarted worker that the registry still describes
+// as it was: its kind, room and address may have changed.
+func TestNoStartOnRestartedWorkerBeforeItIsRegistered(t *testing.T) {
+	h := newIdleHarness(t, 1)
+	f := h.workers[0]
+	f.restart()
+	f.kind = "b"
+	h.runFor(1500 * time.Millisecond) // A heartbeat notices the restart.
+	j := singleStepJob(1, 1000)
+	j.Steps[0].RequiredLabel = "a"
+	h.scheduler.Accept(j, h.now)
+	h.runFor(time.Second)
+	assert.Equal(t, h.startCount(firstTaskID), 0)
+	h.register(f)
+	h.runFor(time.Second)
+	assert.Equal(t, h.startCount(firstTaskID), 0)
+}
+
+// Guards against keeping the tasks of a crashed worker until its next heartbeat although
+// the registry lists its new incarnation, and against reviving the former incarnation
+// by a report that was on its way.
+func TestRegistryEntryEndsFormerIncarnation(t *testing.T) {
+	h := newHarness(t, 1)
+	h.scheduler.Accept(singleStepJob(1, 1000), h.now)
+	h.runFor(1500 * time.Millisecond)
+	f := h.workers[0]
+	h.delays = func(c *Command) bool { return c.Kind == CommandHeartbeat }
+	for len(h.delayed) == 0 {
+		h.runFor(harnessStep)
+	}
+	lastReport, _ := f.execute(h.delayed[0])
+	f.restart()
+	h.register(f)
+	w := h.scheduler.Fleet().Worker(f.id)
+	assert.Equal(t, len(w.Attempts), 0)
+	h.scheduler.HandleResult(lastReport, h.now)
+	assert.Assert(t, !w.HeartbeatAnswered)
+	h.delays = nil
+	h.runFor(time.Second)
+	assert.Equal(t, h.startCount(firstTaskID), 2)
+	assert.Equal(t, len(h.workersRunning(firstTaskID)), 1)
+}
+
+// Guards against using a ticket of the policy service that was requested for the former
+// incarnation of a worker.
+func TestTicketIsBoundToTheIncarnationItWasRequestedFor(t *testing.T) {
+	h := newIdleHarness(t, 1)
+	f := h.workers[0]
+	h.allowed = map[domain.WorkerID]bool{f.id: true}
+	queue := testQueue
+	queue.Advice = true
+	h.scheduler.SetConfig(&platform.OperatorConfig{Version: 2, Routes: []platform.Route{{Queue: queue}}})
+	h.scheduler.Accept(singleStepJob(1, 1000), h.now)
+	h.now += harnessStep
+	h.scheduler.Advance(h.now, h.now.Milliseconds())
+	var request *Command
+	for _, command := range h.scheduler.TakeCommands() {
+		if command.Kind == CommandAdvise {
+			request = command
+		}
+	}
+	f.restart()
+	h.register(f)
+	h.scheduler.HandleResult(h.advise(request), h.now)
+	h.runFor(100 * time.Millisecond)
+	for _, grant := range h.scheduler.policyAdvice.steps[request.Step].tickets {
+		assert.Assert(t, grant.incarnation != h.scheduler.Fleet().Worker(f.id).IncarnationID || grant.validUntil > h.now+2*time.Second)
+	}
+	assert.Equal(t, h.adviceRequests, 2, "no ticket was requested for the new incarnation")
+}
+
+// Guards against releasing an attempt of a restarted worker that does not answer while
+// the longest lease that its new incarnation can have granted still lasts.
+func TestStartAnsweredByLaterIncarnationExtendsTheLeaseBound(t *testing.T) {
+	h := newIdleHarness(t, 2)
+	for _, f := range h.workers {
+		f.restart()
+	}
+	h.scheduler.Accept(singleStepJob(1, 1000), h.now)
+	for h.startCount(firstTaskID) == 0 {
+		h.runFor(harnessStep)
+	}
+	f := h.workersRunning(firstTaskID)[0]
+	f.unresponsive = true
+	remaining := h.scheduler.Fleet().Worker(f.id).Lease.Remaining(h.now)
+	assert.Assert(t, remaining >= fleet.LongestLease(testSettings.LeaseLimit)-harnessStep, "%v", remaining)
+	for end := h.now + testSettings.LeaseLimit; h.now < end; {
+		h.runFor(harnessStep)
+		assert.Assert(t, len(h.workersRunning(firstTaskID)) <= 1)
+	}
+}
+
+// Guards against a new owner that loses completions of a worker which restarted while
+// nobody owned it.
+func TestNewOwnerReadsCompletionsOfRestartedWorker(t *testing.T) {
+	h := newIdleHarness(t, 1)
+	h.workers[0].restart()
+	h.scheduler.Accept(singleStepJob(1, 1000), h.now)
+	for h.startCount(firstTaskID) == 0 {
+		h.runFor(harnessStep)
+	}
+	h.finishAll(h.workers[0])
+	h.replaceOwner(6)
+	h.runFor(2 * time.Second)
+	assert.Equal(t, h.startCount(firstTaskID), 1)
+	assert.Equal(t, h.scheduler.State(testJobID), job.StateCompleted)
+}
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -18,6 +18,10 @@
 	// grants, long enough for a change of owner, and short enough that the tasks
 	// of a dead worker start again soon.
 	Lease time.Duration
+	// LeaseLimit is the longest lease that a worker grants, on its own clock. A worker
+	// that has restarted grants it for any end that was computed for the clock of its
+	// former incarnation.
+	LeaseLimit time.Duration
 	// HeartbeatWait is how long a worker may wait for a completion before it
 	// responds to a heartbeat.
 	HeartbeatWait time.Duration
@@ -48,6 +52,9 @@
 	// heartbeat asks for an immediate response, which would mostly be the same as
 	// the last one.
 	unstoredHeartbeatDelay = 700 * time.Millisecond
+	// unlistedHeartbeatDelay is the pause before the next heartbeat of a worker that
+	// lists completions again because a start on it has no answer yet.
+	unlistedHeartbeatDelay = 100 * time.Millisecond
 	// maxStartSends is how often a start request is sent before the attempt is
 	// stopped.
 	maxStartSends = 2
@@ -151,9 +158,10 @@
 // Counters count the scheduler's decisions and their results, for the metrics.
 // Unresolved counts the attempts whose start request had an unknown outcome, Lost
 // those that were released without a completion, Expired those that ended with the
-// worker's lease, and Moved the stragglers that were stopped.
+// worker's lease, Moved the stragglers that were stopped, and Restarts the ended
+// incarnations of workers.
 type Counters struct {
-	Placed, Started, Refused, Unresolved, Lost, Done, Failed, Stopped, Expired, Heartbeats, Throttled, Moved int64
+	Placed, Started, Refused, Unresolved, Lost, Done, Failed, Stopped, Expired, Heartbeats, Throttled, Moved, Restarts int64
 }
 
 // pendingStop is a stop command that has to be sent or repeated.
@@ -368,6 +376,7 @@
 func (s *Scheduler) RegisterWorker(entry platform.RegistryEntry, now fleet.Instant) {
 	w := s.fleet.RegisterWorker(entry)
 	s.heartbeat(w, now)
+	s.observeRegisteredIncarnation(w, now)
 	if w.Draining {
 		s.stopLongRunning(w, now)
 	}
--- a/core/scheduler/silence_test.go
+++ b/core/scheduler/silence_test.go
@@ -39,9 +39,7 @@
 	h.t.Helper()
 	f.unresponsive, f.dropResults = !s.oneWay, s.oneWay
 	if s.crash {
-		f.incarnation++
-		f.attempts, f.finishedAttempts, f.completions = map[string]*fakeAttempt{}, map[string]int{}, nil
-		f.nextNumber, f.maxToken, f.clock, f.leaseUntil = 1, 0, time.Minute, 0
+		f.restart()
 	}
 	end := h.now + s.duration
 	for h.now < end {
@@ -53,6 +51,7 @@
 		assert.Assert(h.t, len(h.workersRunning(firstTaskID)) <= 1, "%v into the silence", s.duration-(end-h.now))
 	}
 	f.unresponsive, f.dropResults = false, false
+	h.register(f)
 	for range 250 {
 		h.runFor(harnessStep)
 		assert.Assert(h.t, len(h.workersRunning(firstTaskID)) <= 1)
--- a/core/scheduler/start.go
+++ b/core/scheduler/start.go
@@ -1,8 +1,6 @@
 package scheduler
 
 import (
-	"fmt"
-
 	"github.com/basilferry/basilferry/core/fleet"
 	"github.com/basilferry/basilferry/core/platform"
 )
@@ -42,7 +40,7 @@
 		checkpoint = s.gangCheckpoint(r)
 	}
 	s.commands = append(s.commands, &Command{
-		Kind: CommandStart, Worker: w.ID, To: w.Endpoint(), Token: s.token, IssuedAt: now, incarnation: w.Incarnation,
+		Kind: CommandStart, Worker: w.ID, To: w.Endpoint(), Token: s.token, IssuedAt: now, incarnation: w.IncarnationID,
 		Task: r.ID, Attempt: r.Attempt, earliestClock: w.Lease.EarliestClock(now),
 		Start: platform.StartCommand{
 			AttemptKey: r.Key(), Token: s.token, Payload: payload, Checkpoint: checkpoint, Ticket: start.ticket,
@@ -77,7 +75,7 @@
 	case reason != "" && r.Sends == 1 && r.Phase == fleet.AttemptSent:
 		s.handleRefusedStart(w, r, reason, now)
 	case r.Phase == fleet.AttemptSent && reason == "" && r.Sends < maxStartSends && !r.StopWanted && !w.LeaseSuspended &&
-		w.Incarnation == result.Command.incarnation && s.isJobOpen(r) && s.IsConnected(now):
+		w.IncarnationID == result.Command.incarnation && s.isJobOpen(r) && s.IsConnected(now):
 		// The same start request may be sent again: the worker carries it out
 		// only once.
 		s.recordDecision(Decision{Action: "repeat start", Job: r.ID.Job, Task: r.ID.String(), Attempt: r.Attempt, Worker: w.ID, Reason: errorText(result.Err)})
@@ -103,9 +101,7 @@
 }
 
 func (s *Scheduler) confirmStart(w *fleet.Worker, r *fleet.Attempt, result Result, now fleet.Instant) {
-	if result.Clock > 0 && w.Incarnation == result.Command.incarnation {
-		w.Lease.ObserveClock(result.Clock, now)
-	}
+	s.observeStartClock(w, result.Command, result.Clock, now)
 	s.Counters.Started++
 	if r.Phase == fleet.AttemptSent {
 		r.Phase = fleet.AttemptStarted
@@ -117,7 +113,6 @@
 	}
 	s.recordDecision(Decision{
 		Action: "started", Job: r.ID.Job, Task: r.ID.String(), Attempt: r.Attempt, Worker: w.ID, Age: now - r.PlacedAt,
-		Reason: fmt.Sprintf("the worker's clock shows %d ms, at least %d expected", result.Clock.Milliseconds(), result.Command.earliestClock.Milliseconds()),
 	})
 }
 
@@ -159,7 +154,7 @@
 		r.StopSent = true
 		s.commands = append(s.commands, &Command{
 			Kind: CommandStop, Worker: stop.worker.ID, To: stop.worker.Endpoint(), Token: s.token, IssuedAt: now,
-			Task: r.ID, Attempt: r.Attempt, incarnation: stop.worker.Incarnation,
+			Task: r.ID, Attempt: r.Attempt, incarnation: stop.worker.IncarnationID,
 		})
 	}
 }
@@ -171,18 +166,11 @@
 	}
 	r.StopSent = false
 	stop := s.stops[r]
-	if result.Err != nil {
-		if stop != nil {
-			stop.nextSend = now + stopRetryDelay
-		}
-		return
-	}
-	if w.Incarnation == result.Command.incarnation {
+	switch {
+	case result.Err == nil && w.HeartbeatAnswered && w.IncarnationID == result.Command.incarnation:
 		r.StopAckedAt = now
 		delete(s.stops, r)
-		return
-	}
-	if stop != nil {
-		stop.nextSend = now
+	case stop != nil:
+		stop.nextSend = now + stopRetryDelay
 	}
 }
--- a/core/scheduler/store.go
+++ b/core/scheduler/store.go
@@ -66,7 +66,7 @@
 	}
 	for _, w := range s.fleet.All() {
 		if w.LastRead != w.Stored {
-			b.completions = append(b.completions, processedCompletions{worker: w.ID, incarnation: w.Incarnation, lastNumber: w.LastRead})
+			b.completions = append(b.completions, processedCompletions{worker: w.ID, incarnation: w.IncarnationID, lastNumber: w.LastRead})
 		}
 	}
 	if now-s.modelStoredAt >= modelStoreInterval {
@@ -95,7 +95,7 @@
 	s.dropFinishedJobs(b.entries)
 	for _, processed := range b.completions {
 		w := s.fleet.Worker(processed.worker)
-		if w == nil || w.Incarnation != processed.incarnation {
+		if w == nil || w.IncarnationID != processed.incarnation {
 			continue
 		}
 		w.Stored = processed.lastNumber
@@ -103,6 +103,8 @@
 			hb.next = now
 		}
 	}
+	// A heartbeat that follows a start to the same worker cannot acknowledge completions.
+	s.sendHeartbeats(now)
 	for _, start := range b.starts {
 		s.sendStart(start, now)
 	}
--- a/node/dispatcher/execute.go
+++ b/node/dispatcher/execute.go
@@ -112,6 +112,7 @@
 		{"holds", now.Heartbeats - before.Heartbeats},
 		{"paced", now.Throttled - before.Throttled},
 		{"run_moved", now.Moved - before.Moved},
+		{"worker_restarts", now.Restarts - before.Restarts},
 	} {
 		if c.n != 0 {
 			m.Count(c.name, c.n)
--- a/node/entry/node.go
+++ b/node/entry/node.go
@@ -264,6 +264,7 @@
 		},
 		Scheduler: scheduler.Settings{
 			Lease:         min(s.Workers.LeaseMS, s.Workers.LeaseMaxMS).Duration() - leaseMargin,
+			LeaseLimit:    s.Workers.LeaseMaxMS.Duration(),
 			HeartbeatWait: heartbeatWait, Retention: s.Retention(), MaxOffline: s.Ownership.OfflineMS.Duration(),
 		},
 		Clock: n.clock, Logger: decisionlog.Component(n.logger, "schedule"), View: n.view,
--- a/node/entry/node_test.go
+++ b/node/entry/node_test.go
@@ -155,7 +155,7 @@
 				}
 				return platform.RegistryEntry{
 					ID: domain.WorkerID(r.Key), Address: "a", Service: "desk", Domain: "north",
-					Capacity: domain.Resources{CPUMilli: 4000, MemoryMiB: 4000}, Labels: []string{"a", "r1"},
+					Capacity: domain.Resources{CPUMilli: 4000, MemoryMiB: 4000}, Labels: []string{"a", "r1"}, StartedUnixMS: fleet.IncarnationID,
 				}, nil
 			},
 		},
--- a/standin/fleet/workers.go
+++ b/standin/fleet/workers.go
@@ -10,6 +10,10 @@
 	"github.com/basilferry/basilferry/core/platform"
 )
 
+// IncarnationID identifies the incarnation of every worker. Registry entries of the
+// workers have to name it too.
+const IncarnationID = 1
+
 // Workers implements platform.WorkerClient for a set of workers in memory. All tasks
 // take the same time. It is safe for concurrent use.
 type Workers struct {
@@ -131,7 +135,7 @@
 	for len(target.completions) > 0 && target.completions[0].Number <= command.LastStored {
 		target.completions = target.completions[1:]
 	}
-	result := platform.HeartbeatResult{Clock: time.Since(w.clockStart), StartedUnixMS: 1, Completions: append([]platform.Completion(nil), target.completions...)}
+	result := platform.HeartbeatResult{Clock: time.Since(w.clockStart), StartedUnixMS: IncarnationID, Completions: append([]platform.Completion(nil), target.completions...)}
 	for _, a := range target.attempts {
 		percent := int(100 * time.Since(a.startedAt) / w.taskDuration)
 		result.Running = append(result.Running, platform.Running{AttemptKey: a.key, ProgressPercent: min(percent, 99)})
