scheduler: raise the fencing token for a worker that has restarted

What callers could see: a start or a heartbeat that was sent to the former incarnation of a worker and given up takes effect on the next one, which has seen no token.

Cause: one token for a whole term, so nothing tells commands from before and after a restart apart. Ruled out: acknowledgement beside an unlisted attempt (none in the trace).

Change: the token of commands to a worker is raised when a restart is known or suspected (report, registry entry, 421, clock in the answer to a start), below the token of the next owner. The worker gets attempts again once it has answered a heartbeat with the raised token; the report to that heartbeat is complete, and attempts that it does not list are released without a stop. This replaces the comparison of incarnations in each answer. A heartbeat acknowledges and waits at once only within 50 ms of the worker's last answer.

A late copy that reaches the new incarnation before any newer command still takes effect there and is then stopped; no program can prevent that, and the soak lets connections end with their process."

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -11,6 +11,9 @@
 	// order lists the workers in the order in which they were added, so that
 	// decisions do not depend on map iteration order.
 	order []*Worker
+	// tokenRaises counts the raises of all workers. A worker that is added starts with
+	// it, because an earlier record of the same worker may have had as many.
+	tokenRaises int64
 }
 
 // New returns an empty worker table.
@@ -29,6 +32,7 @@
 		return w
 	}
 	w := newWorker(platform.RegistryEntry{ID: id})
+	w.TokenRaises = f.tokenRaises
 	f.workers[id] = w
 	f.order = append(f.order, w)
 	return w
@@ -52,6 +56,14 @@
 	return w
 }
 
+// RaiseToken raises the fencing token of commands to the worker. Nothing that it does
+// not list in its next report can be running there or start later.
+func (f *Fleet) RaiseToken(w *Worker) {
+	f.tokenRaises++
+	w.TokenRaises = f.tokenRaises
+	w.HeartbeatAnswered = false
+}
+
 // Forget removes a worker that is unregistered and has no attempts.
 func (f *Fleet) Forget(w *Worker) {
 	if w.Registered || len(w.Attempts) > 0 {
--- a/core/fleet/incarnation.go
+++ b/core/fleet/incarnation.go
@@ -8,8 +8,8 @@
 	// IncarnationID identifies the incarnation: the time at which its process started, in
 	// Unix milliseconds; 0 if no heartbeat has been answered.
 	IncarnationID int64
-	// HeartbeatAnswered is true if the incarnation has answered a heartbeat of
-	// this owner.
+	// HeartbeatAnswered is true if the incarnation has answered a heartbeat with the
+	// current fencing token.
 	HeartbeatAnswered bool
 	// HeartbeatAddress is where the incarnation answered its first heartbeat.
 	HeartbeatAddress string
@@ -21,9 +21,6 @@
 	// the last one whose effect is stored, and Forgotten that of the last one that
 	// the worker has been told to forget.
 	LastRead, Stored, Forgotten int64
-	// Superseded is true if the answer to a start has shown that a later
-	// incarnation runs, which has not answered a heartbeat yet.
-	Superseded bool
 	// AvoidUntil is until when the incarnation gets no new attempts, for example
 	// after it refused one.
 	AvoidUntil Instant
@@ -44,14 +41,9 @@
 // EndIncarnation records that the current incarnation no longer runs. The worker's
 // attempts stay, and so does the latest time at which their lease can expire.
 func (w *Worker) EndIncarnation() {
-	w.endedIncarnation = w.IncarnationID
 	w.Incarnation = Incarnation{Lease: Lease{latestEnd: w.Lease.latestEnd}}
 }
 
-// HasEnded reports whether the incarnation is the one that ended last. An answer of
-// it that arrives late describes nothing that still runs.
-func (w *Worker) HasEnded(id int64) bool { return id != 0 && id == w.endedIncarnation }
-
 // MatchesRegistry reports whether the registry entry describes the incarnation that
 // answers. Address, capacity and labels may differ between incarnations.
 func (w *Worker) MatchesRegistry() bool {
--- a/core/fleet/worker.go
+++ b/core/fleet/worker.go
@@ -41,8 +41,10 @@
 	Step *job.Step
 	// Need is the capacity that the attempt reserves.
 	Need domain.Resources
-	// Sends counts how often the start request was sent.
+	// Sends counts how often the start request was sent, and Token is the fencing token
+	// that it carried last; 0 for a previous owner's request.
 	Sends int
+	Token platform.Token
 	// StopWanted is set once the attempt is to be stopped. StopSent is set while
 	// a stop command has no answer yet.
 	StopWanted, StopSent bool
@@ -95,8 +97,9 @@
 	// Registered is true if the worker is registered.
 	Registered bool
 	Incarnation
-	// endedIncarnation is the incarnation that ended last; 0 for none.
-	endedIncarnation int64
+	// TokenRaises is how often the fencing token of commands to the worker has been
+	// raised.
+	TokenRaises int64
 	// Fenced is true if the worker has seen a higher fencing token.
 	Fenced bool
 	// Used is the capacity that all attempts reserve.
@@ -160,7 +163,7 @@
 // AcceptsAttempts reports whether the worker's state allows new attempts. It
 // does not consider free capacity.
 func (w *Worker) AcceptsAttempts(now Instant) bool {
-	return w.Registered && w.HeartbeatAnswered && w.MatchesRegistry() && !w.Superseded && !w.Fenced && !w.LeaseSuspended && !w.Draining && w.LeavesAt == 0 && w.MissedHeartbeats == 0 &&
+	return w.Registered && w.HeartbeatAnswered && w.MatchesRegistry() && !w.Fenced && !w.LeaseSuspended && !w.Draining && w.LeavesAt == 0 && w.MissedHeartbeats == 0 &&
 		now >= w.AvoidUntil && now-w.LastContact < unresponsiveAfter
 }
 
--- a/core/platform/commands.go
+++ b/core/platform/commands.go
@@ -12,6 +12,16 @@
 // the highest that it has seen.
 type Token int64
 
+// raiseBits is the number of low bits of a token that count its raises.
+const raiseBits = 20
+
+// MaxRaises is how often a token can be raised.
+const MaxRaises = 1<<raiseBits - 1
+
+// Raised returns the token of an owner that has raised it n times, which is lower than
+// that of any later owner. n is at most MaxRaises.
+func (t Token) Raised(n int64) Token { return t<<raiseBits | Token(n) }
+
 // Endpoint is where a worker is reached, and which worker is expected there.
 type Endpoint struct {
 	ID      domain.WorkerID
--- a/core/scheduler/command.go
+++ b/core/scheduler/command.go
@@ -27,7 +27,7 @@
 	Kind   CommandKind
 	Worker domain.WorkerID
 	To     platform.Endpoint
-	// Token is the fencing token of the owner.
+	// Token is the fencing token of the command. It is raised when the worker restarts.
 	Token platform.Token
 	// IssuedAt is when the scheduler issued the command.
 	IssuedAt  fleet.Instant
@@ -41,12 +41,10 @@
 	// Step and Workers are the request to the policy service.
 	Step    job.StepID
 	Workers []domain.WorkerID
-	// incarnation is the incarnation of the worker that the command is meant for; 0 if
-	// none has answered. incarnations are those of Workers.
-	incarnation  int64
+	// incarnations are the incarnations of Workers.
 	incarnations []int64
-	// earliestClock is the lowest value that the clock of that incarnation can show
-	// when it carries out the command; 0 if unknown.
+	// earliestClock is the lowest value that the worker's clock can show when it carries
+	// out the command, unless it has restarted; 0 if unknown.
 	earliestClock time.Duration
 }
 
@@ -55,10 +53,20 @@
 	return platform.AttemptKey{Task: c.Task.String(), Attempt: c.Attempt}
 }
 
-// acknowledges reports whether the worker has no completions to list again after it
-// has carried out the heartbeat. Otherwise it answers at once.
-func (c *Command) acknowledges(w *fleet.Worker) bool {
-	return w.LastRead == w.Stored && max(w.Forgotten, c.Heartbeat.LastStored) == w.Stored
+// maxAckAge is how long after a worker's last answer a heartbeat may both acknowledge
+// completions and wait for the next one. A restarted worker may drop the completions of
+// tasks that it starts and finishes while such a heartbeat waits; a process takes longer
+// than this to restart.
+const maxAckAge = 50 * time.Millisecond
+
+// mayWait reports whether the worker may delay its answer to the heartbeat until an
+// attempt finishes. A worker that has completions to list again answers at once.
+func (c *Command) mayWait(w *fleet.Worker) bool {
+	acknowledged := max(w.Forgotten, c.Heartbeat.LastStored)
+	if w.LastRead != w.Stored || acknowledged != w.Stored {
+		return false
+	}
+	return c.Heartbeat.LastStored == 0 || c.IssuedAt-w.LastContact <= maxAckAge
 }
 
 // Result is the outcome of a command.
--- a/core/scheduler/harness_test.go
+++ b/core/scheduler/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -48,11 +49,11 @@
 }
 
 // restart ends the worker's process and starts a new one, which knows nothing of the
-// former.
-func (w *fakeWorker) restart() {
+// former and whose clock shows the given time.
+func (w *fakeWorker) restart(clock time.Duration) {
 	w.incarnation++
 	w.attempts, w.finishedAttempts, w.completions = map[string]*fakeAttempt{}, map[string]int{}, nil
-	w.nextNumber, w.maxToken, w.clock, w.leaseUntil = 1, 0, time.Second, 0
+	w.nextNumber, w.maxToken, w.clock, w.leaseUntil = 1, 0, clock, 0
 }
 
 func (w *fakeWorker) finish(task string, kind platform.CompletionKind) {
@@ -78,6 +79,11 @@
 	}
 }
 
+// extendLease extends the lease as far as the worker allows.
+func (w *fakeWorker) extendLease(until time.Duration) {
+	w.leaseUntil = max(w.leaseUntil, min(until, w.clock+testSettings.LeaseLimit))
+}
+
 // execute carries out a command. It returns false if the worker does not answer.
 func (w *fakeWorker) execute(command *Command) (result Result, answered bool) {
 	result = Result{Command: command}
@@ -94,18 +100,22 @@
 	}
 	switch command.Kind {
 	case CommandHeartbeat:
-		w.leaseUntil = max(w.leaseUntil, command.Heartbeat.Until)
+		w.extendLease(command.Heartbeat.Until)
 		for len(w.completions) > 0 && w.completions[0].Number <= command.Heartbeat.LastStored {
 			w.completions = w.completions[1:]
 		}
 		result.Report = platform.HeartbeatResult{Clock: w.clock, StartedUnixMS: w.incarnation, Completions: append([]platform.Completion(nil), w.completions...)}
-		for _, r := range w.attempts {
-			result.Report.Running = append(result.Report.Running, r.status)
+		for _, task := range slices.Sorted(maps.Keys(w.attempts)) {
+			result.Report.Running = append(result.Report.Running, w.attempts[task].status)
 		}
 	case CommandStart:
-		w.leaseUntil = max(w.leaseUntil, command.Start.Until)
 		task := command.Start.Task
 		result.Clock = w.clock
+		if command.Start.Until <= w.clock {
+			result.Err = &platform.RefusedError{Reason: platform.RefusedLeaseExpired}
+			return result, !w.dropStartResults
+		}
+		w.extendLease(command.Start.Until)
 		if command.Start.Attempt <= w.finishedAttempts[task] {
 			result.Err = &platform.RefusedError{Reason: platform.RefusedStale}
 		} else if w.attempts[task] == nil {
@@ -140,6 +150,8 @@
 	// was stored. lastSeenAt is when the owner last wrote to the store.
 	leaseBounds               []byte
 	leaseBoundsAt, lastSeenAt fleet.Instant
+	// storedStates are the stored state records of the jobs.
+	storedStates map[job.ID][]byte
 	// previousOwnerEnded tells a new owner that the process of the previous owner
 	// has ended.
 	previousOwnerEnded bool
@@ -169,7 +181,7 @@
 }
 
 func newHarness(t *testing.T, workers int) *harness {
-	h := &harness{t: t, now: time.Minute, unanswered: map[*Command]fleet.Instant{}}
+	h := &harness{t: t, now: time.Minute, unanswered: map[*Command]fleet.Instant{}, storedStates: map[job.ID][]byte{}}
 	for i := range workers {
 		h.workers = append(h.workers, newFakeWorker(fmt.Sprintf("w%d", i)))
 	}
@@ -279,6 +291,9 @@
 		if b.LeaseBounds != nil {
 			h.leaseBounds, h.leaseBoundsAt = b.LeaseBounds, h.now
 		}
+		for _, record := range b.Records {
+			h.storedStates[record.Job] = record.State
+		}
 		h.lastSeenAt = h.now
 		h.scheduler.Stored(b, h.now, h.now)
 	}
--- a/core/scheduler/heartbeat.go
+++ b/core/scheduler/heartbeat.go
@@ -27,15 +27,15 @@
 		hb.inProgress = true
 		s.Counters.Heartbeats++
 		command := &Command{
-			Kind: CommandHeartbeat, Worker: w.ID, To: w.Endpoint(), Token: s.token, IssuedAt: now, incarnation: w.IncarnationID,
-			Heartbeat: platform.HeartbeatCommand{Token: s.token, LastStored: completionsToForget(w)},
+			Kind: CommandHeartbeat, Worker: w.ID, To: w.Endpoint(), Token: s.workerToken(w), IssuedAt: now,
+			Heartbeat: platform.HeartbeatCommand{Token: s.workerToken(w), LastStored: completionsToForget(w)},
 		}
-		if w.MissedHeartbeats == 0 && !w.LeaseSuspended && s.leaseBoundsStored {
+		if w.HeartbeatAnswered && w.MissedHeartbeats == 0 && !w.LeaseSuspended && s.leaseBoundsStored {
 			// The lease of a worker that does not respond is not extended. Otherwise
 			// its attempts could never be released.
 			command.Heartbeat.Until = w.Lease.Until(s.settings.Lease, now)
 		}
-		if w.HeartbeatAnswered && !w.Superseded && !w.LeaseSuspended && command.acknowledges(w) {
+		if w.HeartbeatAnswered && !w.LeaseSuspended && command.mayWait(w) {
 			command.Heartbeat.Wait = s.heartbeatWait(w)
 		}
 		s.commands = append(s.commands, command)
@@ -67,7 +67,7 @@
 	if w == nil {
 		return
 	}
-	s.recordFencing(w, result.Err)
+	s.recordFencing(w, result)
 	if platform.RefusalOf(result.Err) == platform.RefusedIncarnation {
 		s.handleOtherInstance(w, result.Command, now)
 	}
@@ -83,8 +83,8 @@
 	}
 }
 
-func (s *Scheduler) recordFencing(w *fleet.Worker, err error) {
-	if platform.RefusalOf(err) != platform.RefusedFenced || w.Fenced {
+func (s *Scheduler) recordFencing(w *fleet.Worker, result Result) {
+	if platform.RefusalOf(result.Err) != platform.RefusedFenced || w.Fenced || !s.isCurrent(w, result.Command) {
 		return
 	}
 	w.Fenced = true
@@ -104,7 +104,7 @@
 		return
 	}
 	if !s.observeIncarnation(w, result, now) {
-		hb.next = now + heartbeatRetryDelay
+		hb.next = now
 		return
 	}
 	s.applyReport(w, result, now)
@@ -123,9 +123,9 @@
 // applyReport applies the status that a worker returned for a heartbeat.
 func (s *Scheduler) applyReport(w *fleet.Worker, result Result, now fleet.Instant) {
 	report := &result.Report
-	w.Superseded, w.LastContact, w.MissedHeartbeats, w.UnresponsiveSince = false, now, 0, 0
+	w.LastContact, w.MissedHeartbeats, w.UnresponsiveSince = now, 0, 0
 	w.Lease.ObserveClock(report.Clock, now)
-	recordForgotten(w, result.Command)
+	w.Forgotten = max(w.Forgotten, result.Command.Heartbeat.LastStored)
 	if report.Draining && w.LeavesAt == 0 {
 		w.LeavesAt = now + report.Remaining
 		s.stopLongRunning(w, now)
@@ -159,7 +159,7 @@
 	}
 	for id, r := range w.Attempts {
 		if number, ok := present[id]; !ok || number != r.Attempt {
-			s.handleMissingAttempt(w, r, result.Command.IssuedAt, now)
+			s.handleMissingAttempt(w, r, result.Command, now)
 		}
 	}
 }
@@ -199,16 +199,18 @@
 	s.requestStop(w, r, "no placement matches the attempt", now)
 }
 
-// handleMissingAttempt handles an attempt that a complete report does not list.
-// issued is when the heartbeat command was issued.
-func (s *Scheduler) handleMissingAttempt(w *fleet.Worker, r *fleet.Attempt, issued, now fleet.Instant) {
+// handleMissingAttempt handles an attempt that the complete report to a heartbeat does
+// not list.
+func (s *Scheduler) handleMissingAttempt(w *fleet.Worker, r *fleet.Attempt, heartbeat *Command, now fleet.Instant) {
+	if r.Phase != fleet.AttemptUnsent && r.Token < heartbeat.Token {
+		// The worker refuses the start request if it arrives later.
+		s.releaseAttempt(w, r, "the start request was not carried out before the fencing token was raised", now)
+		return
+	}
+	issued := heartbeat.IssuedAt
 	switch r.Phase {
-	case fleet.AttemptUnsent, fleet.AttemptSent:
+	case fleet.AttemptUnsent, fleet.AttemptSent, fleet.AttemptInherited:
 		return
-	case fleet.AttemptInherited:
-		// The heartbeat carried this owner's fencing token, so the worker refuses
-		// a late start request of the previous owner.
-		s.releaseAttempt(w, r, "the previous owner's start request was not carried out", now)
 	case fleet.AttemptStarted:
 		// A heartbeat that was issued before the start may have been answered
 		// before the start as well.
--- a/core/scheduler/incarnation.go
+++ b/core/scheduler/incarnation.go
@@ -4,28 +4,52 @@
 	"fmt"
 
 	"github.com/basilferry/basilferry/core/fleet"
+	"github.com/basilferry/basilferry/core/platform"
 )
 
 // A worker can restart under its ID at any time, and only heartbeat responses and
-// registry entries name the incarnation that they come from. Any other answer is
-// from the current incarnation only if heartbeat responses of that incarnation
-// enclose the command. The owner therefore treats an attempt as running on an
-// incarnation only once that incarnation has listed it.
+// registry entries name the incarnation that they come from. Once a restart is known or
+// suspected, the owner raises its fencing token for the worker. The first report to a
+// heartbeat with the raised token is complete: commands that were sent before, to
+// whichever incarnation, no longer take effect.
+
+// workerToken returns the fencing token of commands to the worker.
+func (s *Scheduler) workerToken(w *fleet.Worker) platform.Token { return s.token.Raised(w.TokenRaises) }
+
+// isCurrent reports whether no incarnation of the worker is known to have ended since
+// the command was issued.
+func (s *Scheduler) isCurrent(w *fleet.Worker, command *Command) bool {
+	return command.Token == s.workerToken(w)
+}
+
+// raiseToken raises the fencing token for the worker, which gets no attempts until it
+// has answered a heartbeat with the new one.
+func (s *Scheduler) raiseToken(w *fleet.Worker, now fleet.Instant) {
+	s.fleet.RaiseToken(w)
+	if w.TokenRaises >= platform.MaxRaises {
+		s.fenced = true // The next term starts with a new token.
+	}
+	if hb := s.heartbeats[w.ID]; hb != nil {
+		hb.next = now
+	}
+}
 
 // observeIncarnation applies the incarnation that a heartbeat response names. It
-// returns false if the response is from an incarnation that has ended.
+// returns false if the response is from an incarnation that has ended, or from one
+// that may still carry out commands to the former.
 func (s *Scheduler) observeIncarnation(w *fleet.Worker, result Result, now fleet.Instant) bool {
 	id := result.Report.StartedUnixMS
-	if w.HasEnded(id) {
+	if !s.isCurrent(w, result.Command) {
 		s.recordDecision(Decision{
 			Action: "ignore heartbeat response", Worker: w.ID, Age: now - result.Command.IssuedAt,
-			Reason: fmt.Sprintf("incarnation %d has ended", id),
+			Reason: fmt.Sprintf("incarnation %d answers a heartbeat from before the fencing token was raised", id),
 		})
 		return false
 	}
-	if w.HeartbeatAnswered && id != w.IncarnationID {
+	if w.IncarnationID != 0 && id != w.IncarnationID {
 		reason := fmt.Sprintf("incarnation %d answers; completions up to %d of the former were acknowledged to it", id, result.Command.Heartbeat.LastStored)
 		s.endIncarnation(w, reason, now)
+		return false
 	}
 	if !w.HeartbeatAnswered {
 		w.BeginIncarnation(id, result.Command.To.Address)
@@ -37,16 +61,14 @@
 
 // observeRegisteredIncarnation applies the incarnation that a registry entry names.
 func (s *Scheduler) observeRegisteredIncarnation(w *fleet.Worker, now fleet.Instant) {
-	if !w.HeartbeatAnswered || w.StartedUnixMS <= w.IncarnationID {
-		return
+	if w.IncarnationID != 0 && w.StartedUnixMS > w.IncarnationID {
+		s.endIncarnation(w, fmt.Sprintf("incarnation %d is registered", w.StartedUnixMS), now)
 	}
-	s.endIncarnation(w, fmt.Sprintf("incarnation %d is registered", w.StartedUnixMS), now)
-	s.heartbeats[w.ID].next = now
 }
 
 // endIncarnation handles the end of the worker's current incarnation. Attempts that
 // ran on it are released. A later incarnation may have carried out the start
-// requests of the others.
+// requests of the others; its first report tells.
 func (s *Scheduler) endIncarnation(w *fleet.Worker, reason string, now fleet.Instant) {
 	s.recordDecision(Decision{
 		Action: "worker restarted", Worker: w.ID, Age: now - w.LastContact,
@@ -54,6 +76,7 @@
 	})
 	s.Counters.Restarts++
 	w.EndIncarnation()
+	s.raiseToken(w, now)
 	for _, r := range w.Attempts {
 		switch {
 		case r.Phase == fleet.AttemptUnsent, r.Phase == fleet.AttemptInherited, r.Listed && r.Sends <= 1:
@@ -72,23 +95,19 @@
 func (s *Scheduler) forgetStatus(w *fleet.Worker, r *fleet.Attempt, now fleet.Instant) {
 	r.AttemptStatus = fleet.AttemptStatus{}
 	r.SpeedKnown = r.SpeedKnown && r.SpeedPercent == fullSpeedPercent && !r.ThrottleSent
-	if r.Phase == fleet.AttemptStarted && r.Sends > 1 {
-		// One copy of the start request was carried out; the other may still be.
-		r.Phase = fleet.AttemptUnresolved
-	}
 	if r.StopWanted && s.stops[r] == nil {
 		s.stops[r] = &pendingStop{worker: w, nextSend: now}
 	}
 }
 
 // observeStartClock compares the clock reading in the answer to a start with the
-// clock of the incarnation that the start was meant for. The owner does not know
-// the room of a later incarnation, nor how long the attempts on it may run.
+// clock of the incarnation that the start was meant for. A later incarnation may run
+// the attempt for as long as it grants a lease.
 func (s *Scheduler) observeStartClock(w *fleet.Worker, command *Command, clock, now fleet.Instant) {
 	if clock <= 0 {
 		return
 	}
-	current := command.incarnation == w.IncarnationID
+	current := s.isCurrent(w, command)
 	if current && clock >= command.earliestClock {
 		w.Lease.ObserveClock(clock, now)
 		return
@@ -97,8 +116,7 @@
 	if !current {
 		return
 	}
-	w.Superseded = true
-	s.heartbeats[w.ID].next = now
+	s.raiseToken(w, now)
 	s.recordDecision(Decision{
 		Action: "worker may have restarted", Worker: w.ID, Age: now - w.LastContact,
 		Reason: fmt.Sprintf("its clock shows %d ms, at least %d expected", clock.Milliseconds(), command.earliestClock.Milliseconds()),
@@ -109,11 +127,11 @@
 // one. The process that answered there no longer exists, and start requests were
 // sent only to it.
 func (s *Scheduler) handleOtherInstance(w *fleet.Worker, command *Command, now fleet.Instant) {
-	if command.incarnation != w.IncarnationID || (w.HeartbeatAnswered && command.To.Address != w.HeartbeatAddress) {
+	if !s.isCurrent(w, command) || (w.IncarnationID != 0 && command.To.Address != w.HeartbeatAddress) {
 		return
 	}
 	const reason = "another instance answers at the address"
-	if w.HeartbeatAnswered {
+	if w.IncarnationID != 0 {
 		s.endIncarnation(w, reason, now)
 	}
 	for _, r := range w.Attempts {
@@ -126,15 +144,8 @@
 // to its new completions, so it is sent only while no unlisted attempt can have
 // finished there, and not again after it has been answered.
 func completionsToForget(w *fleet.Worker) int64 {
-	if w.Stored == w.Forgotten || w.MissedHeartbeats > 0 || w.Superseded || w.HasUnlistedAttempts() {
+	if w.Stored == w.Forgotten || !w.HeartbeatAnswered || w.HasUnlistedAttempts() {
 		return 0
 	}
 	return w.Stored
 }
-
-// recordForgotten records that the worker was told to forget completions.
-func recordForgotten(w *fleet.Worker, command *Command) {
-	if command.incarnation == w.IncarnationID {
-		w.Forgotten = max(w.Forgotten, command.Heartbeat.LastStored)
-	}
-}
--- a/core/scheduler/incarnation_test.go
+++ b/core/scheduler/incarnation_test.go
@@ -71,7 +71,7 @@
 func TestTaskStartedByRestartedWorkerRunsOnce(t *testing.T) {
 	h := newIdleHarness(t, 2)
 	for _, f := range h.workers {
-		f.restart()
+		f.restart(time.Second)
 	}
 	h.scheduler.Accept(singleStepJob(1, 1000), h.now)
 	h.runOnce(3 * time.Second)
@@ -82,7 +82,7 @@
 func TestTaskFinishedByRestartedWorkerRunsOnce(t *testing.T) {
 	h := newIdleHarness(t, 2)
 	for _, f := range h.workers {
-		f.restart()
+		f.restart(time.Second)
 	}
 	h.scheduler.Accept(singleStepJob(1, 1000), h.now)
 	h.runOnce(60 * time.Millisecond)
@@ -103,7 +103,7 @@
 	h.finishAll(f)
 	h.step() // The former incarnation reports its last completion.
 	assert.Equal(t, h.scheduler.Fleet().Worker(f.id).LastRead, int64(5))
-	f.restart()
+	f.restart(f.clock + time.Second) // The clock does not show the restart.
 	h.storeDown = false
 	h.step()
 	h.finishAll(f)
@@ -117,7 +117,7 @@
 func TestWorkerRestartedAtAnotherAddressStartsWithNewNumbers(t *testing.T) {
 	h := newIdleHarness(t, 2)
 	for _, f := range h.workers {
-		f.restart()
+		f.restart(time.Second)
 	}
 	h.workers[0].address, h.workers[1].address = h.workers[1].address, h.workers[0].address
 	h.runFor(1500 * time.Millisecond) // The heartbeats to the former addresses are refused.
@@ -166,13 +166,83 @@
 	for r.StopAckedAt == 0 {
 		h.step()
 	}
-	f := h.worker(start.Worker)
-	f.restart()
-	f.kind = "b" // The task starts again on the other worker.
+	h.delays = func(c *Command) bool { return c.Kind == CommandStop }
+	h.restartAsOtherKind(h.worker(start.Worker))
+	h.runFor(time.Second)
+	h.deliverLate(start)
+	for _, stop := range h.delayed {
+		if stop.Kind == CommandStop {
+			result, _ := h.execute(stop)
+			h.scheduler.HandleResult(result, h.now)
+		}
+	}
+	h.delays = nil
+	h.runFor(time.Second)
+	assert.Equal(t, len(h.workersRunning(firstTaskID)), 1)
+}
+
+// restartAsOtherKind restarts a worker so that tasks that need its former kind cannot
+// start there again.
+func (h *harness) restartAsOtherKind(f *fakeWorker) {
+	f.restart(time.Second)
+	f.kind = "b"
 	h.register(f)
-	h.runFor(2 * time.Second)
-	_, _ = f.execute(start) // The first start request arrives late.
-	h.runOnce(time.Second)
+}
+
+// deliverLate lets a command that was given up take effect, and checks for a second that
+// the task never runs twice.
+func (h *harness) deliverLate(command *Command) {
+	h.t.Helper()
+	_, _ = h.execute(command)
+	for range 50 {
+		assert.Assert(h.t, len(h.workersRunning(firstTaskID)) <= 1)
+		h.runFor(harnessStep)
+	}
+}
+
+// Guards against releasing a task of a restarted worker that has a copy of the start
+// request on its way, which the new incarnation would carry out.
+func TestLateCopyOfAStartIsRefusedByTheNextIncarnation(t *testing.T) {
+	h := newIdleHarness(t, 2)
+	h.delays = func(c *Command) bool { return c.Kind == CommandStart && len(h.delayed) == 0 }
+	j := singleStepJob(1, 1000)
+	j.Steps[0].RequiredLabel = "a"
+	h.scheduler.Accept(j, h.now)
+	for len(h.delayed) == 0 {
+		h.runFor(harnessStep)
+	}
+	first := h.delayed[0]
+	h.scheduler.HandleResult(Result{Command: first, Err: errNoAnswer}, h.now)
+	h.runFor(1500 * time.Millisecond)
+	assert.Assert(t, h.scheduler.Fleet().Worker(first.Worker).Attempts[first.Task].Listed)
+	h.restartAsOtherKind(h.worker(first.Worker))
+	h.runFor(time.Second)
+	h.deliverLate(first)
+	assert.Equal(t, len(h.workersRunning(firstTaskID)), 1)
+}
+
+// Guards against releasing a task while the new incarnation of a worker, which only the
+// registry has shown so far, may run it under the longest lease that it grants.
+func TestUnansweredStartOnRegisteredIncarnationExtendsTheLeaseBound(t *testing.T) {
+	h := newIdleHarness(t, 2)
+	for _, f := range h.workers {
+		f.restart(time.Second)
+		f.dropStartResults = true
+	}
+	h.scheduler.Accept(singleStepJob(1, 1000), h.now)
+	for h.startCount(firstTaskID) == 0 {
+		h.runFor(harnessStep)
+	}
+	f := h.workersRunning(firstTaskID)[0]
+	f.unresponsive = true
+	for _, other := range h.workers {
+		other.dropStartResults = false
+		h.register(other)
+	}
+	for end := h.now + testSettings.LeaseLimit; h.now < end; {
+		h.runFor(harnessStep)
+		assert.Assert(t, len(h.workersRunning(firstTaskID)) <= 1)
+	}
 }
 
 // Guards against starting tasks on a restarted worker that the registry still describes
@@ -180,7 +250,7 @@
 func TestNoStartOnRestartedWorkerBeforeItIsRegistered(t *testing.T) {
 	h := newIdleHarness(t, 1)
 	f := h.workers[0]
-	f.restart()
+	f.restart(time.Second)
 	f.kind = "b"
 	h.runFor(1500 * time.Millisecond) // A heartbeat notices the restart.
 	j := singleStepJob(1, 1000)
@@ -206,7 +276,7 @@
 		h.runFor(harnessStep)
 	}
 	lastReport, _ := f.execute(h.delayed[0])
-	f.restart()
+	f.restart(time.Second)
 	h.register(f)
 	w := h.scheduler.Fleet().Worker(f.id)
 	assert.Equal(t, len(w.Attempts), 0)
@@ -236,7 +306,7 @@
 			request = command
 		}
 	}
-	f.restart()
+	f.restart(time.Second)
 	h.register(f)
 	h.scheduler.HandleResult(h.advise(request), h.now)
 	h.runFor(100 * time.Millisecond)
@@ -251,7 +321,7 @@
 func TestStartAnsweredByLaterIncarnationExtendsTheLeaseBound(t *testing.T) {
 	h := newIdleHarness(t, 2)
 	for _, f := range h.workers {
-		f.restart()
+		f.restart(time.Second)
 	}
 	h.scheduler.Accept(singleStepJob(1, 1000), h.now)
 	for h.startCount(firstTaskID) == 0 {
@@ -271,7 +341,7 @@
 // nobody owned it.
 func TestNewOwnerReadsCompletionsOfRestartedWorker(t *testing.T) {
 	h := newIdleHarness(t, 1)
-	h.workers[0].restart()
+	h.workers[0].restart(time.Second)
 	h.scheduler.Accept(singleStepJob(1, 1000), h.now)
 	for h.startCount(firstTaskID) == 0 {
 		h.runFor(harnessStep)
@@ -282,3 +352,28 @@
 	assert.Equal(t, h.startCount(firstTaskID), 1)
 	assert.Equal(t, h.scheduler.State(testJobID), job.StateCompleted)
 }
+
+// Guards against attempts on a restarted worker before it refuses the commands that were
+// sent to its former incarnation, and against taking such a refusal for a new owner.
+func TestRestartedWorkerGetsAttemptsOnceItHasSeenTheRaisedToken(t *testing.T) {
+	h := newIdleHarness(t, 1)
+	f := h.workers[0]
+	w := h.scheduler.Fleet().Worker(f.id)
+	f.restart(time.Second)
+	h.delays = func(c *Command) bool { return c.Kind == CommandHeartbeat }
+	for len(h.delayed) == 0 {
+		h.runFor(harnessStep)
+	}
+	earlier := h.delayed[0]
+	result, _ := f.execute(earlier)
+	h.scheduler.HandleResult(result, h.now)
+	h.register(f)
+	assert.Assert(t, !w.HeartbeatAnswered)
+	h.delays = nil
+	h.runFor(100 * time.Millisecond)
+	assert.Assert(t, w.HeartbeatAnswered)
+	result, _ = f.execute(earlier)
+	assert.Equal(t, platform.RefusalOf(result.Err), platform.RefusedFenced)
+	h.scheduler.HandleResult(result, h.now)
+	assert.Assert(t, !h.scheduler.IsFenced())
+}
--- /dev/null
+++ b/core/scheduler/restart_soak_test.go
@@ -0,0 +1,384 @@
+package scheduler
+
+import (
+	"cmp"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/basilferry/basilferry/core/fleet"
+	"github.com/basilferry/basilferry/core/job"
+	"github.com/basilferry/basilferry/core/ledger"
+	"github.com/basilferry/basilferry/core/platform"
+)
+
+var (
+	soakSeeds     = flag.Int("soak-seeds", 12, "number of seeds of the restart soak")
+	soakFirstSeed = flag.Uint64("soak-first-seed", 1, "first seed of the restart soak")
+)
+
+const (
+	soakWorkers  = 5
+	soakDuration = 40 * time.Second
+	// soakRecovery is how long the workers are left alone at the end. It covers the
+	// longest wait of a new owner for an unreachable worker.
+	soakRecovery = 30 * time.Second
+	// maxTravel is the longest time that a command or an answer takes, unless it is
+	// lost or late.
+	maxTravel = 40 * time.Millisecond
+	// minDowntime is the shortest time between two incarnations of a worker: an answer
+	// of the first one arrives, and a heartbeat that follows it within maxAckAge too.
+	minDowntime = maxTravel + maxAckAge + maxTravel
+)
+
+// process is one incarnation of a worker in the soak.
+type process struct {
+	*fakeWorker
+	index       int
+	incarnation int64
+}
+
+// run is one run of a task on a process.
+type run struct {
+	process          process
+	task             string
+	attempt          int
+	startedAt, endAt fleet.Instant
+	// done is true for a run that ended as done, noted is true once the process was
+	// told to forget that completion, and number is the number of the completion.
+	done, noted bool
+	number      int64
+}
+
+// restartSoak runs jobs on workers that restart, move to other addresses and are
+// registered late, while owners replace each other. Commands and answers take time;
+// some are lost.
+type restartSoak struct {
+	*harness
+	random *rand.Rand
+	seed   uint64
+	// downUntil is when each worker that is down starts again.
+	downUntil map[*fakeWorker]fleet.Instant
+	events    []soakEvent
+	parked    []parkedHeartbeat
+	runs      []*run
+	jobs      []*job.Job
+	token     platform.Token
+}
+
+type soakEvent struct {
+	at     fleet.Instant
+	action func()
+}
+
+// parkedHeartbeat is a heartbeat whose response waits for a completion.
+type parkedHeartbeat struct {
+	command  *Command
+	owner    *Scheduler
+	process  process
+	deadline fleet.Instant
+}
+
+func newRestartSoak(t *testing.T, seed uint64) *restartSoak {
+	s := &restartSoak{
+		harness: newHarness(t, soakWorkers), random: rand.New(rand.NewPCG(seed, 0)), seed: seed,
+		downUntil: map[*fakeWorker]fleet.Instant{}, token: 5,
+	}
+	return s
+}
+
+func (s *restartSoak) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(s.random.Int64N(int64(high-low)))
+}
+
+func (s *restartSoak) chance(p float64) bool { return s.random.Float64() < p }
+
+func (s *restartSoak) after(d time.Duration, action func()) {
+	s.events = append(s.events, soakEvent{at: s.now + d, action: action})
+}
+
+func (s *restartSoak) runEvents() {
+	for i := 0; i < len(s.events); i++ {
+		if s.events[i].at <= s.now {
+			action := s.events[i].action
+			s.events = append(s.events[:i], s.events[i+1:]...)
+			i--
+			action()
+		}
+	}
+}
+
+// step advances the time. trouble is false during the recovery at the end.
+func (s *restartSoak) step(trouble bool) {
+	s.now += harnessStep
+	for i, f := range s.workers {
+		if s.downUntil[f] == 0 {
+			f.clock += harnessStep
+			s.finishDue(process{f, i, f.incarnation})
+		} else if s.now >= s.downUntil[f] {
+			s.comeBack(f)
+		}
+	}
+	if trouble {
+		s.disturb()
+	}
+	s.runEvents()
+	s.answerParked()
+	s.scheduler.Advance(s.now, s.now.Milliseconds())
+	s.storeBatch()
+	if !s.storeDown {
+		s.scheduler.RecordRenewal(s.now)
+		s.lastSeenAt = s.now
+	}
+	commands := s.scheduler.TakeCommands()
+	slices.SortStableFunc(commands, func(a, b *Command) int {
+		return cmp.Or(cmp.Compare(a.Worker, b.Worker), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Task.String(), b.Task.String()))
+	})
+	for _, command := range commands {
+		s.send(command, s.scheduler)
+	}
+	s.scheduler.TakeDecisions()
+}
+
+// disturb causes random faults.
+func (s *restartSoak) disturb() {
+	switch {
+	case s.chance(0.02):
+		s.crash(s.workers[s.random.IntN(len(s.workers))])
+	case s.chance(0.002):
+		first, second := s.workers[s.random.IntN(len(s.workers))], s.workers[s.random.IntN(len(s.workers))]
+		s.crash(first)
+		s.crash(second)
+		first.address, second.address = second.address, first.address
+	case s.chance(0.003):
+		s.changeOwner()
+	case s.chance(0.003) && !s.storeDown:
+		s.storeDown = true
+		s.after(s.between(100*time.Millisecond, 2*time.Second), func() { s.storeDown = false })
+	case s.chance(0.03):
+		s.submit()
+	}
+}
+
+func (s *restartSoak) submit() {
+	j := singleStepJob(1+s.random.IntN(4), 1000)
+	j.ID = job.ID(fmt.Sprintf("%016x", len(s.jobs)+1))
+	s.jobs = append(s.jobs, j)
+	s.scheduler.Accept(j, s.now)
+}
+
+// changeOwner makes a new owner that knows what is stored.
+func (s *restartSoak) changeOwner() {
+	jobs := ledger.New()
+	for _, j := range s.jobs {
+		if state := s.storedStates[j.ID]; state != nil {
+			assert.NilError(s.t, jobs.Restore(j, state))
+		} else {
+			jobs.Accept(j)
+		}
+	}
+	s.token++
+	s.startTerm(jobs, s.token)
+}
+
+func (s *restartSoak) crash(f *fakeWorker) {
+	if s.downUntil[f] != 0 {
+		return
+	}
+	for _, r := range s.runs {
+		if r.endAt == 0 && r.process.fakeWorker == f {
+			r.endAt = s.now
+		}
+	}
+	s.downUntil[f] = s.now + s.between(minDowntime, 500*time.Millisecond)
+	if s.chance(0.2) {
+		s.downUntil[f] = s.now + s.between(time.Second, 8*time.Second)
+	}
+	if s.chance(0.5) {
+		f.restart(s.between(0, time.Minute))
+	} else {
+		f.restart(f.clock + s.between(0, 3*time.Second)) // The clock does not show the restart.
+	}
+}
+
+func (s *restartSoak) comeBack(f *fakeWorker) {
+	delete(s.downUntil, f)
+	incarnation := f.incarnation
+	s.after(s.between(0, 700*time.Millisecond), func() {
+		if f.incarnation == incarnation {
+			s.register(f)
+		}
+	})
+}
+
+// finishDue ends the runs of a process that are due or have lost their lease.
+func (s *restartSoak) finishDue(p process) {
+	for _, r := range s.runs {
+		if r.endAt != 0 || r.process != p {
+			continue
+		}
+		kind := platform.CompletionDone
+		switch {
+		case p.clock > p.leaseUntil:
+			kind = platform.CompletionLapsed
+		case p.attempts[r.task] == nil:
+			r.endAt = s.now // It was stopped.
+			continue
+		case s.now-r.startedAt < s.durationOf(r):
+			continue
+		}
+		r.endAt, r.done, r.number = s.now, kind == platform.CompletionDone, p.nextNumber
+		p.finish(r.task, kind)
+	}
+}
+
+// durationOf returns how long a run takes: 100 to 900 ms.
+func (s *restartSoak) durationOf(r *run) time.Duration {
+	return 100*time.Millisecond + time.Duration((int(r.task[15])*37+int(r.task[len(r.task)-1])*101)%800)*time.Millisecond
+}
+
+// send delivers a command after some time and passes the result to the owner that
+// issued it.
+func (s *restartSoak) send(command *Command, owner *Scheduler) {
+	target := s.at(command.To.Address)
+	switch {
+	case s.chance(0.02):
+		s.fail(command, owner, commandTimeout)
+	case s.chance(0.02) && target != nil:
+		sentTo := process{target, 0, target.incarnation}
+		s.fail(command, owner, commandTimeout)
+		s.after(s.between(time.Second, 3*time.Second), func() {
+			// A connection ends with the process that it leads to.
+			if target.incarnation == sentTo.incarnation {
+				s.deliver(command, nil)
+			}
+		})
+	default:
+		s.after(s.between(0, maxTravel), func() { s.deliver(command, owner) })
+	}
+}
+
+func (s *restartSoak) at(address string) *fakeWorker {
+	for _, f := range s.workers {
+		if f.address == address && s.downUntil[f] == 0 {
+			return f
+		}
+	}
+	return nil
+}
+
+func (s *restartSoak) fail(command *Command, owner *Scheduler, after time.Duration) {
+	s.after(after, func() { s.answer(Result{Command: command, Err: errNoAnswer}, owner) })
+}
+
+// answer passes a result to its owner, unless another one has replaced it.
+func (s *restartSoak) answer(result Result, owner *Scheduler) {
+	if owner == s.scheduler {
+		owner.HandleResult(result, s.now)
+	}
+}
+
+func (s *restartSoak) deliver(command *Command, owner *Scheduler) {
+	f := s.at(command.To.Address)
+	if f == nil {
+		s.fail(command, owner, maxTravel)
+		return
+	}
+	p := process{f, 0, f.incarnation}
+	for i := range s.workers {
+		if s.workers[i] == f {
+			p.index = i
+		}
+	}
+	before := len(f.started)
+	result, _ := s.execute(command)
+	for _, key := range f.started[before:] {
+		s.recordStart(p, key)
+	}
+	if result.Err == nil && command.Kind == CommandHeartbeat {
+		s.recordForgotten(p, command.Heartbeat.LastStored)
+		if command.Heartbeat.Wait > 0 {
+			s.parked = append(s.parked, parkedHeartbeat{command, owner, p, s.now + command.Heartbeat.Wait})
+			return
+		}
+	}
+	s.reply(result, owner)
+}
+
+func (s *restartSoak) reply(result Result, owner *Scheduler) {
+	if s.chance(0.02) {
+		s.fail(result.Command, owner, commandTimeout)
+		return
+	}
+	s.after(s.between(0, maxTravel), func() { s.answer(result, owner) })
+}
+
+func (s *restartSoak) answerParked() {
+	var rest []parkedHeartbeat
+	for _, parked := range s.parked {
+		switch p := parked.process; {
+		case p.fakeWorker.incarnation != p.incarnation:
+			s.fail(parked.command, parked.owner, maxTravel)
+		case len(p.completions) == 0 && s.now < parked.deadline:
+			rest = append(rest, parked)
+		default:
+			result, _ := p.execute(parked.command)
+			s.reply(result, parked.owner)
+		}
+	}
+	s.parked = rest
+}
+
+func (s *restartSoak) recordForgotten(p process, number int64) {
+	for _, r := range s.runs {
+		if r.process == p && r.done && r.number <= number {
+			r.noted = true
+		}
+	}
+}
+
+// recordStart records a start and checks that the task does not run elsewhere.
+func (s *restartSoak) recordStart(p process, key platform.AttemptKey) {
+	for _, r := range s.runs {
+		assert.Assert(s.t, r.task != key.Task || r.endAt != 0 || r.process.attempts[r.task] == nil,
+			"seed %d, %v: attempt %d of %s starts on %s while attempt %d runs on %s", s.seed, s.now, key.Attempt, key.Task, p.id, r.attempt, r.process.id)
+	}
+	s.runs = append(s.runs, &run{process: p, task: key.Task, attempt: key.Attempt, startedAt: s.now})
+}
+
+// check checks that no task was started after a run of it was done, if that completion
+// was noted at any time, and that all jobs are completed.
+func (s *restartSoak) check() {
+	for i, done := range s.runs {
+		for _, later := range s.runs[i+1:] {
+			assert.Assert(s.t, !done.noted || later.task != done.task || later.startedAt < done.endAt,
+				"seed %d: %s was done on %s at %v and started again at %v", s.seed, done.task, done.process.id, done.endAt, later.startedAt)
+		}
+	}
+	for _, j := range s.jobs {
+		assert.Equal(s.t, s.scheduler.State(j.ID), job.StateCompleted, "seed %d, job %s", s.seed, j.ID)
+	}
+}
+
+// Guards against tasks that run twice, and against jobs that never finish, while
+// workers restart at any moment.
+func TestTasksRunOnceWhileWorkersRestart(t *testing.T) {
+	for i := range *soakSeeds {
+		seed := *soakFirstSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := newRestartSoak(t, seed)
+			for end := s.now + soakDuration; s.now < end; {
+				s.step(true)
+			}
+			for end := s.now + soakRecovery; s.now < end; {
+				s.step(false)
+			}
+			s.check()
+		})
+	}
+}
--- a/core/scheduler/silence_test.go
+++ b/core/scheduler/silence_test.go
@@ -39,7 +39,7 @@
 	h.t.Helper()
 	f.unresponsive, f.dropResults = !s.oneWay, s.oneWay
 	if s.crash {
-		f.restart()
+		f.restart(time.Second)
 	}
 	end := h.now + s.duration
 	for h.now < end {
--- a/core/scheduler/speed.go
+++ b/core/scheduler/speed.go
@@ -109,8 +109,8 @@
 	s.Counters.Throttled++
 	s.recordDecision(Decision{Action: "pace", Job: r.ID.Job, Task: r.ID.String(), Attempt: r.Attempt, Worker: w.ID, Reason: strconv.Itoa(percent) + "%"})
 	s.commands = append(s.commands, &Command{
-		Kind: CommandThrottle, Worker: w.ID, To: w.Endpoint(), Token: s.token, IssuedAt: now,
-		Task: r.ID, Attempt: r.Attempt, Percent: percent, incarnation: w.IncarnationID,
+		Kind: CommandThrottle, Worker: w.ID, To: w.Endpoint(), Token: s.workerToken(w), IssuedAt: now,
+		Task: r.ID, Attempt: r.Attempt, Percent: percent,
 	})
 }
 
@@ -122,7 +122,7 @@
 		return
 	}
 	r.ThrottleSent = false
-	if result.Err != nil || result.Command.incarnation != w.IncarnationID {
+	if result.Err != nil || !s.isCurrent(w, result.Command) {
 		r.SpeedKnown = false
 		return
 	}
--- a/core/scheduler/start.go
+++ b/core/scheduler/start.go
@@ -34,16 +34,17 @@
 func (s *Scheduler) issueStart(start unsentStart, payload string, now fleet.Instant) {
 	w, r := start.worker, start.attempt
 	r.Sends++
+	r.Token = s.workerToken(w)
 	t, _ := s.ledger.Entry(r.ID.Job).Task(r.ID)
 	checkpoint := t.Checkpoint
 	if r.Step.Gang {
 		checkpoint = s.gangCheckpoint(r)
 	}
 	s.commands = append(s.commands, &Command{
-		Kind: CommandStart, Worker: w.ID, To: w.Endpoint(), Token: s.token, IssuedAt: now, incarnation: w.IncarnationID,
+		Kind: CommandStart, Worker: w.ID, To: w.Endpoint(), Token: r.Token, IssuedAt: now,
 		Task: r.ID, Attempt: r.Attempt, earliestClock: w.Lease.EarliestClock(now),
 		Start: platform.StartCommand{
-			AttemptKey: r.Key(), Token: s.token, Payload: payload, Checkpoint: checkpoint, Ticket: start.ticket,
+			AttemptKey: r.Key(), Token: r.Token, Payload: payload, Checkpoint: checkpoint, Ticket: start.ticket,
 			Until: w.Lease.Until(s.settings.Lease, now),
 		},
 	})
@@ -75,7 +76,7 @@
 	case reason != "" && r.Sends == 1 && r.Phase == fleet.AttemptSent:
 		s.handleRefusedStart(w, r, reason, now)
 	case r.Phase == fleet.AttemptSent && reason == "" && r.Sends < maxStartSends && !r.StopWanted && !w.LeaseSuspended &&
-		w.IncarnationID == result.Command.incarnation && s.isJobOpen(r) && s.IsConnected(now):
+		s.isCurrent(w, result.Command) && s.isJobOpen(r) && s.IsConnected(now):
 		// The same start request may be sent again: the worker carries it out
 		// only once.
 		s.recordDecision(Decision{Action: "repeat start", Job: r.ID.Job, Task: r.ID.String(), Attempt: r.Attempt, Worker: w.ID, Reason: errorText(result.Err)})
@@ -153,8 +154,8 @@
 		}
 		r.StopSent = true
 		s.commands = append(s.commands, &Command{
-			Kind: CommandStop, Worker: stop.worker.ID, To: stop.worker.Endpoint(), Token: s.token, IssuedAt: now,
-			Task: r.ID, Attempt: r.Attempt, incarnation: stop.worker.IncarnationID,
+			Kind: CommandStop, Worker: stop.worker.ID, To: stop.worker.Endpoint(), Token: s.workerToken(stop.worker), IssuedAt: now,
+			Task: r.ID, Attempt: r.Attempt,
 		})
 	}
 }
@@ -167,7 +168,7 @@
 	r.StopSent = false
 	stop := s.stops[r]
 	switch {
-	case result.Err == nil && w.HeartbeatAnswered && w.IncarnationID == result.Command.incarnation:
+	case result.Err == nil && w.HeartbeatAnswered && s.isCurrent(w, result.Command):
 		r.StopAckedAt = now
 		delete(s.stops, r)
 	case stop != nil:
