router: no request is sent without a time budget; test of "not run" without lost answers

The router should not send after the deadline, and its comment says so; it now does not (TestRequestWithoutTimeLeftIsNotSent failed before). The test's owner rejected requests as stale but answered lookups; it now rejects both, as a node that is not the owner does. - "ran" in "no id, answer lost": the draw of ids at a2 took over 300 ms, so the request went to b1, which was to answer.

The expectations are unchanged.

--- a/node/router/fake_test.go
+++ b/node/router/fake_test.go
@@ -50,7 +50,9 @@
 	self settings.Node
 	pool *peer.Pool
 	// submitFunc replaces the default, which runs the task immediately.
-	submitFunc  func(ctx context.Context, req shard.Submitted) (domain.Outcome, error)
+	submitFunc func(ctx context.Context, req shard.Submitted) (domain.Outcome, error)
+	// lookupErr is the answer to lookups and cancels, if it is set.
+	lookupErr   error
 	provisional []domain.FailureDomain
 	version     domain.Version
 	proposeFunc func() (configlog.Decision, error)
@@ -206,6 +208,9 @@
 func (n *testNode) Lookup(_ context.Context, at domain.ShardID, id domain.RequestID) (domain.Outcome, error) {
 	n.c.mutex.Lock()
 	defer n.c.mutex.Unlock()
+	if n.lookupErr != nil {
+		return domain.Outcome{}, n.lookupErr
+	}
 	if n.c.owners[at] != n.self.ID {
 		return domain.Outcome{}, errStale
 	}
--- a/node/router/submit.go
+++ b/node/router/submit.go
@@ -96,9 +96,13 @@
 	}
 }
 
-// sendOnce forwards the task once with the remaining time budget.
+// sendOnce forwards the task once with the remaining time budget. It sends nothing if
+// there is none left: the owner of a request without a budget records it as not run.
 func (s *submission) sendOnce(task domain.Task) (domain.Outcome, error) {
 	left := remaining(s.sendCtx)
+	if left <= 0 {
+		return domain.Outcome{}, errNoBudget(task.ID)
+	}
 	req := shard.Submitted{Task: task}
 	if task.Kind == domain.KindUrgent {
 		req.Budget = left
@@ -106,6 +110,17 @@
 	return s.r.forward(s.answerCtx, task.ID.Shard, req, left)
 }
 
+// errNoBudget returns the error of a request whose time is used up. Its kind means that
+// this copy was not sent.
+func errNoBudget(id domain.RequestID) error {
+	return &domain.Error{
+		Kind:      domain.KindStaleEpoch,
+		Message:   "the time budget of the request was used up before it was sent",
+		Remedy:    "send the request again with a later deadline",
+		RequestID: id.String(),
+	}
+}
+
 // submitWithoutID submits a request under an id that this node has reserved.
 // While no owner has accepted the request, it may be sent under an id of another
 // shard.
--- a/node/router/submit_test.go
+++ b/node/router/submit_test.go
@@ -60,6 +60,10 @@
 				n.submitFunc = func(context.Context, shard.Submitted) (domain.Outcome, error) {
 					return domain.Outcome{}, &domain.Error{Kind: kind, Message: "rejected", Remedy: "none"}
 				}
+				if kind == domain.KindStaleEpoch {
+					// A node that is not the owner does not record the request as not run either.
+					n.lookupErr = errStale
+				}
 			}
 		}
 	}
@@ -68,10 +72,13 @@
 			r.Close()
 		}
 	}
+	// A request without an id goes to another owner if a2 reserves no id in time.
 	loseAnswer := func(c *cluster) {
-		c.nodes["a2"].submitFunc = func(ctx context.Context, req shard.Submitted) (domain.Outcome, error) {
-			c.relays["a2"].Close()
-			return c.recordStart(req.Task), nil
+		for _, id := range []domain.NodeID{"a2", "b1"} {
+			c.nodes[id].submitFunc = func(ctx context.Context, req shard.Submitted) (domain.Outcome, error) {
+				c.relays[id].Close()
+				return c.recordStart(req.Task), nil
+			}
 		}
 	}
 	noOwner := func(c *cluster) { clear(c.owners) }
@@ -286,3 +293,17 @@
 	t.Logf("outcomes: %v", states)
 	c.assertStartedAtMostOnce(t)
 }
+
+// Guards against sending a request after its deadline: the owner, which may reject every
+// other copy, would record it as not run.
+func TestRequestWithoutTimeLeftIsNotSent(t *testing.T) {
+	c := newCluster(t, false)
+	expired, cancel := context.WithDeadline(t.Context(), time.Now().Add(-time.Millisecond))
+	defer cancel()
+	task := urgentTask(time.Second, "payload")
+	task.ID = domain.RequestID{Shard: shardOf("a", 1), Epoch: 1, Seq: 5}
+	s := &submission{r: c.nodes["a1"].Router, task: task, sendCtx: expired, answerCtx: t.Context(), retry: newRetry()}
+	_, err := s.sendOnce(task)
+	assert.Assert(t, notHandled(err), "%v", err)
+	assert.Equal(t, len(c.outcomes), 0)
+}
