--- a/core/scheduler/heartbeat.go
+++ b/core/scheduler/heartbeat.go
@@ -83,6 +83,8 @@
 	}
 }
 
+// recordFencing records that a worker has seen a higher token than the current one. A
+// command from before a raise is refused because of the raise.
 func (s *Scheduler) recordFencing(w *fleet.Worker, result Result) {
 	if platform.RefusalOf(result.Err) != platform.RefusedFenced || w.Fenced || !s.isCurrent(w, result.Command) {
 		return
