scheduler: the clock in the answer to a start confirms the incarnation that carried it out

Cause: a start that the worker had not listed yet cost a heartbeat without an acknowledgement, and so did an acknowledgement more than 50 ms after the worker's last answer; the owner's processor is the limit there.

Change: a start counts as listed if its answer has a clock reading that only the known incarnation can show (the platform lets a restarted worker's clock start anew), and a heartbeat may acknowledge and wait up to 100 ms after the last answer.

--- a/core/fleet/lease.go
+++ b/core/fleet/lease.go
@@ -68,6 +68,17 @@
 	return max(0, l.reading.worker+time.Duration(float64(now-l.reading.at)*slowestClockRate)-clockResolution)
 }
 
+// maxInitialClock is higher than the clock of a worker shows when its process starts, by
+// more than the time that an answer travels.
+const maxInitialClock = 5 * time.Second
+
+// ProvesIncarnation reports whether a clock reading that arrived at now, and was not
+// lower than earliest, is certainly from the incarnation of the last reading. An
+// incarnation that started since then shows less.
+func (l *Lease) ProvesIncarnation(earliest time.Duration, now Instant) bool {
+	return l.known && earliest > maxInitialClock+(now-l.reading.at)
+}
+
 // ExtendLatestEnd records that the lease can last at least until latestEnd.
 func (l *Lease) ExtendLatestEnd(latestEnd Instant) { l.latestEnd = max(l.latestEnd, latestEnd) }
 
--- a/core/fleet/lease_test.go
+++ b/core/fleet/lease_test.go
@@ -34,3 +34,15 @@
 	var l Lease
 	assert.Equal(t, l.Until(time.Second, time.Second), time.Duration(0))
 }
+
+// Guards against taking the clock of an incarnation that has just started for a later
+// reading of a young one.
+func TestClockProvesOnlyAnOldIncarnation(t *testing.T) {
+	var l Lease
+	l.ObserveClock(time.Second, time.Minute)
+	now := time.Minute + 500*time.Millisecond
+	assert.Assert(t, !l.ProvesIncarnation(l.EarliestClock(now), now))
+	l.ObserveClock(time.Hour, time.Minute)
+	assert.Assert(t, l.ProvesIncarnation(l.EarliestClock(now), now))
+	assert.Assert(t, !l.ProvesIncarnation(l.EarliestClock(now), now+time.Hour))
+}
--- a/core/scheduler/command.go
+++ b/core/scheduler/command.go
@@ -57,7 +57,7 @@
 // completions and wait for the next one. A restarted worker may drop the completions of
 // tasks that it starts and finishes while such a heartbeat waits; a process takes longer
 // than this to restart.
-const maxAckAge = 50 * time.Millisecond
+const maxAckAge = 100 * time.Millisecond
 
 // mayWait reports whether the worker may delay its answer to the heartbeat until an
 // attempt finishes. A worker that has completions to list again answers at once.
--- a/core/scheduler/incarnation.go
+++ b/core/scheduler/incarnation.go
@@ -103,12 +103,13 @@
 // observeStartClock compares the clock reading in the answer to a start with the
 // clock of the incarnation that the start was meant for. A later incarnation may run
 // the attempt for as long as it grants a lease.
-func (s *Scheduler) observeStartClock(w *fleet.Worker, command *Command, clock, now fleet.Instant) {
+func (s *Scheduler) observeStartClock(w *fleet.Worker, r *fleet.Attempt, command *Command, clock, now fleet.Instant) {
 	if clock <= 0 {
 		return
 	}
 	current := s.isCurrent(w, command)
 	if current && clock >= command.earliestClock {
+		r.Listed = r.Listed || w.Lease.ProvesIncarnation(command.earliestClock, now)
 		w.Lease.ObserveClock(clock, now)
 		return
 	}
--- a/core/scheduler/start.go
+++ b/core/scheduler/start.go
@@ -102,7 +102,7 @@
 }
 
 func (s *Scheduler) confirmStart(w *fleet.Worker, r *fleet.Attempt, result Result, now fleet.Instant) {
-	s.observeStartClock(w, result.Command, result.Clock, now)
+	s.observeStartClock(w, r, result.Command, result.Clock, now)
 	s.Counters.Started++
 	if r.Phase == fleet.AttemptSent {
 		r.Phase = fleet.AttemptStarted
