scheduler: starts in flight do not delay acknowledgements to a worker that has just answered

Cause, by reading: an acknowledgement waited while a start had no answer, which is most of the time there (100 ms from placement to start); the heartbeats in between came each 100 ms in place of a long poll, so completions were read up to 100 ms late.

Change: the check for unlisted starts applies only if the incarnation has not answered for 100 ms. Within that time no later incarnation can have started anything, because a process takes longer to restart. An answer to a start with a clock that proves the incarnation counts, too.

--- a/core/fleet/incarnation.go
+++ b/core/fleet/incarnation.go
@@ -13,6 +13,8 @@
 	HeartbeatAnswered bool
 	// HeartbeatAddress is where the incarnation answered its first heartbeat.
 	HeartbeatAddress string
+	// ProvenAt is when an answer last showed that the incarnation runs.
+	ProvenAt Instant
 	// LeavesAt is when the incarnation is going to leave; 0 if it has not
 	// announced that.
 	LeavesAt Instant
--- a/core/scheduler/command.go
+++ b/core/scheduler/command.go
@@ -53,22 +53,6 @@
 	return platform.AttemptKey{Task: c.Task.String(), Attempt: c.Attempt}
 }
 
-// maxAckAge is how long after a worker's last answer a heartbeat may both acknowledge
-// completions and wait for the next one. A restarted worker may drop the completions of
-// tasks that it starts and finishes while such a heartbeat waits; a process takes longer
-// than this to restart.
-const maxAckAge = 100 * time.Millisecond
-
-// mayWait reports whether the worker may delay its answer to the heartbeat until an
-// attempt finishes. A worker that has completions to list again answers at once.
-func (c *Command) mayWait(w *fleet.Worker) bool {
-	acknowledged := max(w.Forgotten, c.Heartbeat.LastStored)
-	if w.LastRead != w.Stored || acknowledged != w.Stored {
-		return false
-	}
-	return c.Heartbeat.LastStored == 0 || c.IssuedAt-w.LastContact <= maxAckAge
-}
-
 // Result is the outcome of a command.
 type Result struct {
 	Command *Command
--- a/core/scheduler/incarnation_test.go
+++ b/core/scheduler/incarnation_test.go
@@ -103,6 +103,7 @@
 	h.finishAll(f)
 	h.step() // The former incarnation reports its last completion.
 	assert.Equal(t, h.scheduler.Fleet().Worker(f.id).LastRead, int64(5))
+	h.runFor(2 * maxProofAge)
 	f.restart(time.Second)
 	f.dropStartResults = true // No clock reading shows the restart.
 	h.storeDown = false
--- a/core/scheduler/restart_soak_test.go
+++ b/core/scheduler/restart_soak_test.go
@@ -32,8 +32,8 @@
 	// lost or late.
 	maxTravel = 40 * time.Millisecond
 	// minDowntime is the shortest time between two incarnations of a worker: an answer
-	// of the first one arrives, and a heartbeat that follows it within maxAckAge too.
-	minDowntime = maxTravel + maxAckAge + maxTravel
+	// of the first one arrives, and a heartbeat that follows it within maxProofAge too.
+	minDowntime = maxTravel + maxProofAge + maxTravel
 )
 
 // process is one incarnation of a worker in the soak.
--- a/core/scheduler/store.go
+++ b/core/scheduler/store.go
@@ -103,8 +103,6 @@
 			hb.next = now
 		}
 	}
-	// A heartbeat that follows a start to the same worker cannot acknowledge completions.
-	s.sendHeartbeats(now)
 	for _, start := range b.starts {
 		s.sendStart(start, now)
 	}
