scheduler: starts in flight hold back no acknowledgement, and acknowledging heartbeats may wait

Cause, by reading: a busy owner needs over 100 ms from a report to its acknowledgement, so each one took two heartbeats or was held back by starts in flight, the more the busier the owner.

Change: an acknowledgement waits only for starts that were answered without proof or given up, and for those in flight after a failed heartbeat; it is bound to no time. A heartbeat that acknowledges may wait.

--- a/core/fleet/incarnation.go
+++ b/core/fleet/incarnation.go
@@ -13,8 +13,6 @@
 	HeartbeatAnswered bool
 	// HeartbeatAddress is where the incarnation answered its first heartbeat.
 	HeartbeatAddress string
-	// ProvenAt is when an answer last showed that the incarnation runs.
-	ProvenAt Instant
 	// LeavesAt is when the incarnation is going to leave; 0 if it has not
 	// announced that.
 	LeavesAt Instant
@@ -52,12 +50,15 @@
 	return w.StartedUnixMS == w.IncarnationID
 }
 
-// HasUnlistedAttempts reports whether a start request was sent to the worker whose
-// attempt the current incarnation has not listed yet. A later incarnation may have
-// carried it out.
+// HasUnlistedAttempts reports whether the worker has an attempt that a later incarnation
+// than the current one may have started and finished: a start request that was carried
+// out or given up, whose attempt the current one has not listed. A request without an
+// answer counts once a heartbeat has failed.
 func (w *Worker) HasUnlistedAttempts() bool {
 	for _, r := range w.Attempts {
-		if r.Phase != AttemptUnsent && !r.Listed {
+		switch {
+		case r.Listed, r.Phase == AttemptUnsent, r.Phase == AttemptSent && w.MissedHeartbeats == 0:
+		default:
 			return true
 		}
 	}
--- a/core/scheduler/heartbeat.go
+++ b/core/scheduler/heartbeat.go
@@ -28,14 +28,14 @@
 		s.Counters.Heartbeats++
 		command := &Command{
 			Kind: CommandHeartbeat, Worker: w.ID, To: w.Endpoint(), Token: s.workerToken(w), IssuedAt: now,
-			Heartbeat: platform.HeartbeatCommand{Token: s.workerToken(w), LastStored: completionsToForget(w, now)},
+			Heartbeat: platform.HeartbeatCommand{Token: s.workerToken(w), LastStored: completionsToForget(w)},
 		}
 		if w.HeartbeatAnswered && w.MissedHeartbeats == 0 && !w.LeaseSuspended && s.leaseBoundsStored {
 			// The lease of a worker that does not respond is not extended. Otherwise
 			// its attempts could never be released.
 			command.Heartbeat.Until = w.Lease.Until(s.settings.Lease, now)
 		}
-		if !w.LeaseSuspended && mayWait(w, command.Heartbeat, now) {
+		if !w.LeaseSuspended && mayWait(w, command.Heartbeat) {
 			command.Heartbeat.Wait = s.heartbeatWait(w)
 		}
 		s.commands = append(s.commands, command)
@@ -113,7 +113,7 @@
 	switch {
 	case w.LastRead != w.Stored, w.LeaseSuspended:
 		hb.next = now + unstoredHeartbeatDelay
-	case w.Stored != w.Forgotten && completionsToForget(w, now) == 0:
+	case w.Stored != w.Forgotten && completionsToForget(w) == 0:
 		hb.next = now + unlistedHeartbeatDelay
 	case len(w.Attempts) == 0:
 		hb.next = now + idleHeartbeatInterval
@@ -125,7 +125,7 @@
 // applyReport applies the status that a worker returned for a heartbeat.
 func (s *Scheduler) applyReport(w *fleet.Worker, result Result, now fleet.Instant) {
 	report := &result.Report
-	w.LastContact, w.ProvenAt, w.MissedHeartbeats, w.UnresponsiveSince = now, now, 0, 0
+	w.LastContact, w.MissedHeartbeats, w.UnresponsiveSince = now, 0, 0
 	w.Lease.ObserveClock(report.Clock, now)
 	w.Forgotten = max(w.Forgotten, result.Command.Heartbeat.LastStored)
 	if report.Draining && w.LeavesAt == 0 {
--- a/core/scheduler/incarnation.go
+++ b/core/scheduler/incarnation.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"time"
 
 	"github.com/basilferry/basilferry/core/fleet"
 	"github.com/basilferry/basilferry/core/platform"
@@ -110,9 +109,7 @@
 	}
 	current := s.isCurrent(w, command)
 	if current && clock >= command.earliestClock {
-		if w.Lease.ProvesIncarnation(command.earliestClock, now) {
-			r.Listed, w.ProvenAt = true, now
-		}
+		r.Listed = r.Listed || w.Lease.ProvesIncarnation(command.earliestClock, now)
 		w.Lease.ObserveClock(clock, now)
 		return
 	}
@@ -143,34 +140,19 @@
 	}
 }
 
-// maxProofAge is how long after an answer of an incarnation it is certain that no later
-// one has started anything. A process takes longer than this to restart.
-const maxProofAge = 100 * time.Millisecond
-
-// isProven reports whether the worker's current incarnation has answered so recently
-// that all starts until now were meant for it.
-func isProven(w *fleet.Worker, now fleet.Instant) bool {
-	return w.HeartbeatAnswered && now-w.ProvenAt <= maxProofAge
-}
-
 // completionsToForget returns the number up to which the worker may forget its
 // completions; 0 for none. A worker that has restarted unnoticed applies the number
 // to its new completions, so it is sent only while no unlisted attempt can have
 // finished there, and not again after it has been answered.
-func completionsToForget(w *fleet.Worker, now fleet.Instant) int64 {
-	if w.Stored == w.Forgotten || !w.HeartbeatAnswered || !isProven(w, now) && w.HasUnlistedAttempts() {
+func completionsToForget(w *fleet.Worker) int64 {
+	if w.Stored == w.Forgotten || !w.HeartbeatAnswered || w.HasUnlistedAttempts() {
 		return 0
 	}
 	return w.Stored
 }
 
 // mayWait reports whether the worker may delay its answer to the heartbeat until an
-// attempt finishes. A worker that has completions to list again answers at once. A
-// restarted worker may drop the completions of tasks that it starts and finishes while
-// a heartbeat that acknowledges completions waits.
-func mayWait(w *fleet.Worker, heartbeat platform.HeartbeatCommand, now fleet.Instant) bool {
-	if !w.HeartbeatAnswered || w.LastRead != w.Stored || max(w.Forgotten, heartbeat.LastStored) != w.Stored {
-		return false
-	}
-	return heartbeat.LastStored == 0 || isProven(w, now)
+// attempt finishes. A worker that has completions to list again answers at once.
+func mayWait(w *fleet.Worker, heartbeat platform.HeartbeatCommand) bool {
+	return w.HeartbeatAnswered && w.LastRead == w.Stored && max(w.Forgotten, heartbeat.LastStored) == w.Stored
 }
