--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -287,11 +287,26 @@
 	}
 	const (
 		lostFor = 4500 * time.Millisecond
-		rounds  = 7
+		rounds  = 6
 	)
 	var mu sync.Mutex
 	var jobs []cancelled
+	var accepted []string
 	var calm time.Time
+	// cancel cancels a job as a client does that has changed its mind.
+	cancel := func(n *node, id string) {
+		for range 5 {
+			status, _ := c.call(n, http.MethodDelete, id, nil)
+			ack := c.record.add("client", "DELETE", id, 0, "at %s: %d", n.name, status)
+			if status == http.StatusOK || status == http.StatusGone {
+				mu.Lock()
+				jobs = append(jobs, cancelled{id, status, ack})
+				mu.Unlock()
+				return
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+	}
 	for round := range rounds {
 		began := time.Now()
 		if trouble {
@@ -303,22 +318,22 @@
 				n.door.loseAppends(0.35)
 			}
 			wait.Go(func() {
-				time.Sleep(300 * time.Millisecond)
-				id := newID()
-				body := mustJSON(newJob([]taskSpec{{cpu: 1000, mem: 100}}, []int{2}))
-				status, _ := c.call(n, http.MethodPost, id, body)
-				c.record.add("client", "POST", id, 0, "at %s: %d", n.name, status)
-				for range 5 {
-					// The client has changed its mind, whether the job was accepted or not.
-					status, _ := c.call(n, http.MethodDelete, id, nil)
-					ack := c.record.add("client", "DELETE", id, 0, "at %s: %d", n.name, status)
-					if status == http.StatusOK || status == http.StatusGone {
+				// One job after the other, until one isn't accepted. The accepted ones are
+				// cancelled when all is calm.
+				for time.Since(began) < lostFor {
+					id := newID()
+					body := mustJSON(newJob([]taskSpec{{cpu: 1000, mem: 100}}, []int{2}))
+					status, _ := c.call(n, http.MethodPost, id, body)
+					c.record.add("client", "POST", id, 0, "at %s: %d", n.name, status)
+					if status == http.StatusOK {
 						mu.Lock()
-						jobs = append(jobs, cancelled{id, status, ack})
+						accepted = append(accepted, id)
 						mu.Unlock()
-						return
+						time.Sleep(100 * time.Millisecond)
+						continue
 					}
-					time.Sleep(200 * time.Millisecond)
+					cancel(n, id)
+					return
 				}
 			})
 		}
@@ -330,8 +345,12 @@
 		c.record.add("store", "answers", "", 0, "again, round %d", round)
 		wait.Wait()
 		time.Sleep(8 * time.Second)
+		for _, id := range accepted {
+			cancel(c.nodes[round%len(c.nodes)], id)
+		}
+		accepted = nil
 	}
-	time.Sleep(time.Until(calm.Add(14 * time.Second)))
+	time.Sleep(time.Until(calm.Add(16 * time.Second)))
 	now, bad := time.Now(), false
 	all := spans(c.record.list())
 	for _, j := range jobs {
