--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -288,6 +288,8 @@
 	const (
 		lostFor = 4500 * time.Millisecond
 		rounds  = 6
+		// perRound is the number of jobs that a client hands in at most.
+		perRound = 8
 	)
 	var mu sync.Mutex
 	var jobs []cancelled
@@ -320,7 +322,7 @@
 			wait.Go(func() {
 				// One job after the other, until one isn't accepted. The accepted ones are
 				// cancelled when all is calm.
-				for time.Since(began) < lostFor {
+				for i := 0; i < perRound && time.Since(began) < lostFor; i++ {
 					id := newID()
 					body := mustJSON(newJob([]taskSpec{{cpu: 1000, mem: 100}}, []int{2}))
 					status, _ := c.call(n, http.MethodPost, id, body)
