--- a/review/rig2/cluster.go
+++ b/review/rig2/cluster.go
@@ -89,13 +89,13 @@
 
 // configure writes the operator's configuration.
 func (c *cluster) configure(version int) {
-	c.store.put(topicOp, "config", mustJSON(map[string]any{
+	c.store.put(names.OperatorTopic, "config", mustJSON(map[string]any{
 		"version": version,
 		"routes": []map[string]any{{
 			"name": "r-check", "hostname": hostName, "path_prefix": pathPrefix, "route_type": "non_idempotent", "timeout_ms": 3000, "slo_ms": 250,
 			"priority": 0, "service": serviceName, "max_attempts": 4, "stretch": 1.5,
 		}},
-		"services": []map[string]any{{"name": serviceName, "health_path": "/health", "max_conns": 64, "protocol": "h1", "rejects_overload": true, "standby": false}},
+		"services": []map[string]any{{"name": serviceName, "health_path": "/health", "max_conns": 64, "protocol": "h1", names.Overload: true, "standby": false}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	}))
 }
@@ -217,7 +217,7 @@
 		return err
 	}
 	n.cmd = exec.Command(program, "--platform")
-	n.cmd.Env = []string{"BASILFERRY_CONFIG=" + n.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + c.dir}
+	n.cmd.Env = []string{names.SettingsVariable + "=" + n.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + c.dir}
 	out, err := n.cmd.StdoutPipe()
 	if err != nil {
 		return err
@@ -351,7 +351,7 @@
 		return 0, nil
 	}
 	req.Host = hostName
-	req.Header.Set("X-Basilferry-Deadline-Ms", "3000")
+	req.Header.Set(names.DeadlineHeader, "3000")
 	if body != nil {
 		req.Header.Set("Content-Type", "application/json")
 	}
--- a/review/rig2/judge.go
+++ b/review/rig2/judge.go
@@ -12,7 +12,7 @@
 	run          int
 	began, ended time.Time // ended is zero while it runs
 	how          string
-	noted        time.Time // when last_seen reached its end; zero before
+	noted        time.Time // when the acknowledgement reached its end; zero before
 }
 
 // spans returns the runs in the order in which they began.
--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -19,9 +19,7 @@
 
 // The store is a stand-in of the platform's metadata store, as PROTOCOL.md describes it.
 const (
-	topicJobs    = "keyed.basilferry"
-	topicOp      = "keyed.op"
-	topicServers = "keyed.servers"
+	topicJobs = "keyed.basilferry"
 
 	appendTime        = 2 * time.Millisecond
 	answerTime        = 2 * time.Millisecond
@@ -101,7 +99,7 @@
 	}
 	d := &door{store: s, node: node, address: l.Addr().String()}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /log-append", d.handle(d.append))
+	mux.HandleFunc("POST "+names.Append, d.handle(d.append))
 	mux.HandleFunc("GET /log-read", d.handle(d.read))
 	mux.HandleFunc("GET /log-newest", d.handle(d.listNewest))
 	d.server = &http.Server{Handler: mux}
@@ -177,7 +175,7 @@
 
 func (d *door) append(r *http.Request, body []byte) *answer {
 	q := r.URL.Query()
-	if q.Get("topic") == topicOp || q.Get("topic") == topicServers {
+	if q.Get("topic") == names.OperatorTopic || q.Get("topic") == names.RegistryTopic {
 		return jsonAnswer(http.StatusForbidden, map[string]any{})
 	}
 	return d.store.append(d.node, q, body)
--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -132,7 +131,7 @@
 	f.workers = append(f.workers, w)
 	f.mu.Unlock()
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /run-start", w.serve(w.start))
+	mux.HandleFunc("POST "+names.Start, w.serve(w.start))
 	mux.HandleFunc("POST /run-stop", w.serve(w.stop))
 	mux.HandleFunc("POST /hold", w.serve(w.hold))
 	mux.HandleFunc("POST /pace", w.serve(func(order, *http.Request) (int, map[string]any) { return http.StatusOK, w.answer() }))
@@ -152,10 +151,10 @@
 		w.fleet.mu.Unlock()
 		if gone {
 			time.Sleep(2 * workerHeartbeat)
-			w.fleet.store.put(topicServers, w.id, nil)
+			w.fleet.store.put(names.RegistryTopic, w.id, nil)
 			return
 		}
-		w.fleet.store.put(topicServers, w.id, mustJSON(map[string]any{
+		w.fleet.store.put(names.RegistryTopic, w.id, mustJSON(map[string]any{
 			"service": serviceName, "address": w.address, "zone": w.zone, "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
 			"capacity": map[string]int64{"cpu": workerCPU, "mem_mb": workerMemoryMB, "gpu": 0}, "labels": []string{"a", w.rack},
 			"clock_ms": clock.Milliseconds(), "seq_no": seq, "born": w.started.UnixMilli(),
@@ -237,18 +236,6 @@
 	}
 }
 
-// order is the body of any call.
-type order struct {
-	Task       string `json:"task"`
-	Run        int    `json:"run"`
-	Spec       string `json:"spec"`
-	Until      int64  `json:"until_ms"`
-	Token      int64  `json:"fencing_token"`
-	Checkpoint string `json:"checkpoint"`
-	Seen       int64  `json:"last_seen"`
-	WaitMS     int64  `json:"wait_ms"`
-}
-
 func (w *worker) serve(carryOut func(order, *http.Request) (int, map[string]any)) http.HandlerFunc {
 	return func(rw http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
@@ -268,16 +255,16 @@
 }
 
 func (w *worker) handle(body []byte, r *http.Request, carryOut func(order, *http.Request) (int, map[string]any)) (int, map[string]any) {
-	var o order
+	o, err := decodeOrder(body)
 	w.fleet.mu.Lock()
 	defer w.fleet.mu.Unlock()
 	if w.gone {
 		return 0, nil
 	}
-	if err := json.Unmarshal(body, &o); err != nil {
+	if err != nil {
 		return http.StatusBadRequest, w.answer()
 	}
-	if id := r.Header.Get("X-Basilferry-Expect-Instance"); id != "" && id != w.id {
+	if id := r.Header.Get(names.InstanceHeader); id != "" && id != w.id {
 		return http.StatusMisdirectedRequest, w.answer()
 	}
 	if o.Token < w.token {
@@ -307,10 +294,10 @@
 
 func (w *worker) start(o order, _ *http.Request) (int, map[string]any) {
 	current := w.runs[o.Task]
-	if current != nil && current.number == o.Run {
+	if current != nil && current.number == int(o.Run) {
 		return http.StatusOK, w.answer()
 	}
-	if o.Run <= w.refused[o.Task] || current != nil && current.number > o.Run {
+	if int(o.Run) <= w.refused[o.Task] || current != nil && current.number > int(o.Run) {
 		w.extendLease(o.Until)
 		return http.StatusConflict, w.refusal("old")
 	}
@@ -327,10 +314,10 @@
 		return http.StatusConflict, w.refusal("room")
 	}
 	now := time.Now()
-	w.runs[o.Task] = &run{task: o.Task, number: o.Run, spec: spec, placed: now, began: now, working: spec.gang == 0, checkpoint: o.Checkpoint}
-	w.log("start", o.Task, o.Run, "token "+strconv.FormatInt(o.Token, 10))
+	w.runs[o.Task] = &run{task: o.Task, number: int(o.Run), spec: spec, placed: now, began: now, working: spec.gang == 0, checkpoint: o.Checkpoint}
+	w.log("start", o.Task, int(o.Run), "token "+strconv.FormatInt(o.Token, 10))
 	if spec.gang > 0 {
-		w.fleet.beginGang(o.Task, o.Run, spec.gang)
+		w.fleet.beginGang(o.Task, int(o.Run), spec.gang)
 	}
 	return http.StatusOK, w.answer()
 }
@@ -355,10 +342,10 @@
 }
 
 func (w *worker) stop(o order, _ *http.Request) (int, map[string]any) {
-	w.refused[o.Task] = max(w.refused[o.Task], o.Run)
-	if r := w.runs[o.Task]; r != nil && r.number <= o.Run && !r.stopping {
+	w.refused[o.Task] = max(w.refused[o.Task], int(o.Run))
+	if r := w.runs[o.Task]; r != nil && r.number <= int(o.Run) && !r.stopping {
 		r.stopping, r.stopAt = true, time.Now().Add(stopTime)
-		w.log("stop", o.Task, o.Run, "")
+		w.log("stop", o.Task, int(o.Run), "")
 	}
 	return http.StatusOK, w.answer()
 }
