--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/rig2"
 mkdir -p ../../target/review-2
-CGO_ENABLED=0 go build -o ../../target/review-2/rig2 .
+CGO_ENABLED=0 go build -buildvcs=false -o ../../target/review-2/rig2 .
