--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -29,9 +29,11 @@
 	}
 	lasting := newJob([]taskSpec{{cpu: 1000, mem: 100}}, []int{4})
 	chain := newJob([]taskSpec{{takes: 4 * time.Second, cpu: 1000, mem: 100}, {takes: 4 * time.Second, cpu: 1000, mem: 100}}, []int{2, 2})
-	kept := newID()
-	if _, ok := c.submit(at, kept, lasting); !ok {
-		return false, errors.New("a job was not accepted")
+	// Six jobs that nobody cancels: 2 of 8 are cancelled, 0.25 (`give_up`, 0.35 at most).
+	for range 6 {
+		if _, ok := c.submit(at, newID(), lasting); !ok {
+			return false, errors.New("a job was not accepted")
+		}
 	}
 	time.Sleep(time.Second)
 	began := time.Now()
@@ -293,7 +295,7 @@
 	)
 	var mu sync.Mutex
 	var jobs []cancelled
-	var accepted []string
+	accepted := 0
 	var calm time.Time
 	// cancel cancels a job as a client does that has changed its mind.
 	cancel := func(n *node, id string) {
@@ -320,18 +322,22 @@
 				n.door.loseAppends(0.35)
 			}
 			wait.Go(func() {
-				// One job after the other, until one isn't accepted. The accepted ones are
-				// cancelled when all is calm.
+				// One job after the other, until one isn't accepted, which is cancelled. Of the
+				// accepted ones every fifth is cancelled too, and the others stay.
 				for i := 0; i < perRound && time.Since(began) < lostFor; i++ {
 					id := newID()
-					body := mustJSON(newJob([]taskSpec{{cpu: 1000, mem: 100}}, []int{2}))
+					body := mustJSON(newJob([]taskSpec{{cpu: 200, mem: 100}}, []int{2}))
 					status, _ := c.call(n, http.MethodPost, id, body)
 					c.record.add("client", "POST", id, 0, "at %s: %d", n.name, status)
 					if status == http.StatusOK {
 						mu.Lock()
-						accepted = append(accepted, id)
+						accepted++
+						cancels := accepted%5 == 0
 						mu.Unlock()
 						time.Sleep(100 * time.Millisecond)
+						if cancels {
+							cancel(n, id)
+						}
 						continue
 					}
 					cancel(n, id)
@@ -347,14 +353,11 @@
 		c.record.add("store", "answers", "", 0, "again, round %d", round)
 		wait.Wait()
 		time.Sleep(8 * time.Second)
-		for _, id := range accepted {
-			cancel(c.nodes[round%len(c.nodes)], id)
-		}
-		accepted = nil
 	}
 	time.Sleep(time.Until(calm.Add(16 * time.Second)))
 	now, bad := time.Now(), false
 	all := spans(c.record.list())
+	c.record.add("judge", "cancels", "", 0, "%d jobs cancelled, %d accepted", len(jobs), accepted)
 	for _, j := range jobs {
 		runs := ofJob(all, j.id)
 		n := running(runs, now)
