scheduler: log how long the lease of a worker lasts, and why

The first failed heartbeat of a worker with attempts, the release after an expired lease and a heartbeat that another incarnation answers now say so. No decision changes.

--- a/core/fleet/lease.go
+++ b/core/fleet/lease.go
@@ -20,6 +20,22 @@
 	return time.Duration(float64(limit) / slowestClockRate)
 }
 
+// LeaseBasis says what the latest end of a lease is computed from.
+type LeaseBasis string
+
+// Bases of the latest end of a lease.
+const (
+	// LeaseGranted: this owner granted the lease to the current incarnation.
+	LeaseGranted LeaseBasis = "granted to this incarnation"
+	// LeaseOfAnyCommand: a command that was meant for another incarnation, or of a
+	// previous owner, may have granted the longest lease.
+	LeaseOfAnyCommand LeaseBasis = "longest that a command to another incarnation grants"
+	// LeaseOfPreviousOwner: a previous owner granted the lease.
+	LeaseOfPreviousOwner LeaseBasis = "longest of the previous owners"
+	// LeaseOfBoundsRecord: a previous owner has stored the end.
+	LeaseOfBoundsRecord LeaseBasis = "lease bounds record"
+)
+
 // clockReading is one reading of a worker's clock.
 type clockReading struct {
 	worker time.Duration
@@ -35,6 +51,8 @@
 	// latestEnd is the latest time at which the lease can expire. laterEnd is the same
 	// for a later incarnation that no answer and no registry entry has shown.
 	latestEnd, laterEnd Instant
+	// basis is what latestEnd is computed from.
+	basis LeaseBasis
 }
 
 // ObserveClock records a clock reading from a reply that arrived at now.
@@ -56,7 +74,7 @@
 	}
 	until := l.reading.worker + (now - l.reading.at) + length
 	needed := time.Duration(float64(until-l.reading.worker) / slowestClockRate)
-	l.latestEnd = max(l.latestEnd, l.reading.at+needed)
+	l.ExtendLatestEnd(l.reading.at+needed, LeaseGranted)
 	return until
 }
 
@@ -81,18 +99,31 @@
 }
 
 // ExtendLatestEnd records that the lease can last at least until latestEnd.
-func (l *Lease) ExtendLatestEnd(latestEnd Instant) { l.latestEnd = max(l.latestEnd, latestEnd) }
+func (l *Lease) ExtendLatestEnd(latestEnd Instant, basis LeaseBasis) {
+	if latestEnd > l.latestEnd {
+		l.latestEnd, l.basis = latestEnd, basis
+	}
+}
 
 // LimitLatestEnd records that the lease expires at latestEnd at the latest, unless it is
 // known to expire earlier.
-func (l *Lease) LimitLatestEnd(latestEnd Instant) { l.latestEnd = min(l.latestEnd, latestEnd) }
+func (l *Lease) LimitLatestEnd(latestEnd Instant, basis LeaseBasis) {
+	if latestEnd < l.latestEnd {
+		l.latestEnd, l.basis = latestEnd, basis
+	}
+}
 
 // ExtendLaterEnd records that the lease of a later incarnation can last at least until
 // laterEnd.
 func (l *Lease) ExtendLaterEnd(laterEnd Instant) { l.laterEnd = max(l.laterEnd, laterEnd) }
 
 // SetLatestEnd records that the lease expires at latestEnd at the latest.
-func (l *Lease) SetLatestEnd(latestEnd Instant) { l.latestEnd = latestEnd }
+func (l *Lease) SetLatestEnd(latestEnd Instant, basis LeaseBasis) {
+	l.latestEnd, l.basis = latestEnd, basis
+}
+
+// Basis returns what the latest end of the lease is computed from.
+func (l *Lease) Basis() LeaseBasis { return l.basis }
 
 // Remaining returns how long the lease can still last; negative if it has
 // expired.
--- a/core/scheduler/bounds.go
+++ b/core/scheduler/bounds.go
@@ -161,13 +161,13 @@
 		last = min(last, now)
 	}
 	for _, w := range s.fleet.All() {
-		w.Lease.ExtendLatestEnd(last + s.maxLeaseDuration())
+		w.Lease.ExtendLatestEnd(last+s.maxLeaseDuration(), fleet.LeaseOfPreviousOwner)
 	}
 	for _, b := range stored.Workers {
 		w := s.fleet.Ensure(b.ID)
 		w.Address = b.Address
 		w.LeaseSuspended = true
-		w.Lease.SetLatestEnd(previous.LeaseBoundsReadAt + time.Duration(b.RemainingMS)*time.Millisecond)
+		w.Lease.SetLatestEnd(previous.LeaseBoundsReadAt+time.Duration(b.RemainingMS)*time.Millisecond, fleet.LeaseOfBoundsRecord)
 		s.boundedWorkers[b.ID] = true
 		s.heartbeat(w, now)
 	}
--- a/core/scheduler/heartbeat.go
+++ b/core/scheduler/heartbeat.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/basilferry/basilferry/core/fleet"
@@ -128,6 +129,7 @@
 		w.MissedHeartbeats++
 		if w.UnresponsiveSince == 0 {
 			w.UnresponsiveSince = now
+			s.recordUnresponsive(w, result, now)
 		}
 		return
 	}
@@ -148,6 +150,18 @@
 	}
 }
 
+// recordUnresponsive records the first failed heartbeat in a row of a worker with
+// attempts.
+func (s *Scheduler) recordUnresponsive(w *fleet.Worker, result Result, now fleet.Instant) {
+	if len(w.Attempts) == 0 {
+		return
+	}
+	s.recordDecision(Decision{
+		Action: "worker does not respond", Worker: w.ID, Token: result.Command.Token, Incarnation: w.IncarnationID, Age: now - w.LastContact,
+		Reason: fmt.Sprintf("its lease lasts for %d ms at most (%s); %v", s.leaseRemaining(w, now).Milliseconds(), w.Lease.Basis(), result.Err),
+	})
+}
+
 // applyReport applies the status that a worker returned for a heartbeat.
 func (s *Scheduler) applyReport(w *fleet.Worker, result Result, now fleet.Instant) {
 	report := &result.Report
@@ -369,7 +383,7 @@
 			if r.Phase == fleet.AttemptUnsent || r.Phase == fleet.AttemptSent || w.MayRun(r, now) {
 				continue
 			}
-			s.releaseAttempt(w, r, "the worker's lease has expired", now)
+			s.releaseAttempt(w, r, "the worker's lease has expired ("+string(w.Lease.Basis())+")", now)
 		}
 	}
 }
--- a/core/scheduler/incarnation.go
+++ b/core/scheduler/incarnation.go
@@ -50,6 +50,7 @@
 		return false
 	}
 	if w.IncarnationID != 0 && id != w.IncarnationID {
+		s.recordForeignLease(w, result, now)
 		reason := fmt.Sprintf("incarnation %d answers; completions up to %d of the former were acknowledged to it", id, result.Command.Heartbeat.LastStored)
 		s.endIncarnation(w, reason, now)
 		return false
@@ -58,7 +59,7 @@
 		if w.LastContact == 0 {
 			// The worker has seen this owner's token: commands of previous owners no
 			// longer extend its lease.
-			w.Lease.LimitLatestEnd(now + fleet.LongestLease(s.settings.LeaseLimit))
+			w.Lease.LimitLatestEnd(now+fleet.LongestLease(s.settings.LeaseLimit), fleet.LeaseOfAnyCommand)
 		}
 		w.BeginIncarnation(id, result.Command.To.Address)
 		// The worker can get attempts from now on.
@@ -67,6 +68,21 @@
 	return true
 }
 
+// recordForeignLease records that an incarnation has answered a heartbeat that granted a
+// lease to another one.
+func (s *Scheduler) recordForeignLease(w *fleet.Worker, result Result, now fleet.Instant) {
+	until := result.Command.Heartbeat.Until
+	if until == 0 {
+		return
+	}
+	s.recordDecision(Decision{
+		Action: "lease granted to another incarnation", Worker: w.ID, Token: result.Command.Token,
+		Incarnation: result.Report.StartedUnixMS, Age: now - result.Command.IssuedAt,
+		Reason: fmt.Sprintf("until %d ms on the clock of incarnation %d; the clock of this one shows %d ms",
+			until.Milliseconds(), w.IncarnationID, result.Report.Clock.Milliseconds()),
+	})
+}
+
 // observeRegisteredIncarnation applies the incarnation that a registry entry names.
 func (s *Scheduler) observeRegisteredIncarnation(w *fleet.Worker, now fleet.Instant) {
 	if w.IncarnationID != 0 && w.StartedUnixMS > w.IncarnationID {
@@ -94,7 +110,7 @@
 		}
 	}
 	if len(w.Attempts) > 0 {
-		w.Lease.ExtendLatestEnd(now + fleet.LongestLease(s.settings.LeaseLimit))
+		w.Lease.ExtendLatestEnd(now+fleet.LongestLease(s.settings.LeaseLimit), fleet.LeaseOfAnyCommand)
 	}
 }
 
@@ -121,7 +137,7 @@
 		w.Lease.ObserveClock(clock, now)
 		return
 	}
-	w.Lease.ExtendLatestEnd(now + fleet.LongestLease(s.settings.LeaseLimit))
+	w.Lease.ExtendLatestEnd(now+fleet.LongestLease(s.settings.LeaseLimit), fleet.LeaseOfAnyCommand)
 	if !current {
 		return
 	}
