--- a/core/scheduler/harness_test.go
+++ b/core/scheduler/harness_test.go
@@ -29,6 +29,7 @@
 	clock            time.Duration
 	maxToken         platform.Token
 	leaseUntil       time.Duration
+	leaseLimit       time.Duration
 	attempts         map[string]*fakeAttempt
 	completions      []platform.Completion
 	nextNumber       int64
@@ -46,6 +47,7 @@
 func newFakeWorker(id string) *fakeWorker {
 	return &fakeWorker{
 		id: domain.WorkerID(id), address: "address of " + id, kind: "a", incarnation: 1, clock: time.Hour, attempts: map[string]*fakeAttempt{}, finishedAttempts: map[string]int{}, nextNumber: 1,
+		leaseLimit: testSettings.LeaseLimit,
 	}
 }
 
@@ -85,7 +87,7 @@
 
 // extendLease extends the lease as far as the worker allows.
 func (w *fakeWorker) extendLease(until time.Duration) {
-	w.leaseUntil = max(w.leaseUntil, min(until, w.clock+testSettings.LeaseLimit))
+	w.leaseUntil = max(w.leaseUntil, min(until, w.clock+w.leaseLimit))
 }
 
 // execute carries out a command. It returns false if the worker does not answer.
@@ -144,6 +146,7 @@
 // harness runs a scheduler against fake workers, in steps of harnessStep.
 type harness struct {
 	t         *testing.T
+	settings  Settings
 	scheduler *Scheduler
 	now       fleet.Instant
 	workers   []*fakeWorker
@@ -190,11 +193,17 @@
 }
 
 func newHarness(t *testing.T, workers int) *harness {
-	h := &harness{t: t, now: time.Minute, unanswered: map[*Command]fleet.Instant{}, storedStates: map[job.ID][]byte{}}
+	return newHarnessWith(t, workers, testSettings)
+}
+
+func newHarnessWith(t *testing.T, workers int, settings Settings) *harness {
+	h := &harness{t: t, settings: settings, now: time.Minute, unanswered: map[*Command]fleet.Instant{}, storedStates: map[job.ID][]byte{}}
 	for i := range workers {
-		h.workers = append(h.workers, newFakeWorker(fmt.Sprintf("w%d", i)))
+		f := newFakeWorker(fmt.Sprintf("w%d", i))
+		f.leaseLimit = settings.LeaseLimit
+		h.workers = append(h.workers, f)
 	}
-	h.setScheduler(New(testSettings, 5, h.now, h.now))
+	h.setScheduler(New(settings, 5, h.now, h.now))
 	return h
 }
 
--- a/core/scheduler/scheduler_test.go
+++ b/core/scheduler/scheduler_test.go
@@ -125,7 +125,7 @@
 // startTerm makes a new owner with the given jobs the current one.
 func (h *harness) startTerm(jobs *ledger.Ledger, token platform.Token) *Scheduler {
 	h.t.Helper()
-	scheduler := New(testSettings, token, h.now, h.now)
+	scheduler := New(h.settings, token, h.now, h.now)
 	previous := PreviousOwner{LastSeenAt: h.lastSeenAt, Token: h.scheduler.Token(), ProcessEnded: h.previousOwnerEnded, LeaseBounds: h.leaseBounds, LeaseBoundsReadAt: h.leaseBoundsAt}
 	assert.NilError(h.t, scheduler.Restore(jobs, previous, h.now, h.now.Milliseconds()))
 	h.setScheduler(scheduler)
