scheduler: a restarted worker may hold the longest lease

Cause: a command that was meant for a former incarnation of a worker takes effect on the next one. The owner took that into account only for attempts that were on the worker when it noticed the restart, not for those that it placed there afterwards. Change: with the first answer of an incarnation, which ends the effect of earlier commands, its lease counts as the longest one, unless it runs an inherited attempt, which the previous owner's bounds cover.

--- a/core/scheduler/incarnation.go
+++ b/core/scheduler/incarnation.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"github.com/basilferry/basilferry/core/fleet"
+	"github.com/basilferry/basilferry/core/job"
 	"github.com/basilferry/basilferry/core/platform"
 )
 
@@ -56,11 +57,7 @@
 		return false
 	}
 	if !w.HeartbeatAnswered {
-		if w.LastContact == 0 {
-			// The worker has seen this owner's token: commands of previous owners no
-			// longer extend its lease.
-			w.Lease.LimitLatestEnd(now+fleet.LongestLease(s.settings.LeaseLimit), fleet.LeaseOfAnyCommand)
-		}
+		s.boundFirstLease(w, result, now)
 		w.BeginIncarnation(id, result.Command.To.Address)
 		// The worker can get attempts from now on.
 		s.needsPlan = true
@@ -68,6 +65,35 @@
 	return true
 }
 
+// boundFirstLease sets the latest end of the lease of an incarnation that answers for the
+// first time. Commands with lower tokens no longer take effect there, but those that did
+// may have been meant for another incarnation: their leases end at times on another clock,
+// and last as long as the worker grants.
+func (s *Scheduler) boundFirstLease(w *fleet.Worker, result Result, now fleet.Instant) {
+	longest := now + fleet.LongestLease(s.settings.LeaseLimit)
+	if w.LastContact == 0 {
+		w.Lease.LimitLatestEnd(longest, fleet.LeaseOfAnyCommand)
+		if runsInherited(w, result) {
+			return // The previous owner knew the incarnation, and its lease.
+		}
+	}
+	w.Lease.ExtendLatestEnd(longest, fleet.LeaseOfAnyCommand)
+}
+
+// runsInherited reports whether a report lists an inherited attempt.
+func runsInherited(w *fleet.Worker, result Result) bool {
+	for _, running := range result.Report.Running {
+		id, err := job.ParseTaskID(running.Task)
+		if err != nil {
+			continue // reconcileAttempts records it.
+		}
+		if r := w.Attempts[id]; r != nil && r.Phase == fleet.AttemptInherited && r.Attempt == running.Attempt {
+			return true
+		}
+	}
+	return false
+}
+
 // recordForeignLease records that an incarnation has answered a heartbeat that granted a
 // lease to another one.
 func (s *Scheduler) recordForeignLease(w *fleet.Worker, result Result, now fleet.Instant) {
