scheduler: store long leases with the placements that rely on them

Cause: what an owner knows of a lease that ends later than its own grants ended with it. The next owner assumed the owner's lease, 5.8 s, for each worker that it did not reach; the restarted worker held one of 10 s. Change: the lease bounds record also lists the responsive workers whose lease may end later than a later owner would assume. It is part of the append that stores the first placement on such a worker, so that no attempt can run under a lease that a later owner does not know. The list is bounded; beyond 128 workers one bound stands for all. Nothing is stored where a worker's longest lease is not longer than the owner's. A record in the former form, or an unreadable one, means the longest lease for all workers; an older version reads the new form as unreadable.

--- a/core/fleet/lease.go
+++ b/core/fleet/lease.go
@@ -122,6 +122,9 @@
 	l.latestEnd, l.basis = latestEnd, basis
 }
 
+// LatestEnd returns the latest time at which the lease can expire.
+func (l *Lease) LatestEnd() Instant { return l.latestEnd }
+
 // Basis returns what the latest end of the lease is computed from.
 func (l *Lease) Basis() LeaseBasis { return l.basis }
 
--- a/core/scheduler/bounds.go
+++ b/core/scheduler/bounds.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -16,6 +17,9 @@
 // until a record without it is stored. A later owner therefore knows when the
 // attempts on such a worker can no longer be running, and need not assume that an
 // earlier owner renewed the lease until it was replaced.
+//
+// The record also lists the workers that respond but may hold a lease that ends later
+// than a later owner would assume. It is stored with the placements on these workers.
 
 // PreviousOwner is what a new owner knows about the owners before it.
 type PreviousOwner struct {
@@ -43,6 +47,17 @@
 		_       struct{} `cbor:",toarray"`
 		Token   int64
 		Workers []storedLeaseBound
+		// LongLeases are the responsive workers whose leases may end later than a later
+		// owner assumes. If they are too many, LongLeaseMS applies to all workers instead.
+		LongLeases  []storedLongLease
+		LongLeaseMS int64
+	}
+	// storedLongLease is the entry of one responsive worker. RemainingMS is as in
+	// storedLeaseBound.
+	storedLongLease struct {
+		_           struct{} `cbor:",toarray"`
+		ID          domain.WorkerID
+		RemainingMS int64
 	}
 	// storedLeaseBound is the entry of one worker.
 	storedLeaseBound struct {
@@ -66,30 +81,83 @@
 	return !s.leaseBoundsStored || s.handOver != nil || now-w.UnresponsiveSince >= unresponsiveDelay
 }
 
-// encodeLeaseBounds returns the lease bounds record to store and the workers in it.
-// Both are nil if the stored record of this owner lists the same workers.
-func (s *Scheduler) encodeLeaseBounds(now fleet.Instant) (record []byte, bounded map[domain.WorkerID]bool, err error) {
-	bounded = map[domain.WorkerID]bool{}
-	out := storedLeaseBounds{Token: int64(s.token)}
-	changed := !s.leaseBoundsStored
+// leaseBounds is the content of a lease bounds record.
+type leaseBounds struct {
+	// suspended are the unresponsive workers.
+	suspended map[domain.WorkerID]bool
+	// longLeases holds the latest ends of the leases of responsive workers that end later
+	// than a later owner assumes. If they are too many, it is empty, and longLease is the
+	// latest of them.
+	longLeases map[domain.WorkerID]fleet.Instant
+	longLease  fleet.Instant
+}
+
+// maxLongLeases limits the size of a lease bounds record.
+const maxLongLeases = 128
+
+// covers reports whether a later owner that knows the record waits until end for a
+// responsive worker.
+func (b *leaseBounds) covers(id domain.WorkerID, end fleet.Instant) bool {
+	return end <= max(b.longLeases[id], b.longLease)
+}
+
+// currentLeaseBounds returns the lease bounds to store, and whether the stored record of
+// this owner does not cover them.
+func (s *Scheduler) currentLeaseBounds(now fleet.Instant) (bounds leaseBounds, changed bool) {
+	bounds = leaseBounds{suspended: map[domain.WorkerID]bool{}, longLeases: map[domain.WorkerID]fleet.Instant{}}
+	changed = !s.leaseBoundsStored
+	assumed := now + s.maxLeaseDuration()
 	for _, w := range s.fleet.All() {
-		if !s.needsLeaseBound(w, now) {
-			changed = changed || s.boundedWorkers[w.ID]
-			continue
+		suspended, end := s.needsLeaseBound(w, now), w.Lease.LatestEnd()
+		if suspended != s.storedBounds.suspended[w.ID] {
+			changed = true
+		}
+		switch {
+		case suspended:
+			bounds.suspended[w.ID] = true
+		case end > assumed:
+			bounds.longLeases[w.ID] = end
+			bounds.longLease = max(bounds.longLease, end)
+			changed = changed || len(w.Attempts) > 0 && !s.storedBounds.covers(w.ID, end)
 		}
-		changed = changed || !s.boundedWorkers[w.ID]
-		bounded[w.ID] = true
-		out.Workers = append(out.Workers, storedLeaseBound{
-			ID: w.ID, Address: w.Address, RemainingMS: s.leaseRemaining(w, now).Milliseconds() + 1,
-		})
 	}
+	if len(bounds.longLeases) > maxLongLeases {
+		bounds.longLeases = nil
+	} else {
+		bounds.longLease = 0
+	}
+	return bounds, changed
+}
+
+// encodeLeaseBounds returns the lease bounds record to store and its content. Both are nil
+// if the stored record of this owner says as much.
+func (s *Scheduler) encodeLeaseBounds(now fleet.Instant) ([]byte, *leaseBounds, error) {
+	bounds, changed := s.currentLeaseBounds(now)
 	if !changed {
 		return nil, nil, nil
 	}
-	if record, err = cbor.Marshal(out); err != nil {
+	out := storedLeaseBounds{Token: int64(s.token), LongLeaseMS: remainingMS(bounds.longLease - now)}
+	for _, w := range s.fleet.All() {
+		if bounds.suspended[w.ID] {
+			out.Workers = append(out.Workers, storedLeaseBound{ID: w.ID, Address: w.Address, RemainingMS: remainingMS(s.leaseRemaining(w, now))})
+		}
+		if end, ok := bounds.longLeases[w.ID]; ok {
+			out.LongLeases = append(out.LongLeases, storedLongLease{ID: w.ID, RemainingMS: remainingMS(end - now)})
+		}
+	}
+	record, err := cbor.Marshal(out)
+	if err != nil {
 		return nil, nil, fmt.Errorf("encode lease bounds: %w", err)
 	}
-	return record, bounded, nil
+	return record, &bounds, nil
+}
+
+// remainingMS returns a remaining time in milliseconds, rounded up; 0 if it is negative.
+func remainingMS(remaining time.Duration) int64 {
+	if remaining < 0 {
+		return 0
+	}
+	return remaining.Milliseconds() + 1
 }
 
 // leaseRemaining returns how long attempts on the worker can still be running under its
@@ -112,8 +180,11 @@
 
 // suspendLeases stops lease renewals for the workers in a lease bounds record that
 // is about to be stored.
-func (s *Scheduler) suspendLeases(bounded map[domain.WorkerID]bool) {
-	for id := range bounded {
+func (s *Scheduler) suspendLeases(bounds *leaseBounds) {
+	if bounds == nil {
+		return
+	}
+	for id := range bounds.suspended {
 		if w := s.fleet.Worker(id); w != nil {
 			w.LeaseSuspended = true
 		}
@@ -122,11 +193,11 @@
 
 // applyLeaseBounds applies a stored lease bounds record: workers that are no longer
 // in it may get leases again.
-func (s *Scheduler) applyLeaseBounds(bounded map[domain.WorkerID]bool, now fleet.Instant) {
+func (s *Scheduler) applyLeaseBounds(bounds *leaseBounds, now fleet.Instant) {
 	s.leaseBoundsStored = true
-	s.boundedWorkers = bounded
+	s.storedBounds = *bounds
 	for _, w := range s.fleet.All() {
-		if w.LeaseSuspended && !bounded[w.ID] {
+		if w.LeaseSuspended && !bounds.suspended[w.ID] {
 			w.LeaseSuspended = false
 			s.needsPlan = true
 		}
@@ -140,40 +211,70 @@
 // owners can end. If the lease bounds record cannot be decoded, it assumes the
 // longest lease for all workers.
 func (s *Scheduler) restoreLeaseBounds(previous PreviousOwner, now fleet.Instant) error {
-	var stored storedLeaseBounds
-	var err error
-	if previous.LeaseBounds != nil {
-		if err = cbor.Unmarshal(previous.LeaseBounds, &stored); err != nil {
-			stored, err = storedLeaseBounds{}, fmt.Errorf("decode lease bounds: %w", err)
-		}
-	}
-	for _, b := range stored.Workers {
-		if b.RemainingMS < 0 || b.RemainingMS > max(s.settings.MaxOffline+s.maxLeaseDuration(), s.maxLaterLease()).Milliseconds() {
-			err = fmt.Errorf("decode lease bounds: a lease of worker %s lasts %d ms", b.ID, b.RemainingMS)
-			stored = storedLeaseBounds{}
-			break
-		}
-	}
+	stored, err := s.decodeLeaseBounds(previous.LeaseBounds)
 	last := previous.LastSeenAt + s.settings.MaxOffline
 	if previous.ProcessEnded && stored.Token == int64(previous.Token) {
 		// The latest previous owner granted its last lease before now, and its
 		// record covers the leases of earlier owners.
 		last = min(last, now)
 	}
+	lease := s.maxLeaseDuration()
+	if err != nil {
+		lease = max(lease, s.maxLaterLease())
+	}
+	readAt := previous.LeaseBoundsReadAt
 	for _, w := range s.fleet.All() {
-		w.Lease.ExtendLatestEnd(last+s.maxLeaseDuration(), fleet.LeaseOfPreviousOwner)
+		w.Lease.ExtendLatestEnd(last+lease, fleet.LeaseOfPreviousOwner)
+		w.Lease.ExtendLatestEnd(readAt+milliseconds(stored.LongLeaseMS), fleet.LeaseOfBoundsRecord)
+	}
+	for _, b := range stored.LongLeases {
+		if w := s.fleet.Worker(b.ID); w != nil {
+			w.Lease.ExtendLatestEnd(readAt+milliseconds(b.RemainingMS), fleet.LeaseOfBoundsRecord)
+		}
 	}
 	for _, b := range stored.Workers {
 		w := s.fleet.Ensure(b.ID)
 		w.Address = b.Address
 		w.LeaseSuspended = true
-		w.Lease.SetLatestEnd(previous.LeaseBoundsReadAt+time.Duration(b.RemainingMS)*time.Millisecond, fleet.LeaseOfBoundsRecord)
-		s.boundedWorkers[b.ID] = true
+		w.Lease.SetLatestEnd(readAt+milliseconds(b.RemainingMS), fleet.LeaseOfBoundsRecord)
+		s.storedBounds.suspended[b.ID] = true
 		s.heartbeat(w, now)
 	}
 	return err
 }
 
+// decodeLeaseBounds decodes a lease bounds record; an empty one is decoded as one without
+// workers.
+func (s *Scheduler) decodeLeaseBounds(record []byte) (storedLeaseBounds, error) {
+	var stored storedLeaseBounds
+	if record == nil {
+		return stored, nil
+	}
+	if err := cbor.Unmarshal(record, &stored); err != nil {
+		return storedLeaseBounds{}, fmt.Errorf("decode lease bounds: %w", err)
+	}
+	longest := max(s.settings.MaxOffline+s.maxLeaseDuration(), s.maxLaterLease()).Milliseconds() + 1
+	check := func(id domain.WorkerID, remainingMS int64) error {
+		if remainingMS < 0 || remainingMS > longest {
+			return fmt.Errorf("decode lease bounds: a lease of worker %s lasts %d ms", id, remainingMS)
+		}
+		return nil
+	}
+	err := check("(all)", stored.LongLeaseMS)
+	for _, b := range stored.Workers {
+		err = errors.Join(err, check(b.ID, b.RemainingMS))
+	}
+	for _, b := range stored.LongLeases {
+		err = errors.Join(err, check(b.ID, b.RemainingMS))
+	}
+	if err != nil {
+		return storedLeaseBounds{}, err
+	}
+	return stored, nil
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
 // maxLeaseDuration returns how long a lease granted by a previous owner can be
 // valid on a slow clock, with a margin for the time between the issue of the
 // command and the clock reading that it is based on.
--- a/core/scheduler/handover.go
+++ b/core/scheduler/handover.go
@@ -53,7 +53,7 @@
 	}
 	respondedAfter := max(s.handOver.since, now-s.handOver.heartbeatWait-handOverMargin)
 	for _, w := range s.fleet.All() {
-		if len(w.Attempts) > 0 && w.LastContact < respondedAfter && !s.boundedWorkers[w.ID] {
+		if len(w.Attempts) > 0 && w.LastContact < respondedAfter && !s.storedBounds.suspended[w.ID] {
 			unknown++
 		}
 	}
@@ -79,7 +79,7 @@
 		remaining := max(0, w.Lease.Remaining(now))
 		switch {
 		case len(w.Attempts) == 0:
-		case s.boundedWorkers[w.ID]:
+		case s.storedBounds.suspended[w.ID]:
 			out.Bounded++
 			out.BoundedFor = max(out.BoundedFor, remaining)
 		default:
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -125,9 +125,10 @@
 	// has acknowledged were sent. All nodes read renewals; of the others, each node reads
 	// the states or the pulses.
 	lastRenewal, lastState, lastPulse fleet.Instant
-	// boundedWorkers are the workers in the stored lease bounds record.
-	// leaseBoundsStored is true once this owner has stored a record.
-	boundedWorkers    map[domain.WorkerID]bool
+	// storedBounds is the content of the stored lease bounds record; of a previous owner's
+	// only the unresponsive workers. leaseBoundsStored is true once this owner has stored a
+	// record.
+	storedBounds      leaseBounds
 	leaseBoundsStored bool
 	// handOver is the preparation of a hand-over; nil if there is none.
 	handOver *handOver
@@ -194,25 +195,25 @@
 // append, this owner renews leases for MaxOffline from then.
 func New(s Settings, token platform.Token, claimed, now fleet.Instant) *Scheduler {
 	return &Scheduler{
-		settings:       s,
-		token:          token,
-		ledger:         ledger.New(),
-		fleet:          fleet.New(),
-		sharing:        sharing.NewModel(),
-		throughput:     newThroughput(now),
-		policyAdvice:   policyAdvice{steps: map[job.StepID]*stepAdvice{}},
-		evacuated:      map[domain.FailureDomain]bool{},
-		heartbeats:     map[domain.WorkerID]*heartbeat{},
-		stops:          map[*fleet.Attempt]*pendingStop{},
-		accepted:       map[job.ID]fleet.Instant{},
-		finished:       map[job.ID]job.State{},
-		idleSince:      map[job.ID]fleet.Instant{},
-		waitingSince:   map[job.StepID]fleet.Instant{},
-		freeShares:     map[string]float64{},
-		boundedWorkers: map[domain.WorkerID]bool{},
-		stepEndedAt:    map[job.ID]fleet.Instant{},
-		lastStoreAck:   claimed,
-		lastRenewal:    claimed,
+		settings:     s,
+		token:        token,
+		ledger:       ledger.New(),
+		fleet:        fleet.New(),
+		sharing:      sharing.NewModel(),
+		throughput:   newThroughput(now),
+		policyAdvice: policyAdvice{steps: map[job.StepID]*stepAdvice{}},
+		evacuated:    map[domain.FailureDomain]bool{},
+		heartbeats:   map[domain.WorkerID]*heartbeat{},
+		stops:        map[*fleet.Attempt]*pendingStop{},
+		accepted:     map[job.ID]fleet.Instant{},
+		finished:     map[job.ID]job.State{},
+		idleSince:    map[job.ID]fleet.Instant{},
+		waitingSince: map[job.StepID]fleet.Instant{},
+		freeShares:   map[string]float64{},
+		storedBounds: leaseBounds{suspended: map[domain.WorkerID]bool{}},
+		stepEndedAt:  map[job.ID]fleet.Instant{},
+		lastStoreAck: claimed,
+		lastRenewal:  claimed,
 	}
 }
 
--- a/core/scheduler/store.go
+++ b/core/scheduler/store.go
@@ -26,12 +26,12 @@
 	// SharingModel is the encoded sharing model; nil if it was stored recently.
 	SharingModel []byte
 	// LeaseBounds is the lease bounds record; nil if the stored record of this
-	// owner lists the same workers. boundedWorkers are the workers in it.
-	LeaseBounds    []byte
-	boundedWorkers map[domain.WorkerID]bool
-	entries        []*ledger.Entry
-	starts         []unsentStart
-	completions    []processedCompletions
+	// owner says as much. bounds is its content.
+	LeaseBounds []byte
+	bounds      *leaseBounds
+	entries     []*ledger.Entry
+	starts      []unsentStart
+	completions []processedCompletions
 }
 
 // processedCompletions identifies the completions of one incarnation of a worker
@@ -48,15 +48,15 @@
 	if s.unresolvedBatch != nil {
 		return nil, nil
 	}
-	bounds, boundedWorkers, err := s.encodeLeaseBounds(now)
+	record, bounds, err := s.encodeLeaseBounds(now)
 	if err != nil {
 		return nil, err
 	}
-	if bounds == nil && !s.ledger.HasChanges() && !s.hasUnstoredCompletions && len(s.unsentStarts) == 0 {
+	if record == nil && !s.ledger.HasChanges() && !s.hasUnstoredCompletions && len(s.unsentStarts) == 0 {
 		return nil, nil
 	}
-	s.suspendLeases(boundedWorkers)
-	b := &Batch{entries: s.ledger.TakeChanged(), starts: s.unsentStarts, LeaseBounds: bounds, boundedWorkers: boundedWorkers}
+	s.suspendLeases(bounds)
+	b := &Batch{entries: s.ledger.TakeChanged(), starts: s.unsentStarts, LeaseBounds: record, bounds: bounds}
 	for _, e := range b.entries {
 		state, err := ledger.EncodeState(e)
 		if err != nil {
@@ -90,7 +90,7 @@
 	s.unresolvedBatch = nil
 	s.lastStoreAck, s.lastState = max(s.lastStoreAck, sent), max(s.lastState, sent)
 	if b.LeaseBounds != nil {
-		s.applyLeaseBounds(b.boundedWorkers, now)
+		s.applyLeaseBounds(b.bounds, now)
 	}
 	s.dropFinishedJobs(b.entries)
 	for _, processed := range b.completions {
