scheduler: a start may run on an incarnation that its owner never noticed

Cause: an owner that ends while a start is in progress knows nothing of the incarnation that carries it out, which holds the longest lease that the worker grants. The next owner assumed the owner's lease. Change: with its renewals, an owner stores the offset in the states before which all starts are settled: it knows their outcome, or has stored a bound of the worker's lease. A later owner waits for the longest lease where a worker does not respond and the start of an attempt may not have been settled; all others keep the shorter bound, also for the next process of the same node, which remembers nothing. A record of some 10 bytes a second at most, in appends that are made anyway. TestTaskOfALostWorkerRestartsSoonAfterAChangeOfOwner: its row of an owner that ends without a release lost the worker 1.5 s after the start, where the shorter bound is not safe. The row now has a settled start, with the same bound; a second one has an unsettled start, with the longest lease.

--- a/core/jobview/keys.go
+++ b/core/jobview/keys.go
@@ -12,6 +12,8 @@
 	KindOwner Kind = 'o'
 	// KindOwnerShare: the CPU share of the owner.
 	KindOwnerShare Kind = 'p'
+	// KindSettled: the offset in the states before which all starts are settled.
+	KindSettled Kind = 'd'
 	// KindJob: a job was accepted.
 	KindJob Kind = 'j'
 	// KindCancel: a client cancelled a job.
@@ -39,6 +41,9 @@
 // OwnerShareKey is the key of the records of the owner's CPU share.
 const OwnerShareKey = string(KindOwnerShare)
 
+// SettledKey is the key of the records of the settled offset.
+const SettledKey = string(KindSettled)
+
 // InterferenceModelKey is the key of the records of the interference model.
 const InterferenceModelKey = string(KindInterferenceModel)
 
@@ -53,7 +58,7 @@
 	}
 	kind, id = Kind(key[0]), job.ID(key[1:])
 	switch kind {
-	case KindOwner, KindOwnerShare, KindInterferenceModel, KindLeaseBounds:
+	case KindOwner, KindOwnerShare, KindSettled, KindInterferenceModel, KindLeaseBounds:
 		return kind, "", id == ""
 	case KindJob, KindCancel, KindState, KindStatus:
 		return kind, id, id.Valid()
--- a/core/jobview/view.go
+++ b/core/jobview/view.go
@@ -109,7 +109,7 @@
 // record that cannot be decoded causes an error and changes no job's state.
 func (v *View) Apply(r platform.KeyedRecord) error {
 	kind, id, ok := ParseKey(r.Key)
-	if !ok || kind == KindOwner || kind == KindOwnerShare || kind == KindLeaseBounds {
+	if !ok || kind == KindOwner || kind == KindOwnerShare || kind == KindSettled || kind == KindLeaseBounds {
 		return nil
 	}
 	v.mu.Lock()
@@ -249,6 +249,8 @@
 type Restored struct {
 	// Jobs is the table of the jobs for which something is left to do.
 	Jobs *ledger.Ledger
+	// StateOffsets holds the offset of the newest state of each job in Jobs that has one.
+	StateOffsets map[job.ID]int64
 	// Finished holds the states of the jobs for which nothing is left to do.
 	Finished map[job.ID]job.State
 	// Cancelled lists the jobs in Jobs that were cancelled but whose stored state
@@ -268,7 +270,7 @@
 func (v *View) Restore() Restored {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	out := Restored{Jobs: ledger.New(), Finished: map[job.ID]job.State{}}
+	out := Restored{Jobs: ledger.New(), StateOffsets: map[job.ID]int64{}, Finished: map[job.ID]job.State{}}
 	for id, e := range v.jobs {
 		if !e.known {
 			continue
@@ -288,6 +290,9 @@
 			out.Unreadable = append(out.Unreadable, fmt.Errorf("job %s: %w", id, err))
 			continue
 		}
+		if e.stateOffset >= 0 {
+			out.StateOffsets[id] = e.stateOffset
+		}
 		if e.cancelled && !e.summary.State.IsFinal() {
 			out.Cancelled = append(out.Cancelled, id)
 		}
--- a/core/scheduler/bounds.go
+++ b/core/scheduler/bounds.go
@@ -9,6 +9,7 @@
 
 	"github.com/basilferry/basilferry/core/domain"
 	"github.com/basilferry/basilferry/core/fleet"
+	"github.com/basilferry/basilferry/core/job"
 	"github.com/basilferry/basilferry/core/platform"
 )
 
@@ -33,6 +34,10 @@
 	// LeaseBoundsReadAt is when it was read.
 	LeaseBounds       []byte
 	LeaseBoundsReadAt fleet.Instant
+	// SettledOffset is the offset in the states before which all starts are settled, and
+	// StateOffsets holds the offset of the newest state of each job.
+	SettledOffset int64
+	StateOffsets  map[job.ID]int64
 }
 
 // unresponsiveDelay is how long a worker must have been unresponsive before it is
@@ -226,6 +231,7 @@
 	for _, w := range s.fleet.All() {
 		w.Lease.ExtendLatestEnd(last+lease, fleet.LeaseOfPreviousOwner)
 		w.Lease.ExtendLatestEnd(readAt+milliseconds(stored.LongLeaseMS), fleet.LeaseOfBoundsRecord)
+		s.restoreUnsettledStarts(&previous, w, last)
 	}
 	for _, b := range stored.LongLeases {
 		if w := s.fleet.Worker(b.ID); w != nil {
@@ -237,6 +243,9 @@
 		w.Address = b.Address
 		w.LeaseSuspended = true
 		w.Lease.SetLatestEnd(readAt+milliseconds(b.RemainingMS), fleet.LeaseOfBoundsRecord)
+		for _, r := range w.Attempts {
+			r.MayRunLater = false // The record covers it.
+		}
 		s.storedBounds.suspended[b.ID] = true
 		s.heartbeat(w, now)
 	}
@@ -253,7 +262,7 @@
 	if err := cbor.Unmarshal(record, &stored); err != nil {
 		return storedLeaseBounds{}, fmt.Errorf("decode lease bounds: %w", err)
 	}
-	longest := max(s.settings.MaxOffline+s.maxLeaseDuration(), s.maxLaterLease()).Milliseconds() + 1
+	longest := remainingMS(s.settings.MaxOffline + max(s.maxLeaseDuration(), s.maxLaterLease()))
 	check := func(id domain.WorkerID, remainingMS int64) error {
 		if remainingMS < 0 || remainingMS > longest {
 			return fmt.Errorf("decode lease bounds: a lease of worker %s lasts %d ms", id, remainingMS)
--- a/core/scheduler/handover.go
+++ b/core/scheduler/handover.go
@@ -70,13 +70,20 @@
 	// Unbounded and UnboundedFor are the same for the other workers with attempts.
 	Unbounded    int
 	UnboundedFor time.Duration
+	// Unsettled is the number of inherited attempts whose starts are not settled.
+	Unsettled int
 }
 
 // LeaseWait returns how long the leases of the workers with attempts can still last.
 func (s *Scheduler) LeaseWait(now fleet.Instant) LeaseWait {
 	var out LeaseWait
 	for _, w := range s.fleet.All() {
-		remaining := max(0, w.Lease.Remaining(now))
+		for _, r := range w.Attempts {
+			if r.Phase == fleet.AttemptInherited && r.MayRunLater {
+				out.Unsettled++
+			}
+		}
+		remaining := s.leaseRemaining(w, now)
 		switch {
 		case len(w.Attempts) == 0:
 		case s.storedBounds.suspended[w.ID]:
--- a/core/scheduler/handover_test.go
+++ b/core/scheduler/handover_test.go
@@ -52,29 +52,39 @@
 	const round = 200 * time.Millisecond
 	grantedLease := fleet.LongestLease(testSettings.Lease)
 	planned := restartLegs{lease: grantedLease, takeover: takeoverTime, round: round}
-	longestLease := New(testSettings, 1, 0, 0).maxLeaseDuration()
+	const settled = settleTime + settledOffsetInterval
+	owner := New(testSettings, 1, 0, 0)
+	longestLease, longestLaterLease := owner.maxLeaseDuration(), owner.maxLaterLease()
 	for _, c := range []struct {
 		name string
 		// lostFor is how long the worker has been lost when the change begins.
 		lostFor   time.Duration
 		isPlanned bool
-		legs      restartLegs
+		// ranFor is how long the task has run when the worker is lost, and a second more.
+		ranFor time.Duration
+		legs   restartLegs
 	}{
-		{"just lost", 0, true, planned},
-		{"lost for 100 ms", 100 * time.Millisecond, true, planned},
-		{"as in review/3", 500 * time.Millisecond, true, planned},
-		{"heartbeat about to fail", 1600 * time.Millisecond, true, planned},
-		{"heartbeat failed", 1800 * time.Millisecond, true, planned},
-		{"stored", 2500 * time.Millisecond, true, planned},
-		{"owner ends without a release", 500 * time.Millisecond, false, restartLegs{
+		{"just lost", 0, true, 0, planned},
+		{"lost for 100 ms", 100 * time.Millisecond, true, 0, planned},
+		{"as in review/3", 500 * time.Millisecond, true, 0, planned},
+		{"heartbeat about to fail", 1600 * time.Millisecond, true, 0, planned},
+		{"heartbeat failed", 1800 * time.Millisecond, true, 0, planned},
+		{"stored", 2500 * time.Millisecond, true, 0, planned},
+		{"owner ends without a release", 500 * time.Millisecond, false, settled, restartLegs{
 			lease: longestLease, offline: testSettings.MaxOffline, takeover: 500 * time.Millisecond, round: round,
 		}},
-		{"owner ends without a release, stored", 2500 * time.Millisecond, false, planned},
+		{"owner ends without a release, start not settled", 500 * time.Millisecond, false, 0, restartLegs{
+			lease: longestLaterLease, offline: testSettings.MaxOffline, takeover: 500 * time.Millisecond, round: round,
+		}},
+		{"owner ends without a release, stored", 2500 * time.Millisecond, false, 0, planned},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			h := newHarness(t, 2)
 			h.heartbeatsWait = true
-			h.startOnUnresponsiveWorker()
+			f := h.startOnUnresponsiveWorker()
+			f.unresponsive = false
+			h.runFor(c.ranFor)
+			f.unresponsive = true
 			lostAt := h.now
 			h.runFor(c.lostFor)
 			if c.isPlanned {
--- a/core/scheduler/harness_test.go
+++ b/core/scheduler/harness_test.go
@@ -157,8 +157,14 @@
 	// was stored. lastSeenAt is when the owner last wrote to the store.
 	leaseBounds               []byte
 	leaseBoundsAt, lastSeenAt fleet.Instant
-	// storedStates are the stored state records of the jobs.
+	// storedStates are the stored state records of the jobs, and stateOffsets their
+	// offsets. statesEnd is the end of the states.
 	storedStates map[job.ID][]byte
+	stateOffsets map[job.ID]int64
+	statesEnd    int64
+	// settled is the owner's settled offset, and settledOffset the stored one.
+	settled       SettledOffset
+	settledOffset int64
 	// previousOwnerEnded tells a new owner that the process of the previous owner
 	// has ended.
 	previousOwnerEnded bool
@@ -197,7 +203,7 @@
 }
 
 func newHarnessWith(t *testing.T, workers int, settings Settings) *harness {
-	h := &harness{t: t, settings: settings, now: time.Minute, unanswered: map[*Command]fleet.Instant{}, storedStates: map[job.ID][]byte{}}
+	h := &harness{t: t, settings: settings, now: time.Minute, unanswered: map[*Command]fleet.Instant{}, storedStates: map[job.ID][]byte{}, stateOffsets: map[job.ID]int64{}}
 	for i := range workers {
 		f := newFakeWorker(fmt.Sprintf("w%d", i))
 		f.leaseLimit = settings.LeaseLimit
@@ -211,7 +217,7 @@
 // and the registry.
 func (h *harness) setScheduler(scheduler *Scheduler) {
 	h.scheduler = scheduler
-	h.batch = nil
+	h.batch, h.settled = nil, SettledOffset{}
 	clear(h.unanswered)
 	scheduler.SetConfig(&platform.OperatorConfig{Version: 1, Routes: []platform.Route{{Queue: testQueue}}})
 	for _, f := range h.workers {
@@ -315,9 +321,17 @@
 		}
 		for _, record := range b.Records {
 			h.storedStates[record.Job] = record.State
+			h.stateOffsets[record.Job] = h.statesEnd
+			h.statesEnd++
 		}
 		h.lastSeenAt = h.now
 		h.scheduler.Stored(b, h.now, h.now)
+		h.settled.Observe(h.statesEnd, h.now)
+	}
+	if !h.storeDown && h.scheduler.AreLeaseBoundsStored(h.now) {
+		if offset, ok := h.settled.Take(h.now); ok {
+			h.settledOffset = offset
+		}
 	}
 }
 
--- a/core/scheduler/incarnation.go
+++ b/core/scheduler/incarnation.go
@@ -80,14 +80,15 @@
 	w.Lease.ExtendLatestEnd(longest, fleet.LeaseOfAnyCommand)
 }
 
-// runsInherited reports whether a report lists an inherited attempt.
+// runsInherited reports whether a report lists an inherited attempt whose start the
+// previous owner has settled.
 func runsInherited(w *fleet.Worker, result Result) bool {
 	for _, running := range result.Report.Running {
 		id, err := job.ParseTaskID(running.Task)
 		if err != nil {
 			continue // reconcileAttempts records it.
 		}
-		if r := w.Attempts[id]; r != nil && r.Phase == fleet.AttemptInherited && r.Attempt == running.Attempt {
+		if r := w.Attempts[id]; r != nil && r.Phase == fleet.AttemptInherited && r.Attempt == running.Attempt && !r.MayRunLater {
 			return true
 		}
 	}
--- a/core/scheduler/scheduler_test.go
+++ b/core/scheduler/scheduler_test.go
@@ -126,7 +126,8 @@
 func (h *harness) startTerm(jobs *ledger.Ledger, token platform.Token) *Scheduler {
 	h.t.Helper()
 	scheduler := New(h.settings, token, h.now, h.now)
-	previous := PreviousOwner{LastSeenAt: h.lastSeenAt, Token: h.scheduler.Token(), ProcessEnded: h.previousOwnerEnded, LeaseBounds: h.leaseBounds, LeaseBoundsReadAt: h.leaseBoundsAt}
+	previous := PreviousOwner{LastSeenAt: h.lastSeenAt, Token: h.scheduler.Token(), ProcessEnded: h.previousOwnerEnded, LeaseBounds: h.leaseBounds, LeaseBoundsReadAt: h.leaseBoundsAt,
+		SettledOffset: h.settledOffset, StateOffsets: h.stateOffsets}
 	assert.NilError(h.t, scheduler.Restore(jobs, previous, h.now, h.now.Milliseconds()))
 	h.setScheduler(scheduler)
 	return scheduler
--- a/node/dispatcher/records.go
+++ b/node/dispatcher/records.go
@@ -38,6 +38,8 @@
 		d.applyOwnershipRecord(r)
 	case jobview.KindOwnerShare:
 		d.applyOwnerShare(r)
+	case jobview.KindSettled:
+		d.applySettledOffset(r)
 	case jobview.KindJob:
 		if !d.hasRead(r) {
 			d.post(func() { d.acceptJob(r) })
@@ -95,6 +97,15 @@
 	d.post(func() { d.ownership.ObserveOwnerShare(share) })
 }
 
+func (d *Dispatcher) applySettledOffset(r platform.KeyedRecord) {
+	offset, err := scheduler.DecodeSettledOffset(r.Value)
+	if err != nil {
+		d.cfg.Logger.Error("settled offset ignored", "offset", r.Offset, "err", err)
+		return
+	}
+	d.post(func() { d.previousOwner.SettledOffset = max(d.previousOwner.SettledOffset, offset) })
+}
+
 // observeOwner applies an ownership record. It starts a term if the record makes
 // this process the owner, and ends the current term if it no longer is.
 func (d *Dispatcher) observeOwner(record ownership.Record, offset int64) {
--- a/node/dispatcher/term.go
+++ b/node/dispatcher/term.go
@@ -46,7 +46,9 @@
 	pulsing   bool
 	lastPulse time.Duration
 	// shareStored is true once the CPU share of this owner has been appended.
-	shareStored    bool
+	shareStored bool
+	// settled finds the settled offset, which is stored with the renewals.
+	settled        scheduler.SettledOffset
 	lastAppend     time.Duration
 	lastLoadReport time.Duration
 	// reportedCounters are the scheduler's counters as of the last update of the
@@ -163,7 +165,9 @@
 	}
 	s := scheduler.New(d.cfg.Scheduler, t.token, d.claimedAfter, now)
 	t.jobScheduler = s
-	if err := s.Restore(restored.Jobs, d.previousOwner, now, time.Now().UnixMilli()); err != nil {
+	previous := d.previousOwner
+	previous.StateOffsets = restored.StateOffsets
+	if err := s.Restore(restored.Jobs, previous, now, time.Now().UnixMilli()); err != nil {
 		d.cfg.Logger.Error("lease bounds of the previous owner cannot be decoded; assuming its longest lease for all workers", "err", err)
 	}
 	if learned := d.cfg.View.InterferenceModel(); learned != nil {
@@ -181,7 +185,8 @@
 		"former_token", d.previousOwner.Token, "former_dead", d.previousOwner.ProcessEnded, "former_age_ms", (now - d.previousOwner.LastSeenAt).Milliseconds())
 	wait := s.LeaseWait(now)
 	d.cfg.Logger.Info("leases of previous owners", "token", t.token, "bounds_age_ms", (now - d.previousOwner.LeaseBoundsReadAt).Milliseconds(),
-		"workers_bounded", wait.Bounded, "bounded_ms", wait.BoundedFor.Milliseconds(), "workers", wait.Unbounded, "longest_ms", wait.UnboundedFor.Milliseconds())
+		"workers_bounded", wait.Bounded, "bounded_ms", wait.BoundedFor.Milliseconds(), "workers", wait.Unbounded, "longest_ms", wait.UnboundedFor.Milliseconds(),
+		"unsettled", wait.Unsettled, "settled_offset", previous.SettledOffset)
 	t.followRegistry()
 }
 
@@ -317,6 +322,9 @@
 			d.ownership.ObserveOwnerRecord(now)
 		}
 		t.jobScheduler.Stored(batch, sent, now)
+		if len(records) > 0 {
+			t.settled.Observe(end, now)
+		}
 	})
 }
 
@@ -429,11 +437,24 @@
 		records = append(records, platform.KeyedRecord{Key: jobview.OwnerShareKey, Value: share})
 	}
 	if t.dueRecord == ownership.KindRenewal && t.jobScheduler != nil {
+		records = append(records, t.settledRecord(now)...)
 		records = append(records, t.expiredJobTombstones(now)...)
 	}
 	return records
 }
 
+// settledRecord returns the record of the settled offset, if it is due.
+func (t *term) settledRecord(now time.Duration) []platform.KeyedRecord {
+	if !t.jobScheduler.AreLeaseBoundsStored(now) {
+		return nil
+	}
+	offset, ok := t.settled.Take(now)
+	if !ok {
+		return nil
+	}
+	return []platform.KeyedRecord{{Key: jobview.SettledKey, Value: scheduler.EncodeSettledOffset(offset)}}
+}
+
 // expiredJobTombstones removes the finished jobs whose retention time has passed.
 // It returns the records that delete their acceptances, cancels and statuses, and adds those
 // that delete their states to the next append.
