scheduler: the clock of a later incarnation may be close to that of the former

Cause: a start that the next incarnation had carried out counted as listed by the former if the clock in the answer was not lower than that of the former. Clocks of new incarnations start anywhere; the notice of the restart then released a task that was running. Change: a reading above what the clock can show counts as a restart, as one below does. A fitting clock still allows acknowledgements, but only a report releases an attempt at a restart; the others wait for the first report of the new incarnation.

--- a/core/fleet/incarnation.go
+++ b/core/fleet/incarnation.go
@@ -61,7 +61,7 @@
 func (w *Worker) HasUnlistedAttempts(now Instant) bool {
 	for _, r := range w.Attempts {
 		switch {
-		case r.Listed, r.Phase == AttemptUnsent, r.Phase == AttemptSent && w.MissedHeartbeats == 0 && now-r.SentAt < MaxAnswerTime:
+		case r.Listed, r.ClockMatches, r.Phase == AttemptUnsent, r.Phase == AttemptSent && w.MissedHeartbeats == 0 && now-r.SentAt < MaxAnswerTime:
 		default:
 			return true
 		}
--- a/core/fleet/lease.go
+++ b/core/fleet/lease.go
@@ -11,6 +11,10 @@
 // workers are at most 2% slow.
 const slowestClockRate = 0.98
 
+// fastestClockRate is the highest rate of a worker's clock, with a margin for the
+// difference between the node's clock and the true time.
+const fastestClockRate = 1.01
+
 // clockResolution is the resolution of the clock readings of workers.
 const clockResolution = time.Millisecond
 
@@ -40,8 +44,9 @@
 type clockReading struct {
 	worker time.Duration
 	// at is when the reply with the reading arrived. The worker's clock has
-	// shown at least this reading ever since.
-	at Instant
+	// shown at least this reading ever since. asked is when the command was issued that it
+	// answers; the clock has shown the reading after that.
+	asked, at Instant
 }
 
 // Lease tracks until when a worker may execute its attempts.
@@ -55,14 +60,15 @@
 	basis LeaseBasis
 }
 
-// ObserveClock records a clock reading from a reply that arrived at now.
-func (l *Lease) ObserveClock(clock time.Duration, now Instant) {
+// ObserveClock records a clock reading from a reply that arrived at now, to a command that
+// was issued at asked.
+func (l *Lease) ObserveClock(clock time.Duration, asked, now Instant) {
 	if l.known && clock < l.reading.worker {
 		// Replies on different connections can arrive out of order. The newest
 		// reading gives the tightest bound.
 		return
 	}
-	l.reading, l.known = clockReading{worker: clock, at: now}, true
+	l.reading, l.known = clockReading{worker: clock, asked: asked, at: now}, true
 }
 
 // Until returns the time on the worker's clock that is about length after now,
@@ -87,13 +93,22 @@
 	return max(0, l.reading.worker+time.Duration(float64(now-l.reading.at)*slowestClockRate)-clockResolution)
 }
 
+// LatestClock returns the highest value that the worker's clock can show at now; 0 while
+// its clock is unknown. A higher reading is from another incarnation.
+func (l *Lease) LatestClock(now Instant) time.Duration {
+	if !l.known {
+		return 0
+	}
+	return l.reading.worker + time.Duration(float64(now-l.reading.asked)*fastestClockRate) + clockResolution
+}
+
 // maxInitialClock is higher than the clock of a worker shows when its process starts, by
 // more than the time that an answer travels.
 const maxInitialClock = 5 * time.Second
 
 // ProvesIncarnation reports whether a clock reading that arrived at now, and was not
-// lower than earliest, is certainly from the incarnation of the last reading. An
-// incarnation that started since then shows less.
+// lower than earliest, is not from an incarnation that started since the last reading with
+// a clock near zero.
 func (l *Lease) ProvesIncarnation(earliest time.Duration, now Instant) bool {
 	return l.known && earliest > maxInitialClock+(now-l.reading.at)
 }
--- a/core/fleet/lease_test.go
+++ b/core/fleet/lease_test.go
@@ -11,7 +11,7 @@
 // grants the lease.
 func TestLeaseLastsUntilTheSlowestClockPassesItsEnd(t *testing.T) {
 	var l Lease
-	l.ObserveClock(100*time.Second, 10*time.Second)
+	l.ObserveClock(100*time.Second, 10*time.Second, 10*time.Second)
 	until := l.Until(6*time.Second, 11*time.Second)
 	assert.Equal(t, until, 107*time.Second)
 	// The worker's clock has to advance 7 s from the reading, which takes up to
@@ -23,8 +23,8 @@
 // Guards against a looser bound from a reply that arrives out of order.
 func TestOlderClockReadingIsIgnored(t *testing.T) {
 	var l Lease
-	l.ObserveClock(100*time.Second, 10*time.Second)
-	l.ObserveClock(99*time.Second, 12*time.Second)
+	l.ObserveClock(100*time.Second, 10*time.Second, 10*time.Second)
+	l.ObserveClock(99*time.Second, 12*time.Second, 12*time.Second)
 	assert.Equal(t, l.Until(time.Second, 10*time.Second), 101*time.Second)
 }
 
@@ -39,10 +39,10 @@
 // reading of a young one.
 func TestClockProvesOnlyAnOldIncarnation(t *testing.T) {
 	var l Lease
-	l.ObserveClock(time.Second, time.Minute)
+	l.ObserveClock(time.Second, time.Minute, time.Minute)
 	now := time.Minute + 500*time.Millisecond
 	assert.Assert(t, !l.ProvesIncarnation(l.EarliestClock(now), now))
-	l.ObserveClock(time.Hour, time.Minute)
+	l.ObserveClock(time.Hour, time.Minute, time.Minute)
 	assert.Assert(t, l.ProvesIncarnation(l.EarliestClock(now), now))
 	assert.Assert(t, !l.ProvesIncarnation(l.EarliestClock(now), now+time.Hour))
 }
--- a/core/fleet/worker.go
+++ b/core/fleet/worker.go
@@ -70,9 +70,11 @@
 // AttemptStatus is what the current incarnation of the worker has reported about an
 // attempt. The zero value is that of an attempt that it has not reported.
 type AttemptStatus struct {
-	// Listed is true if a heartbeat response has listed the attempt as running, or if
-	// the clock in the answer to its start shows that this incarnation carried it out.
+	// Listed is true if a heartbeat response has listed the attempt as running.
 	Listed bool
+	// ClockMatches is true if the clock in the answer to its start fits this incarnation.
+	// A clock that starts anywhere seldom does, but it can.
+	ClockMatches bool
 	// StopAckedAt is when the worker confirmed the stop; 0 before.
 	StopAckedAt Instant
 	// ProgressPercent and Observed are the latest values that the worker reported; see
--- a/core/scheduler/heartbeat.go
+++ b/core/scheduler/heartbeat.go
@@ -167,7 +167,7 @@
 	report := &result.Report
 	w.LastContact, w.MissedHeartbeats, w.UnresponsiveSince = now, 0, 0
 	w.AliveAt = max(w.AliveAt, result.Command.IssuedAt)
-	w.Lease.ObserveClock(report.Clock, now)
+	w.Lease.ObserveClock(report.Clock, result.Command.IssuedAt, now)
 	w.Forgotten = max(w.Forgotten, result.Command.Heartbeat.LastStored)
 	if report.Draining && w.LeavesAt == 0 {
 		w.LeavesAt = now + report.Remaining
--- a/core/scheduler/incarnation.go
+++ b/core/scheduler/incarnation.go
@@ -159,9 +159,10 @@
 		return
 	}
 	current := s.isCurrent(w, command)
-	if current && clock >= command.earliestClock {
-		r.Listed = r.Listed || w.Lease.ProvesIncarnation(command.earliestClock, now)
-		w.Lease.ObserveClock(clock, now)
+	latest := w.Lease.LatestClock(now)
+	if current && clock >= command.earliestClock && (latest == 0 || clock <= latest) {
+		r.ClockMatches = w.Lease.ProvesIncarnation(command.earliestClock, now)
+		w.Lease.ObserveClock(clock, command.IssuedAt, now)
 		return
 	}
 	w.Lease.ExtendLatestEnd(now+fleet.LongestLease(s.settings.LeaseLimit), fleet.LeaseOfAnyCommand)
@@ -171,7 +172,7 @@
 	s.raiseToken(w, now)
 	s.recordDecision(Decision{
 		Action: "worker may have restarted", Worker: w.ID, Age: now - w.LastContact,
-		Reason: fmt.Sprintf("its clock shows %d ms, at least %d expected", clock.Milliseconds(), command.earliestClock.Milliseconds()),
+		Reason: fmt.Sprintf("its clock shows %d ms, %d to %d expected", clock.Milliseconds(), command.earliestClock.Milliseconds(), latest.Milliseconds()),
 	})
 }
 
