scheduler: stop an earlier attempt of a task before the task starts elsewhere

Cause: a worker that restarts twice can carry out a start that was released after the first restart. If the task is placed there again, the report lists the earlier attempt and not the newer one; the newer one was released as missing, and the earlier one ran on unknown to the owner while the task started elsewhere. Change: the earlier attempt is stopped, and the newer one stays placed until the worker lists neither. Result: TestEarlierAttemptIsStoppedBeforeTheTaskStartsElsewhere failed before and passes.

--- a/core/scheduler/heartbeat.go
+++ b/core/scheduler/heartbeat.go
@@ -201,12 +201,27 @@
 		return // More completions follow, which may include the missing attempts.
 	}
 	for id, r := range w.Attempts {
-		if number, ok := present[id]; !ok || number != r.Attempt {
+		switch number, listed := present[id]; {
+		case !listed:
 			s.handleMissingAttempt(w, r, result.Command, now)
+		case number != r.Attempt:
+			s.stopOtherAttempt(w, id, number, now)
 		}
 	}
 }
 
+// stopOtherAttempt stops an attempt of a task that was placed on the worker again: its
+// start request was carried out late. The newer attempt is not released before the worker
+// lists neither.
+func (s *Scheduler) stopOtherAttempt(w *fleet.Worker, id job.TaskID, number int, now fleet.Instant) {
+	s.recordDecision(Decision{
+		Action: "stop", Job: id.Job, Task: id.String(), Attempt: number, Worker: w.ID, Reason: "another attempt is placed on the worker",
+	})
+	s.commands = append(s.commands, &Command{
+		Kind: CommandStop, Worker: w.ID, To: w.Endpoint(), Token: s.workerToken(w), IssuedAt: now, Task: id, Attempt: number,
+	})
+}
+
 // confirmAttempt records an attempt that the worker reports as running.
 func (s *Scheduler) confirmAttempt(w *fleet.Worker, id job.TaskID, running platform.Running, now fleet.Instant) {
 	r := w.Attempts[id]
@@ -227,10 +242,8 @@
 // stopOrphan stops an attempt that is not in the worker table: its start request
 // was carried out late, or its job is finished.
 func (s *Scheduler) stopOrphan(w *fleet.Worker, id job.TaskID, running platform.Running, now fleet.Instant) {
-	if r := w.Attempts[id]; r != nil {
-		// This is an earlier attempt of a task that was placed on this worker
-		// again. The worker stops it by itself or has refused the newer attempt.
-		return
+	if w.Attempts[id] != nil {
+		return // reconcileAttempts stops it.
 	}
 	r := &fleet.Attempt{
 		ID: id, Attempt: running.Attempt, Phase: fleet.AttemptStarted, StartedAt: now, AttemptStatus: fleet.AttemptStatus{Listed: true},
--- a/core/scheduler/incarnation_test.go
+++ b/core/scheduler/incarnation_test.go
@@ -629,3 +629,28 @@
 	w := h.scheduler.Fleet().Worker(f.id)
 	assert.Assert(t, w.HeartbeatAnswered && w.MissedHeartbeats == 0)
 }
+
+// Guards against a second run of a task that a restarted worker runs as an earlier attempt
+// than the one that is placed there: the earlier one is stopped first.
+func TestEarlierAttemptIsStoppedBeforeTheTaskStartsElsewhere(t *testing.T) {
+	h := newIdleHarness(t, 2)
+	f := h.workers[0]
+	j := singleStepJob(1, 1000)
+	j.Steps[0].RequiredLabel = h.onlyKind(f)
+	h.delays = func(c *Command) bool { return c.Kind == CommandStart && c.Worker == f.id }
+	h.scheduler.Accept(j, h.now)
+	h.runUntil(func() bool { return len(h.delayed) == 1 })
+	f.restart(time.Second)
+	h.register(f)
+	h.runUntil(func() bool { return len(h.delayed) == 2 })
+	assert.Equal(t, h.delayed[1].Attempt, 2)
+	f.restart(time.Second)
+	_, _ = f.execute(h.delayed[0])
+	h.cutOffAndAllowElsewhere(f)
+	f.unresponsive = false
+	for range 100 {
+		h.runFor(harnessStep)
+		assert.Assert(t, len(h.workersRunning(firstTaskID)) <= 1)
+	}
+	assert.Equal(t, h.startCount(firstTaskID), 2)
+}
