A record that the store refuses for good concerns its job alone

Seen: the state of one job is over the store's record_bytes.

Cause: OwnerWriter.Append repeats every failed append but those of a lost epoch, and all changed jobs are one append.

The owner appends the halves of a refused batch by themselves until single jobs are left. Such a job is held: its placements are taken back and nothing of it is started, workers keep its ends, and its state is tried again each 5 s. A log line, decisions (hold job, resume job), a counter and a gauge name the job and the reason. Requests of a refused group are appended one by one.

Before the change TestRefusedStateConcernsItsJobAlone, TestOwnerWriterReturnsWhenStoreRefusesForGood and TestRequestThatTheStoreRefusesForGoodIsRefusedAlone fail (the state of the small job is not stored within 3 s; context deadline exceeded; not_run for the request beside it).

--- a/core/platform/store.go
+++ b/core/platform/store.go
@@ -94,8 +94,8 @@
 // Store is the platform's store. It is linearizable and never loses
 // acknowledged records.
 //
-// Errors: ErrConflict, ErrFenced, ErrSequence and ErrRefused mean that nothing
-// was appended. After any other error of Append, the records may have been
+// Errors: ErrConflict, ErrFenced, ErrSequence, ErrRefused and ErrInvalid mean that
+// nothing was appended. After any other error of Append, the records may have been
 // appended or may still be appended; repeating the Append with the same
 // Producer shows whether they were and does not append them twice.
 type Store interface {
@@ -119,6 +119,9 @@
 	ErrSequence = errors.New("the sequence number is not the next one; start a new epoch")
 	// ErrRefused: the store is busy or down and has appended nothing.
 	ErrRefused = errors.New("the store refused the call and did nothing; try again later")
+	// ErrInvalid: the store never accepts these records, for example because one of them
+	// is too large.
+	ErrInvalid = errors.New("the store refuses these records for good; send smaller ones")
 	// ErrTrimmed: the requested records are no longer retained.
 	ErrTrimmed = errors.New("the records are no longer kept; read the newest record of each key")
 )
@@ -170,5 +173,5 @@
 // certainly did not and will not append the records.
 func NothingAppended(err error) bool {
 	return errors.Is(err, ErrFenced) || errors.Is(err, ErrConflict) ||
-		errors.Is(err, ErrSequence) || errors.Is(err, ErrRefused)
+		errors.Is(err, ErrSequence) || errors.Is(err, ErrRefused) || errors.Is(err, ErrInvalid)
 }
--- a/core/scheduler/expire.go
+++ b/core/scheduler/expire.go
@@ -30,6 +30,7 @@
 		s.ledger.Drop(first.id)
 		delete(s.accepted, first.id)
 		delete(s.finished, first.id)
+		s.dropHold(first.id)
 		out = append(out, first.id)
 	}
 	return out
--- a/core/scheduler/harness_test.go
+++ b/core/scheduler/harness_test.go
@@ -154,6 +154,8 @@
 	// was stored. lastSeenAt is when the owner last wrote to the store.
 	leaseBounds               []byte
 	leaseBoundsAt, lastSeenAt fleet.Instant
+	// refused is the job whose state the store refuses for good; empty for none.
+	refused job.ID
 	// storedStates are the stored state records of the jobs.
 	storedStates map[job.ID][]byte
 	// previousOwnerEnded tells a new owner that the process of the previous owner
@@ -304,7 +306,11 @@
 		if b.LeaseBounds != nil {
 			h.leaseBounds, h.leaseBoundsAt = b.LeaseBounds, h.now
 		}
-		for _, record := range b.Records {
+		for _, record := range slices.Clone(b.Records) {
+			if record.Job == h.refused {
+				h.scheduler.Hold(b, record.Job, platform.ErrInvalid, h.now)
+				continue
+			}
 			h.storedStates[record.Job] = record.State
 		}
 		h.lastSeenAt = h.now
--- a/core/scheduler/heartbeat.go
+++ b/core/scheduler/heartbeat.go
@@ -276,6 +276,7 @@
 		return
 	}
 	closed := e.IsClosed()
+	s.unstoredEnds = append(s.unstoredEnds, unstoredEnd{job: id.Job, worker: w.ID, incarnation: w.IncarnationID, number: completion.Number})
 	s.ledger.RecordCompletion(id, completion.Attempt, completion.Kind, completion.Checkpoint)
 	s.recordStepEnd(e, id, now)
 	s.countCompletion(completion.Kind)
--- a/core/scheduler/plan.go
+++ b/core/scheduler/plan.go
@@ -91,6 +91,9 @@
 	s.nextDueUnixMS = 0
 	var out []dispatch.Demand
 	for _, e := range s.ledger.OpenJobs() {
+		if s.held[e.Job.ID] != nil {
+			continue
+		}
 		for k := range e.Occurrences {
 			due := e.Job.DueUnixMS(k)
 			if due > nowUnixMS {
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -104,6 +104,10 @@
 	// hasUnstoredCompletions is true if completions were read that are in no batch
 	// yet.
 	hasUnstoredCompletions bool
+	// unstoredEnds are the completions of known jobs that are in no batch yet.
+	unstoredEnds []unstoredEnd
+	// held are the jobs whose state the store refuses.
+	held map[job.ID]*heldJob
 	// unresolvedBatch is the batch whose append is in progress; nil if there is
 	// none.
 	unresolvedBatch *Batch
@@ -170,10 +174,10 @@
 // Counters count the scheduler's decisions and their results, for the metrics.
 // Unresolved counts the attempts whose start request had an unknown outcome, Lost
 // those that were released without a completion, Expired those that ended with the
-// worker's lease, Moved the stragglers that were stopped, and Restarts the ended
-// incarnations of workers.
+// worker's lease, Moved the stragglers that were stopped, Restarts the ended
+// incarnations of workers, and Held how often the store refused the state of a job.
 type Counters struct {
-	Placed, Started, Refused, Unresolved, Lost, Done, Failed, Stopped, Expired, Heartbeats, Throttled, Moved, Restarts int64
+	Placed, Started, Refused, Unresolved, Lost, Done, Failed, Stopped, Expired, Heartbeats, Throttled, Moved, Restarts, Held int64
 }
 
 // pendingStop is a stop command that has to be sent or repeated.
@@ -210,6 +214,7 @@
 		waitingSince:   map[job.StepID]fleet.Instant{},
 		freeShares:     map[string]float64{},
 		boundedWorkers: map[domain.WorkerID]bool{},
+		held:           map[job.ID]*heldJob{},
 		stepEndedAt:    map[job.ID]fleet.Instant{},
 		lastStoreAck:   claimed,
 		lastRenewal:    claimed,
--- a/core/scheduler/store.go
+++ b/core/scheduler/store.go
@@ -32,6 +32,7 @@
 	entries        []*ledger.Entry
 	starts         []unsentStart
 	completions    []processedCompletions
+	ends           []unstoredEnd
 }
 
 // processedCompletions identifies the completions of one incarnation of a worker
@@ -48,6 +49,7 @@
 	if s.unresolvedBatch != nil {
 		return nil, nil
 	}
+	s.retryHeldJobs(now)
 	bounds, boundedWorkers, err := s.encodeLeaseBounds(now)
 	if err != nil {
 		return nil, err
@@ -56,7 +58,7 @@
 		return nil, nil
 	}
 	s.suspendLeases(boundedWorkers)
-	b := &Batch{entries: s.ledger.TakeChanged(), starts: s.unsentStarts, LeaseBounds: bounds, boundedWorkers: boundedWorkers}
+	b := &Batch{entries: s.takeChangedJobs(), starts: s.unsentStarts, ends: s.takeUnstoredEnds(), LeaseBounds: bounds, boundedWorkers: boundedWorkers}
 	for _, e := range b.entries {
 		state, err := ledger.EncodeState(e)
 		if err != nil {
@@ -92,13 +94,14 @@
 	if b.LeaseBounds != nil {
 		s.applyLeaseBounds(b.boundedWorkers, now)
 	}
+	s.endHolds(b.entries)
 	s.dropFinishedJobs(b.entries)
 	for _, processed := range b.completions {
 		w := s.fleet.Worker(processed.worker)
 		if w == nil || w.IncarnationID != processed.incarnation {
 			continue
 		}
-		w.Stored = processed.lastNumber
+		w.Stored = s.lastStorableEnd(w, processed.lastNumber)
 		if hb := s.heartbeats[w.ID]; hb != nil {
 			hb.next = now
 		}
@@ -143,5 +146,6 @@
 		s.ledger.MarkChanged(e)
 	}
 	s.unsentStarts = append(b.starts, s.unsentStarts...)
+	s.unstoredEnds = append(b.ends, s.unstoredEnds...)
 	s.hasUnstoredCompletions = s.hasUnstoredCompletions || len(b.completions) > 0
 }
--- /dev/null
+++ b/node/dispatcher/append.go
@@ -0,0 +1,138 @@
+package dispatcher
+
+import (
+	"errors"
+	"time"
+
+	"github.com/basilferry/basilferry/core/job"
+	"github.com/basilferry/basilferry/core/jobview"
+	"github.com/basilferry/basilferry/core/platform"
+	"github.com/basilferry/basilferry/core/scheduler"
+)
+
+// recordGroup are records of a batch that the store accepts or refuses together: those of
+// one job, or one other record.
+type recordGroup struct {
+	// job is empty for records that belong to no open job.
+	job     job.ID
+	records []platform.KeyedRecord
+}
+
+// refusedGroup is a group that the store refuses for good.
+type refusedGroup struct {
+	recordGroup
+	err error
+}
+
+// batchGroups returns the records of a batch, and the tombstones that wait for an append.
+func (t *term) batchGroups(batch *scheduler.Batch) []recordGroup {
+	groups := make([]recordGroup, 0, len(batch.Records))
+	for _, r := range batch.Records {
+		record := platform.KeyedRecord{Key: jobview.Key(jobview.KindState, r.Job), Value: r.State}
+		groups = append(groups, recordGroup{job: r.Job, records: []platform.KeyedRecord{record}})
+	}
+	add := func(r platform.KeyedRecord) { groups = append(groups, recordGroup{records: []platform.KeyedRecord{r}}) }
+	for _, tombstone := range t.tombstones {
+		add(tombstone)
+	}
+	t.tombstones = nil
+	if batch.SharingModel != nil {
+		add(platform.KeyedRecord{Key: jobview.InterferenceModelKey, Value: batch.SharingModel})
+	}
+	if batch.LeaseBounds != nil {
+		add(platform.KeyedRecord{Key: jobview.LeaseBoundsKey, Value: batch.LeaseBounds})
+	}
+	return groups
+}
+
+func (t *term) storeBatch(batch *scheduler.Batch, groups []recordGroup, sent time.Duration) {
+	d := t.d
+	refused, err := t.appendGroups(groups)
+	stored := len(groups) > len(refused)
+	if !stored {
+		sent = 0 // The store acknowledges nothing.
+	}
+	d.postForTerm(t, func() {
+		t.appending = false
+		if err != nil {
+			t.handleFenced(err)
+			return
+		}
+		now := d.cfg.Clock.Now()
+		for _, g := range refused {
+			t.handleRefused(batch, g, now)
+		}
+		t.statuses.addStates(batch.Records)
+		if stored {
+			d.cfg.Metrics.Observe("store_append", now-sent)
+			d.ownership.ObserveOwnerRecord(now)
+		}
+		t.jobScheduler.Stored(batch, sent, now)
+	})
+}
+
+// appendGroups appends groups and returns those that the store refuses for good. If it
+// refuses several in one call, each half is appended by itself.
+func (t *term) appendGroups(groups []recordGroup) ([]refusedGroup, error) {
+	if len(groups) == 0 {
+		return nil, nil
+	}
+	var records []platform.KeyedRecord
+	for _, g := range groups {
+		records = append(records, g.records...)
+	}
+	end, err := t.states.Append(t.ctx, records)
+	switch {
+	case err == nil:
+		t.applyStored(records, end)
+		return nil, nil
+	case !errors.Is(err, platform.ErrInvalid):
+		return nil, err
+	case len(groups) == 1:
+		return []refusedGroup{{groups[0], err}}, nil
+	}
+	middle := len(groups) / 2
+	first, err := t.appendGroups(groups[:middle])
+	if err != nil {
+		return nil, err
+	}
+	second, err := t.appendGroups(groups[middle:])
+	return append(first, second...), err
+}
+
+// handleRefused removes a group that the store refuses for good from its batch.
+func (t *term) handleRefused(batch *scheduler.Batch, g refusedGroup, now time.Duration) {
+	bytes := 0
+	for _, r := range g.records {
+		bytes += len(r.Key) + len(r.Value)
+	}
+	key := g.records[0].Key
+	t.d.cfg.Logger.Error("the store refuses a record for good", "job", g.job, "key", key, "records", len(g.records), "bytes", bytes, "err", g.err)
+	t.d.cfg.Metrics.Count("append_refused_for_good", 1)
+	switch {
+	case g.job != "":
+		t.jobScheduler.Hold(batch, g.job, g.err, now)
+	case key == jobview.LeaseBoundsKey:
+		batch.LeaseBounds = nil
+	}
+}
+
+// applyStored applies records that this owner has stored, which end at the given
+// offset, to the read model. Reading its own records back would cost a call for nearly
+// every append.
+func (t *term) applyStored(records []platform.KeyedRecord, end int64) {
+	t.applyToView(records, end)
+	t.d.cfg.StatesFollower.SkipTo(end)
+	t.d.post(func() { t.d.observeStates(records) })
+}
+
+// applyToView applies stored records, the last of which is before the offset end, to
+// the read model.
+func (t *term) applyToView(records []platform.KeyedRecord, end int64) {
+	for i, r := range records {
+		r.Offset = end - int64(len(records)-i)
+		if err := t.d.cfg.View.Apply(r); err != nil {
+			t.d.cfg.Logger.Error("stored record cannot be applied to the read model", "key", r.Key, "err", err)
+		}
+	}
+}
--- /dev/null
+++ b/node/dispatcher/append_test.go
@@ -0,0 +1,88 @@
+package dispatcher
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/job"
+	"github.com/basilferry/basilferry/core/jobview"
+	"github.com/basilferry/basilferry/core/ledger"
+	"github.com/basilferry/basilferry/core/platform"
+)
+
+// storeJob appends the acceptance of a job of the given number of tasks and, as the
+// previous owner, its state: each task has a checkpoint.
+func (to *takeover) storeJob(id job.ID, tasks int, checkpoint string) {
+	to.t.Helper()
+	table := ledger.New()
+	entry := table.Accept(&job.Job{
+		ID: id, Queue: job.Queue{Route: "checks", Service: "desk"},
+		Steps: []job.Step{{Count: tasks, Need: domain.Resources{CPUMilli: 1}, Estimate: time.Second}},
+	})
+	accepted, err := ledger.EncodeJob(entry.Job)
+	assert.NilError(to.t, err)
+	to.append(to.cfg.Platform.Requests, platform.KeyedRecord{Key: jobview.Key(jobview.KindJob, id), Value: accepted})
+	for i := range tasks {
+		task := job.TaskID{StepID: job.StepID{Job: id}, Index: i}
+		table.Place(task, 1, "w1")
+		table.Checkpoint(task, 1, checkpoint)
+	}
+	state, err := ledger.EncodeState(entry)
+	assert.NilError(to.t, err)
+	_, err = to.previousStates.Append(to.ctx, []platform.KeyedRecord{{Key: jobview.Key(jobview.KindState, id), Value: state}})
+	assert.NilError(to.t, err)
+}
+
+func (to *takeover) append(p platform.Partition, r platform.KeyedRecord) {
+	to.t.Helper()
+	_, err := to.store.Append(to.ctx, platform.Append{Partition: p, Records: []platform.KeyedRecord{r}})
+	assert.NilError(to.t, err)
+}
+
+// takeOver makes this node the owner and starts the scheduler.
+func (to *takeover) takeOver() {
+	to.t.Helper()
+	record, offset := to.claim()
+	to.observeOwner(record, offset)
+	to.follow(to.cfg.StatesFollower)
+	to.follow(to.cfg.RequestsFollower)
+	assert.Assert(to.t, to.advanceUntil(5*time.Second, to.isScheduling))
+}
+
+// storedState returns the newest stored state of a job as clients see it.
+func (to *takeover) storedState(id job.ID) job.State {
+	to.t.Helper()
+	page, err := to.store.ReadNewest(to.ctx, to.cfg.Platform.States, "")
+	assert.NilError(to.t, err)
+	for _, r := range page.Records {
+		if r.Key == jobview.Key(jobview.KindState, id) {
+			summary, err := ledger.DecodeSummary(r.Value)
+			assert.NilError(to.t, err)
+			return summary.State
+		}
+	}
+	return ""
+}
+
+// Guards against one job whose state the store refuses for good, after which no state of
+// any job is stored and nothing is started.
+func TestRefusedStateConcernsItsJobAlone(t *testing.T) {
+	const large, small job.ID = "00000000000000a1", "00000000000000a2"
+	to := newTakeover(t)
+	to.cfg.Scheduler.Retention = time.Minute
+	to.storeJob(large, 100, strings.Repeat("x", 100))
+	to.storeJob(small, 1, "x")
+	to.takeOver()
+	to.store.SetLimits(5000, 0)
+	to.append(to.cfg.Platform.Requests, platform.KeyedRecord{Key: jobview.Key(jobview.KindCancel, large), Value: []byte{1}})
+	to.append(to.cfg.Platform.Requests, platform.KeyedRecord{Key: jobview.Key(jobview.KindCancel, small), Value: []byte{1}})
+	assert.Assert(t, to.advanceUntil(3*time.Second, func() bool { return to.storedState(small) == job.StateCancelled }))
+	assert.Equal(t, to.storedState(large), job.StateActive)
+	assert.Assert(t, to.advanceUntil(time.Second, func() bool { return to.term.jobScheduler.HeldCount() == 1 }))
+	to.store.SetLimits(0, 0)
+	assert.Assert(t, to.advanceUntil(8*time.Second, func() bool { return to.storedState(large) == job.StateCancelled }))
+}
--- a/node/dispatcher/execute.go
+++ b/node/dispatcher/execute.go
@@ -122,6 +122,7 @@
 		{"paced", now.Throttled - before.Throttled},
 		{"run_moved", now.Moved - before.Moved},
 		{"worker_restarts", now.Restarts - before.Restarts},
+		{"job_held", now.Held - before.Held},
 	} {
 		if c.n != 0 {
 			m.Count(c.name, c.n)
--- a/node/dispatcher/term.go
+++ b/node/dispatcher/term.go
@@ -144,14 +144,18 @@
 	d.cfg.OnOwnershipChange(false)
 }
 
-// handleFenced ends the term after the store has refused an append, because a newer
-// owner has written. A cancelled append is ignored, because its term has ended.
+// handleFenced ends the term after the store has refused an append that the owner cannot
+// do without, mostly because a newer owner has written. A cancelled append is ignored, because its term has ended.
 func (t *term) handleFenced(err error) {
 	if errors.Is(err, context.Canceled) {
 		return
 	}
+	reason := "the store refused the epoch: "
+	if errors.Is(err, platform.ErrInvalid) {
+		reason = "the store refuses a record of the owner for good: "
+	}
 	t.d.ownership.ObserveReplacement(t.d.cfg.Clock.Now())
-	t.d.endTerm("the store refused the epoch: " + err.Error())
+	t.d.endTerm(reason + err.Error())
 }
 
 // startScheduler creates the scheduler from the records that were read.
@@ -277,67 +281,8 @@
 		return
 	}
 	t.appending, t.lastAppend = true, now
-	records := make([]platform.KeyedRecord, len(batch.Records))
-	for i, r := range batch.Records {
-		records[i] = platform.KeyedRecord{Key: jobview.Key(jobview.KindState, r.Job), Value: r.State}
-	}
-	records = append(records, t.tombstones...)
-	t.tombstones = nil
-	if batch.SharingModel != nil {
-		records = append(records, platform.KeyedRecord{Key: jobview.InterferenceModelKey, Value: batch.SharingModel})
-	}
-	if batch.LeaseBounds != nil {
-		records = append(records, platform.KeyedRecord{Key: jobview.LeaseBoundsKey, Value: batch.LeaseBounds})
-	}
-	t.background("store batch", func() { t.storeBatch(batch, records, now) })
-}
-
-func (t *term) storeBatch(batch *scheduler.Batch, records []platform.KeyedRecord, sent time.Duration) {
-	d := t.d
-	if len(records) == 0 {
-		sent = 0 // The store acknowledges nothing.
-	}
-	var err error
-	var end int64
-	if len(records) > 0 {
-		if end, err = t.states.Append(t.ctx, records); err == nil {
-			t.applyStored(records, end)
-		}
-	}
-	d.postForTerm(t, func() {
-		t.appending = false
-		if err != nil {
-			t.handleFenced(err)
-			return
-		}
-		t.statuses.addStates(batch.Records)
-		now := d.cfg.Clock.Now()
-		if len(records) > 0 {
-			d.cfg.Metrics.Observe("store_append", now-sent)
-			d.ownership.ObserveOwnerRecord(now)
-		}
-		t.jobScheduler.Stored(batch, sent, now)
-	})
-}
-
-// applyStored applies records that this owner has stored, which end at the given
-// offset, to the read model. Reading its own records back would cost a call for nearly
-// every append.
-func (t *term) applyStored(records []platform.KeyedRecord, end int64) {
-	t.applyToView(records, end)
-	t.d.cfg.StatesFollower.SkipTo(end)
-	t.d.post(func() { t.d.observeStates(records) })
-}
-
-// applyToView applies stored records, the last of which is before the offset end, to
-// the read model.
-func (t *term) applyToView(records []platform.KeyedRecord, end int64) {
-	for i, r := range records {
-		r.Offset = end - int64(len(records)-i)
-		if err := t.d.cfg.View.Apply(r); err != nil {
-			t.d.cfg.Logger.Error("stored record cannot be applied to the read model", "key", r.Key, "err", err)
-		}
-	}
+	groups := t.batchGroups(batch)
+	t.background("store batch", func() { t.storeBatch(batch, groups, now) })
 }
 
 // appendOwnershipRecord appends a renewal or a release of the ownership. If an append
--- a/node/storelog/committer.go
+++ b/node/storelog/committer.go
@@ -139,13 +139,23 @@
 		c.startNewEpoch(errPanicked)
 		err = unknownOutcome()
 	}
+	if errors.Is(err, platform.ErrInvalid) && len(group) > 1 {
+		for i := range group {
+			c.commit(ctx, group[i:i+1])
+		}
+		return
+	}
+	if errors.Is(err, platform.ErrInvalid) {
+		c.logger.Error("the store refuses a request for good", "key", records[0].Key, "bytes", len(records[0].Key)+len(records[0].Value), "err", err)
+		err = refusedForGood()
+	}
 	for _, item := range group {
 		item.done <- err
 	}
 }
 
 // appendUntilResolved repeats the append until the outcome is known or the clients
-// cannot wait any longer.
+// cannot wait any longer. ErrInvalid means that nothing was appended.
 func (c *Committer) appendUntilResolved(ctx context.Context, records []platform.KeyedRecord) error {
 	start := c.clock.Now()
 	unknown := false
@@ -160,6 +170,8 @@
 		}
 		waited := c.clock.Now() - start
 		switch {
+		case errors.Is(err, platform.ErrInvalid):
+			return err
 		case ctx.Err() != nil || waited > unresolvedTimeout:
 			if !unknown {
 				return notStored(err.Error())
@@ -200,6 +212,14 @@
 	}
 }
 
+// refusedForGood is the error for a request that the store never accepts. Earlier sends
+// of the same append were refused as well.
+func refusedForGood() error {
+	return &domain.Error{
+		Kind: domain.KindNotRun, Message: "the store does not accept a record of this size", Remedy: "send a smaller job, or several",
+	}
+}
+
 func unknownOutcome() error {
 	return &domain.Error{
 		Kind: domain.KindOutcomeUnknown, Message: "the store did not confirm the request in time",
--- a/node/storelog/fakestore_test.go
+++ b/node/storelog/fakestore_test.go
@@ -21,6 +21,8 @@
 	// response had been lost.
 	dropResponses, refuse int
 	appends               int
+	// Appends with a value of more than maxValueBytes are refused for good; 0 for no limit.
+	maxValueBytes int
 }
 
 type producerState struct {
@@ -40,6 +42,11 @@
 		s.refuse--
 		return platform.AppendResult{}, platform.ErrRefused
 	}
+	for _, r := range a.Records {
+		if s.maxValueBytes > 0 && len(r.Value) > s.maxValueBytes {
+			return platform.AppendResult{}, platform.ErrInvalid
+		}
+	}
 	result, err := s.append(a)
 	if s.dropResponses > 0 {
 		s.dropResponses--
--- a/node/storelog/storelog_test.go
+++ b/node/storelog/storelog_test.go
@@ -92,6 +92,37 @@
 	assert.Equal(t, len(s.records[testPartition]), 0)
 }
 
+// Guards against an owner that repeats an append for ever which the store never accepts,
+// and that cannot append anything else.
+func TestOwnerWriterReturnsWhenStoreRefusesForGood(t *testing.T) {
+	s := newFakeStore()
+	s.maxValueBytes = 10
+	w := NewOwnerWriter(s, testPartition, 3)
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	_, err := w.Append(ctx, []platform.KeyedRecord{{Key: "large", Value: make([]byte, 11)}})
+	assert.ErrorIs(t, err, platform.ErrInvalid)
+	_, err = w.Append(ctx, []platform.KeyedRecord{record("a")})
+	assert.NilError(t, err)
+}
+
+// Guards against requests that are refused because another client's request, which the
+// store never accepts, is in the same append.
+func TestRequestThatTheStoreRefusesForGoodIsRefusedAlone(t *testing.T) {
+	s := newFakeStore()
+	s.maxValueBytes = 10
+	c := NewCommitter(s, testPartition, "node-1", steady.New(), slog.New(slog.NewTextHandler(io.Discard, nil)), nil)
+	group := []*commit{{record: record("a")}, {record: platform.KeyedRecord{Key: "large", Value: make([]byte, 11)}}, {record: record("b")}}
+	for _, item := range group {
+		item.done = make(chan error, 1)
+	}
+	c.commit(context.Background(), group)
+	assert.NilError(t, <-group[0].done)
+	assert.Equal(t, domain.KindOf(<-group[1].done), domain.KindNotRun)
+	assert.NilError(t, <-group[2].done)
+	assert.Equal(t, len(s.records[testPartition]), 2)
+}
+
 // silentStore does not answer an append for a while. It has performed it.
 type silentStore struct {
 	*fakeStore
--- a/node/storelog/writer.go
+++ b/node/storelog/writer.go
@@ -42,7 +42,8 @@
 
 // Append stores the records and returns the partition's end. It repeats a failed
 // append until the store confirms it or ctx ends. ErrFenced and ErrSequence mean that
-// a newer owner has written to the partition.
+// a newer owner has written to the partition, and ErrInvalid that the store never
+// accepts these records; others can still be appended.
 func (w *OwnerWriter) Append(ctx context.Context, records []platform.KeyedRecord) (int64, error) {
 	for {
 		producer := w.producer
@@ -51,7 +52,7 @@
 		case err == nil:
 			w.producer.Seq++
 			return result.End, nil
-		case errors.Is(err, platform.ErrFenced), errors.Is(err, platform.ErrSequence):
+		case errors.Is(err, platform.ErrFenced), errors.Is(err, platform.ErrSequence), errors.Is(err, platform.ErrInvalid):
 			return 0, err
 		}
 		select {
--- a/standin/fleet/store.go
+++ b/standin/fleet/store.go
@@ -22,6 +22,9 @@
 	// dropResponses is the number of successful appends whose responses will be
 	// lost.
 	dropResponses int
+	// recordBytes and callBytes are the largest sizes of a record and of the records of
+	// an append; 0 for no limit.
+	recordBytes, callBytes int
 }
 
 type producer struct {
@@ -59,6 +62,30 @@
 	return nil
 }
 
+// SetLimits sets the largest sizes, in bytes, of a record and of all records of an
+// append. Larger ones fail with ErrInvalid.
+func (s *Store) SetLimits(recordBytes, callBytes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recordBytes, s.callBytes = recordBytes, callBytes
+}
+
+// checkSize returns ErrInvalid if an append exceeds a limit.
+func (s *Store) checkSize(records []platform.KeyedRecord) error {
+	total := 0
+	for _, r := range records {
+		size := 1 + len(r.Key) + len(r.Value)
+		if s.recordBytes > 0 && size > s.recordBytes {
+			return fmt.Errorf("%w (record of %d bytes)", platform.ErrInvalid, size)
+		}
+		total += size
+	}
+	if s.callBytes > 0 && total > s.callBytes {
+		return fmt.Errorf("%w (%d bytes in one call)", platform.ErrInvalid, total)
+	}
+	return nil
+}
+
 // DropResponses makes the next count appends return an error although their
 // records are stored.
 func (s *Store) DropResponses(count int) {
@@ -74,6 +101,9 @@
 	if s.unavailable {
 		return platform.AppendResult{}, platform.ErrRefused
 	}
+	if err := s.checkSize(a.Records); err != nil {
+		return platform.AppendResult{}, err
+	}
 	result, err := s.append(a)
 	if err == nil && s.dropResponses > 0 {
 		s.dropResponses--
