The state of a large job is stored in parts of bounded size

Seen: a job of 12,000 tasks with checkpoints has a state record of 276 KB, over the store's record_bytes (262,144), and each change of one task writes all of it again.

Cause: the state of a job is one record without a bound, and all records of a batch are one call without regard to call_bytes.

Change: the state of a job of more than 256 tasks is a main record and a record for each 64 tasks. Only parts that have changed are stored, the main record last; a batch over call_bytes is several calls, and starts are sent after the last one. A new owner that finds the parts without the main record draws the same conclusions again. Parts are deleted with the job. Records of smaller jobs are unchanged.

Without the division (limit raised to 2^30 tasks) TestStateOfLargeJobIsStoredInParts fails with a record of 264,029 bytes, and TestLargeJobIsStoredWithinTheStoresLimits with the job not stored in 10 s.

--- a/core/jobview/keys.go
+++ b/core/jobview/keys.go
@@ -1,6 +1,11 @@
 package jobview
 
-import "github.com/basilferry/basilferry/core/job"
+import (
+	"strconv"
+	"strings"
+
+	"github.com/basilferry/basilferry/core/job"
+)
 
 // Kind is the kind of a stored record. It is the first byte of the key.
 type Kind byte
@@ -18,6 +23,9 @@
 	KindCancel Kind = 'c'
 	// KindState: the state of a job's tasks. Only an owner needs it.
 	KindState Kind = 's'
+	// KindStatePart: the state of some tasks of a large job, whose KindState record has
+	// only what concerns the whole job.
+	KindStatePart Kind = 'u'
 	// KindStatus: the part of a job's state that answers clients. It is written to the
 	// requests partition after the state is stored, and only when it has changed, so
 	// that nodes need not read every state.
@@ -33,6 +41,22 @@
 // Key returns the key of a job's record.
 func Key(kind Kind, id job.ID) string { return string(kind) + string(id) }
 
+// partSeparator stands between the job id and the number in the key of a part.
+const partSeparator = "."
+
+// PartKey returns the key of a part of a job's state.
+func PartKey(id job.ID, part int) string {
+	return Key(KindStatePart, id) + partSeparator + strconv.Itoa(part)
+}
+
+// parsePart splits the key of a part, without its kind, into the job and the number.
+func parsePart(key string) (id job.ID, part int, ok bool) {
+	name, number, _ := strings.Cut(key, partSeparator)
+	part, err := strconv.Atoi(number)
+	id = job.ID(name)
+	return id, part, err == nil && part > 0 && id.Valid()
+}
+
 // OwnerKey is the key of the ownership records.
 const OwnerKey = string(KindOwner)
 
@@ -55,6 +79,9 @@
 	switch kind {
 	case KindOwner, KindOwnerShare, KindInterferenceModel, KindLeaseBounds:
 		return kind, "", id == ""
+	case KindStatePart:
+		id, _, ok = parsePart(key[1:])
+		return kind, id, ok
 	case KindJob, KindCancel, KindState, KindStatus:
 		return kind, id, id.Valid()
 	}
--- a/core/jobview/view.go
+++ b/core/jobview/view.go
@@ -1,7 +1,10 @@
 package jobview
 
 import (
+	"bytes"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/basilferry/basilferry/core/job"
@@ -18,6 +21,9 @@
 	acceptanceRecord []byte
 	queue            string
 	stateRecord      []byte
+	// parts are the newest records of the parts of a large job's state. The numbers stay
+	// known when the job is finished, until the parts are deleted.
+	parts map[int]partRecord
 	// stateOffset is the offset of the newest state record that was applied, and
 	// statusOffset that of the newest status record; -1 if there is none.
 	stateOffset, statusOffset int64
@@ -31,6 +37,12 @@
 	reload int
 }
 
+// partRecord is a record of a part of a job's state. The value of a finished job is nil.
+type partRecord struct {
+	offset int64
+	value  []byte
+}
+
 // newest returns the newest known summary of the job's state.
 func (e *entry) newest() ledger.Summary {
 	if e.stateOffset < 0 || stateRank(e.status.State) > stateRank(e.summary.State) {
@@ -98,7 +110,7 @@
 	v.reloading = false
 	for id, e := range v.jobs {
 		if e.known && e.reload < v.reload {
-			v.drop(KindJob, id)
+			v.drop(KindJob, id, "")
 		}
 	}
 }
@@ -119,7 +131,7 @@
 		return nil
 	}
 	if len(r.Value) == 0 {
-		v.drop(kind, id)
+		v.drop(kind, id, r.Key)
 		return nil
 	}
 	e := v.jobs[id]
@@ -152,9 +164,13 @@
 	}
 }
 
-// drop removes a job when its acceptance record is deleted.
-func (v *View) drop(kind Kind, id job.ID) {
+// drop removes a job when its acceptance record is deleted, or a part of its state.
+func (v *View) drop(kind Kind, id job.ID, key string) {
 	e := v.jobs[id]
+	if e != nil && kind == KindStatePart {
+		_, part, _ := parsePart(key[1:])
+		delete(e.parts, part)
+	}
 	if e == nil || kind != KindJob {
 		return
 	}
@@ -185,6 +201,8 @@
 		if r.Offset >= e.stateOffset {
 			e.stateRecord, e.stateOffset, e.summary = r.Value, r.Offset, summary
 		}
+	case KindStatePart:
+		e.applyPart(r)
 	case KindStatus:
 		status, err := ledger.DecodeSummary(r.Value)
 		if err != nil {
@@ -195,11 +213,59 @@
 		}
 	}
 	if e.known && e.isFinished() {
-		e.acceptanceRecord, e.stateRecord = nil, nil
+		e.dropRecords()
 	}
 	return nil
 }
 
+// dropRecords drops the records of a finished job.
+func (e *entry) dropRecords() {
+	if e.acceptanceRecord != nil {
+		for part, record := range e.parts {
+			record.value = nil
+			e.parts[part] = record
+		}
+	}
+	e.acceptanceRecord, e.stateRecord = nil, nil
+}
+
+// applyPart applies a part of the job's state, unless a newer one has been applied. The
+// value is copied, because it is a section of a whole response.
+func (e *entry) applyPart(r platform.KeyedRecord) {
+	_, part, _ := parsePart(r.Key[1:])
+	if before, ok := e.parts[part]; ok && r.Offset < before.offset {
+		return
+	}
+	if e.parts == nil {
+		e.parts = map[int]partRecord{}
+	}
+	record := partRecord{offset: r.Offset}
+	if !e.known || !e.isFinished() {
+		record.value = bytes.Clone(r.Value)
+	}
+	e.parts[part] = record
+}
+
+// partValues returns the newest records of the parts.
+func (e *entry) partValues() map[int][]byte {
+	out := make(map[int][]byte, len(e.parts))
+	for part, record := range e.parts {
+		out[part] = record.value
+	}
+	return out
+}
+
+// Parts returns the numbers of the stored parts of a job's state, in unspecified order.
+func (v *View) Parts(id job.ID) []int {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	e := v.jobs[id]
+	if e == nil {
+		return nil
+	}
+	return slices.Collect(maps.Keys(e.parts))
+}
+
 // SameForClients reports whether two summaries of a job need no status record between
 // them.
 func SameForClients(a, b ledger.Summary) bool {
@@ -282,7 +348,7 @@
 		}
 		j, err := ledger.DecodeJob(e.acceptanceRecord)
 		if err == nil {
-			err = out.Jobs.Restore(j, e.stateRecord)
+			err = out.Jobs.RestoreParts(j, e.stateRecord, e.partValues())
 		}
 		if err != nil {
 			out.Unreadable = append(out.Unreadable, fmt.Errorf("job %s: %w", id, err))
--- a/core/jobview/view_test.go
+++ b/core/jobview/view_test.go
@@ -216,3 +216,44 @@
 	_, _, ok := v.State(testID)
 	assert.Assert(t, ok)
 }
+
+// Guards against a new owner that restores an older part of a large job's state, and against
+// parts that stay in memory, or in the store, after the job.
+func TestNewestPartsAreRestoredAndDeletedWithTheJob(t *testing.T) {
+	j := testJob()
+	j.Steps[0].Count = 300
+	l := ledger.New()
+	e := l.Accept(j)
+	accepted, err := ledger.EncodeJob(j)
+	assert.NilError(t, err)
+	v, offset := New(), int64(0)
+	store := func() {
+		records, err := e.TakeStateRecords()
+		assert.NilError(t, err)
+		for _, r := range records {
+			key := PartKey(testID, r.Part)
+			if r.Part == ledger.MainPart {
+				key = Key(KindState, testID)
+			}
+			offset++
+			assert.NilError(t, v.Apply(platform.KeyedRecord{Key: key, Value: r.Value, Offset: offset}))
+		}
+	}
+	place(l)
+	older, err := e.TakeStateRecords()
+	assert.NilError(t, err)
+	e.MarkUnstored(older[0].Part)
+	e.MarkUnstored(ledger.MainPart)
+	l.Place(job.TaskID{StepID: firstTask.StepID, Index: 1}, 1, "w1")
+	store()
+	assert.NilError(t, v.Apply(platform.KeyedRecord{Key: PartKey(testID, older[0].Part), Value: older[0].Value}))
+	assert.NilError(t, v.Apply(platform.KeyedRecord{Key: Key(KindJob, testID), Value: accepted}))
+	assert.Equal(t, v.Restore().Jobs.Entry(testID).PlacedCount(), 2)
+	l.RecordCompletion(firstTask, 1, platform.CompletionFailed, "")
+	l.Lost(job.TaskID{StepID: firstTask.StepID, Index: 1}, 1)
+	store()
+	assert.DeepEqual(t, v.Parts(testID), []int{1})
+	assert.Equal(t, len(v.jobs[testID].parts[1].value), 0)
+	assert.NilError(t, v.Apply(platform.KeyedRecord{Key: PartKey(testID, 1)}))
+	assert.Equal(t, len(v.Parts(testID)), 0)
+}
--- a/core/ledger/entry.go
+++ b/core/ledger/entry.go
@@ -22,10 +22,12 @@
 	finished int
 	// placed counts the tasks that may be executing.
 	placed int
+	// division is nil if the state of the job is one record.
+	division *division
 }
 
 func newEntry(j *job.Job) *Entry {
-	return &Entry{Job: j, Occurrences: make([]*Occurrence, j.Occurrences())}
+	return &Entry{Job: j, Occurrences: make([]*Occurrence, j.Occurrences()), division: newDivision(j)}
 }
 
 // State returns the state of the job as clients see it.
--- a/core/ledger/fuzz_test.go
+++ b/core/ledger/fuzz_test.go
@@ -51,25 +51,61 @@
 		if restored.Restore(fuzzJob(), record) != nil {
 			return
 		}
-		e := restored.Entry("0123456789abcdef")
-		placed := 0
-		e.ForEachPlaced(func(job.TaskID, Task) { placed++ })
-		assert.Equal(t, e.PlacedCount(), placed)
-		for k := range e.Occurrences {
-			for i := range e.Job.Steps {
-				waiting, exhausted := 0, 0
-				e.ForEachWaiting(k, i, func(int, Task) { waiting++ })
-				if o := e.Occurrences[k]; o != nil {
-					for _, task := range o.Steps[i].Tasks {
-						if task.Phase == Exhausted {
-							exhausted++
-						}
+		checkCounts(t, restored.Entry("0123456789abcdef"))
+		_, err := EncodeState(restored.Entry("0123456789abcdef"))
+		assert.NilError(t, err)
+	})
+}
+
+// checkCounts compares the counts of a job with its tasks.
+func checkCounts(t *testing.T, e *Entry) {
+	t.Helper()
+	placed := 0
+	e.ForEachPlaced(func(job.TaskID, Task) { placed++ })
+	assert.Equal(t, e.PlacedCount(), placed)
+	for k := range e.Occurrences {
+		for i := range e.Job.Steps {
+			waiting, exhausted := 0, 0
+			e.ForEachWaiting(k, i, func(int, Task) { waiting++ })
+			if o := e.Occurrences[k]; o != nil {
+				for _, task := range o.Steps[i].Tasks {
+					if task.Phase == Exhausted {
+						exhausted++
 					}
 				}
-				assert.Equal(t, e.WaitingCount(k, i), waiting+exhausted)
 			}
+			assert.Equal(t, e.WaitingCount(k, i), waiting+exhausted)
+		}
+	}
+}
+
+// Guards against a part of a large job's state that ends the process or that leaves counts
+// which differ from the tasks.
+func FuzzStatePart(f *testing.F) {
+	large := fuzzJob()
+	large.Steps[0].Count = 300
+	l := New()
+	e := l.Accept(large)
+	first := job.TaskID{StepID: job.StepID{Job: large.ID}}
+	l.Place(first, 1, "w1")
+	l.RecordCompletion(first, 1, platform.CompletionDone, "c")
+	records, err := e.TakeStateRecords()
+	assert.NilError(f, err)
+	for _, r := range records {
+		f.Add(r.Part, r.Value)
+	}
+	f.Fuzz(func(t *testing.T, part int, record []byte) {
+		restored := New()
+		parts := map[int][]byte{part: record}
+		main := records[len(records)-1].Value
+		if part == MainPart {
+			main, parts = record, nil
+		}
+		if restored.RestoreParts(large, main, parts) != nil {
+			return
 		}
-		_, err := EncodeState(e)
+		checkCounts(t, restored.Entry(large.ID))
+		_, err := restored.Entry(large.ID).TakeStateRecords()
 		assert.NilError(t, err)
 	})
 }
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -79,6 +79,7 @@
 		return
 	}
 	e.place(id, attempt, worker)
+	e.division.markTask(id)
 	l.changed[id.Job] = e
 }
 
@@ -129,6 +130,7 @@
 	}
 	current := t.Phase == Placed && t.Attempt == attempt
 	l.changed[id.Job] = e
+	e.division.markTask(id)
 	spec := e.Job.Steps[id.Step]
 	switch kind {
 	case platform.CompletionDone:
@@ -151,9 +153,7 @@
 	switch {
 	case spec.LongRunning:
 	case spec.Gang:
-		for i := range step.Tasks {
-			e.markDone(id.Occurrence, step, &step.Tasks[i])
-		}
+		e.markStepDone(id.StepID, step)
 	default:
 		e.markDone(id.Occurrence, step, t)
 	}
@@ -199,6 +199,7 @@
 	}
 	e.release(step, t)
 	l.changed[id.Job] = e
+	e.division.markTask(id)
 	return true
 }
 
--- a/core/ledger/record.go
+++ b/core/ledger/record.go
@@ -58,8 +58,8 @@
 	}, nil
 }
 
-// The stored types are encoded as arrays to keep records small: the whole
-// record is written again whenever one task of the job changes.
+// The stored types are encoded as arrays to keep records small: the record is
+// written again whenever one of its tasks changes.
 type (
 	storedEntry struct {
 		_           struct{} `cbor:",toarray"`
@@ -90,24 +90,44 @@
 	}
 )
 
-// EncodeState returns the state record of a job.
+// EncodeState returns the state of a job as one record.
 func EncodeState(e *Entry) ([]byte, error) {
 	stored := storedEntry{Cancelled: e.Cancelled, Failed: e.Failed}
-	workerIndexes := map[domain.WorkerID]int{}
+	workers := workerTable{indexes: map[domain.WorkerID]int{}}
 	for k, o := range e.Occurrences {
 		if o != nil {
-			stored.Occurrences = append(stored.Occurrences, encodeOccurrence(k, o, &stored, workerIndexes))
+			stored.Occurrences = append(stored.Occurrences, encodeOccurrence(k, o, &workers))
 		}
 	}
+	stored.Workers = workers.names
 	body, err := cbor.Marshal(stored)
 	if err != nil {
 		return nil, fmt.Errorf("encode state of job %s: %w", e.Job.ID, err)
 	}
-	summary := Summary{State: e.State(), Started: e.Started, Placed: e.PlacedCount() > 0}
-	return append(summary.Record(), body...), nil
+	return append(e.summary().Record(), body...), nil
 }
 
-func encodeOccurrence(index int, o *Occurrence, stored *storedEntry, workerIndexes map[domain.WorkerID]int) storedOccurrence {
+func (e *Entry) summary() Summary {
+	return Summary{State: e.State(), Started: e.Started, Placed: e.PlacedCount() > 0}
+}
+
+// workerTable lists the workers that the tasks of a record refer to by their indexes.
+type workerTable struct {
+	names   []domain.WorkerID
+	indexes map[domain.WorkerID]int
+}
+
+func (w *workerTable) encodeTask(t Task) storedTask {
+	index, ok := w.indexes[t.Worker]
+	if !ok {
+		index = len(w.names)
+		w.indexes[t.Worker] = index
+		w.names = append(w.names, t.Worker)
+	}
+	return storedTask{Phase: t.Phase, Attempt: t.Attempt, FailedAttempts: t.FailedAttempts, Worker: index, Checkpoint: t.Checkpoint}
+}
+
+func encodeOccurrence(index int, o *Occurrence, workers *workerTable) storedOccurrence {
 	out := storedOccurrence{Index: index, Steps: make([]storedStep, len(o.Steps))}
 	for i := range o.Steps {
 		s := &o.Steps[i]
@@ -116,15 +136,7 @@
 			continue
 		}
 		for _, t := range s.Tasks {
-			workerIndex, ok := workerIndexes[t.Worker]
-			if !ok {
-				workerIndex = len(stored.Workers)
-				workerIndexes[t.Worker] = workerIndex
-				stored.Workers = append(stored.Workers, t.Worker)
-			}
-			out.Steps[i].Tasks = append(out.Steps[i].Tasks, storedTask{
-				Phase: t.Phase, Attempt: t.Attempt, FailedAttempts: t.FailedAttempts, Worker: workerIndex, Checkpoint: t.Checkpoint,
-			})
+			out.Steps[i].Tasks = append(out.Steps[i].Tasks, workers.encodeTask(t))
 		}
 	}
 	return out
@@ -132,15 +144,26 @@
 
 // Restore adds a job with the state in its newest state record. record is nil
 // if no state is stored.
-func (l *Ledger) Restore(j *job.Job, record []byte) error {
+func (l *Ledger) Restore(j *job.Job, record []byte) error { return l.RestoreParts(j, record, nil) }
+
+// RestoreParts adds a job like Restore, with the newest records of the parts of its state.
+func (l *Ledger) RestoreParts(j *job.Job, record []byte, parts map[int][]byte) error {
 	e := newEntry(j)
-	if record != nil {
-		if err := e.restore(record); err != nil {
-			return fmt.Errorf("restore job %s: %w", j.ID, err)
-		}
+	var err error
+	switch {
+	case e.division != nil:
+		err = e.restoreDivided(record, parts)
+	case record != nil:
+		err = e.restore(record)
+	}
+	if err != nil {
+		return fmt.Errorf("restore job %s: %w", j.ID, err)
 	}
 	l.entries[j.ID] = e
 	l.open = append(l.open, e)
+	if e.division != nil && e.division.incomplete {
+		l.changed[j.ID] = e
+	}
 	return nil
 }
 
--- a/core/platform/store.go
+++ b/core/platform/store.go
@@ -28,6 +28,19 @@
 	Value []byte
 }
 
+// recordOverheadBytes are the lengths of a record and of its key in an append.
+const recordOverheadBytes = 5
+
+// EncodedSize returns the size of a record in an append, in bytes.
+func EncodedSize(r KeyedRecord) int { return recordOverheadBytes + len(r.Key) + len(r.Value) }
+
+// StoreLimits are the largest sizes that the store accepts, in bytes.
+type StoreLimits struct {
+	// Record is that of a record without its length, Call that of all records of an
+	// append. 0 means no limit.
+	Record, Call int
+}
+
 // UnknownOffset is the offset of a record that was appended and has not been read.
 const UnknownOffset = -1
 
--- a/core/scheduler/harness_test.go
+++ b/core/scheduler/harness_test.go
@@ -11,6 +11,7 @@
 	"github.com/basilferry/basilferry/core/domain"
 	"github.com/basilferry/basilferry/core/fleet"
 	"github.com/basilferry/basilferry/core/job"
+	"github.com/basilferry/basilferry/core/ledger"
 	"github.com/basilferry/basilferry/core/platform"
 )
 
@@ -158,6 +159,8 @@
 	refused job.ID
 	// storedStates are the stored state records of the jobs.
 	storedStates map[job.ID][]byte
+	// storedParts are the stored parts of the state of testJobID.
+	storedParts map[int][]byte
 	// previousOwnerEnded tells a new owner that the process of the previous owner
 	// has ended.
 	previousOwnerEnded bool
@@ -192,7 +195,7 @@
 }
 
 func newHarness(t *testing.T, workers int) *harness {
-	h := &harness{t: t, now: time.Minute, unanswered: map[*Command]fleet.Instant{}, storedStates: map[job.ID][]byte{}}
+	h := &harness{t: t, now: time.Minute, unanswered: map[*Command]fleet.Instant{}, storedStates: map[job.ID][]byte{}, storedParts: map[int][]byte{}}
 	for i := range workers {
 		h.workers = append(h.workers, newFakeWorker(fmt.Sprintf("w%d", i)))
 	}
@@ -311,7 +314,11 @@
 				h.scheduler.Hold(b, record.Job, platform.ErrInvalid, h.now)
 				continue
 			}
-			h.storedStates[record.Job] = record.State
+			if record.Part == ledger.MainPart {
+				h.storedStates[record.Job] = record.State
+			} else {
+				h.storedParts[record.Part] = record.State
+			}
 		}
 		h.lastSeenAt = h.now
 		h.scheduler.Stored(b, h.now, h.now)
--- a/core/scheduler/held.go
+++ b/core/scheduler/held.go
@@ -52,7 +52,12 @@
 	}
 	h.retryAt = now + holdRetryInterval
 	b.entries = slices.DeleteFunc(b.entries, func(e *ledger.Entry) bool { return e.Job.ID == id })
-	b.Records = slices.DeleteFunc(b.Records, func(r Record) bool { return r.Job == id })
+	b.Records = slices.DeleteFunc(b.Records, func(r Record) bool {
+		if r.Job == id {
+			s.markUnstored([]Record{r})
+		}
+		return r.Job == id
+	})
 	b.ends = slices.DeleteFunc(b.ends, func(end unstoredEnd) bool {
 		if end.job == id {
 			h.keep(end)
--- a/core/scheduler/held_test.go
+++ b/core/scheduler/held_test.go
@@ -77,3 +77,31 @@
 	assert.Equal(t, len(h.workers[0].completions), 0)
 	assert.Equal(t, h.scheduler.State(testJobID), job.StateCompleted)
 }
+
+// Guards against a large job of which a part that the store has refused is never stored,
+// and against an owner that places tasks again which a previous owner has stored in parts.
+func TestLargeJobIsStoredAfterAHoldAndTakenOver(t *testing.T) {
+	const tasks = 300
+	h := newHarness(t, 2)
+	j := singleStepJob(tasks, 10)
+	j.Steps[0].Need.MemoryMiB = 1
+	h.refused = testJobID
+	h.scheduler.Accept(j, h.now)
+	h.runFor(time.Second)
+	h.refused = ""
+	h.runFor(holdRetryInterval)
+	finished := h.workersRunning(firstTaskID)
+	assert.Equal(t, len(finished), 1)
+	finished[0].finish(firstTaskID, platform.CompletionDone)
+	h.runFor(200 * time.Millisecond)
+	jobs := ledger.New()
+	assert.NilError(t, jobs.RestoreParts(j, h.storedStates[testJobID], h.storedParts))
+	assert.Equal(t, jobs.Entry(testJobID).PlacedCount(), tasks-1)
+	h.startTerm(jobs, 6)
+	h.runFor(time.Second)
+	started := 0
+	for _, f := range h.workers {
+		started += len(f.started)
+	}
+	assert.Equal(t, started, tasks)
+}
--- a/core/scheduler/store.go
+++ b/core/scheduler/store.go
@@ -10,9 +10,11 @@
 	"github.com/basilferry/basilferry/core/ledger"
 )
 
-// Record is the state record of one job.
+// Record is a state record of one job.
 type Record struct {
-	Job   job.ID
+	Job job.ID
+	// Part is ledger.MainPart or the number of a part of the job's state.
+	Part  int
 	State []byte
 }
 
@@ -60,11 +62,13 @@
 	s.suspendLeases(boundedWorkers)
 	b := &Batch{entries: s.takeChangedJobs(), starts: s.unsentStarts, ends: s.takeUnstoredEnds(), LeaseBounds: bounds, boundedWorkers: boundedWorkers}
 	for _, e := range b.entries {
-		state, err := ledger.EncodeState(e)
+		records, err := e.TakeStateRecords()
 		if err != nil {
 			return nil, fmt.Errorf("encode state records: %w", err)
 		}
-		b.Records = append(b.Records, Record{Job: e.Job.ID, State: state})
+		for _, r := range records {
+			b.Records = append(b.Records, Record{Job: e.Job.ID, Part: r.Part, State: r.Value})
+		}
 	}
 	for _, w := range s.fleet.All() {
 		if w.LastRead != w.Stored {
@@ -145,7 +149,17 @@
 	for _, e := range b.entries {
 		s.ledger.MarkChanged(e)
 	}
+	s.markUnstored(b.Records)
 	s.unsentStarts = append(b.starts, s.unsentStarts...)
 	s.unstoredEnds = append(b.ends, s.unstoredEnds...)
 	s.hasUnstoredCompletions = s.hasUnstoredCompletions || len(b.completions) > 0
 }
+
+// markUnstored records that state records of a batch are not stored.
+func (s *Scheduler) markUnstored(records []Record) {
+	for _, r := range records {
+		if e := s.ledger.Entry(r.Job); e != nil {
+			e.MarkUnstored(r.Part)
+		}
+	}
+}
--- a/node/dispatcher/append.go
+++ b/node/dispatcher/append.go
@@ -6,6 +6,7 @@
 
 	"github.com/basilferry/basilferry/core/job"
 	"github.com/basilferry/basilferry/core/jobview"
+	"github.com/basilferry/basilferry/core/ledger"
 	"github.com/basilferry/basilferry/core/platform"
 	"github.com/basilferry/basilferry/core/scheduler"
 )
@@ -18,6 +19,15 @@
 	records []platform.KeyedRecord
 }
 
+// size returns the size of the records in an append, in bytes.
+func (g recordGroup) size() int {
+	size := 0
+	for _, r := range g.records {
+		size += platform.EncodedSize(r)
+	}
+	return size
+}
+
 // refusedGroup is a group that the store refuses for good.
 type refusedGroup struct {
 	recordGroup
@@ -28,7 +38,11 @@
 func (t *term) batchGroups(batch *scheduler.Batch) []recordGroup {
 	groups := make([]recordGroup, 0, len(batch.Records))
 	for _, r := range batch.Records {
-		record := platform.KeyedRecord{Key: jobview.Key(jobview.KindState, r.Job), Value: r.State}
+		record := platform.KeyedRecord{Key: stateKey(r), Value: r.State}
+		if last := len(groups) - 1; last >= 0 && groups[last].job == r.Job {
+			groups[last].records = append(groups[last].records, record)
+			continue
+		}
 		groups = append(groups, recordGroup{job: r.Job, records: []platform.KeyedRecord{record}})
 	}
 	add := func(r platform.KeyedRecord) { groups = append(groups, recordGroup{records: []platform.KeyedRecord{r}}) }
@@ -45,6 +59,13 @@
 	return groups
 }
 
+func stateKey(r scheduler.Record) string {
+	if r.Part == ledger.MainPart {
+		return jobview.Key(jobview.KindState, r.Job)
+	}
+	return jobview.PartKey(r.Job, r.Part)
+}
+
 func (t *term) storeBatch(batch *scheduler.Batch, groups []recordGroup, sent time.Duration) {
 	d := t.d
 	refused, err := t.appendGroups(groups)
@@ -71,43 +92,73 @@
 	})
 }
 
-// appendGroups appends groups and returns those that the store refuses for good. If it
-// refuses several in one call, each half is appended by itself.
+// appendGroups appends groups, in as many calls as the size requires, and returns those
+// that the store refuses for good.
 func (t *term) appendGroups(groups []recordGroup) ([]refusedGroup, error) {
-	if len(groups) == 0 {
-		return nil, nil
+	var out []refusedGroup
+	for len(groups) > 0 {
+		count, size := 0, 0
+		for count < len(groups) {
+			size += groups[count].size()
+			if count > 0 && size > t.d.cfg.Platform.maxCallBytes() {
+				break
+			}
+			count++
+		}
+		refused, err := t.appendTogether(groups[:count])
+		if err != nil {
+			return nil, err
+		}
+		out, groups = append(out, refused...), groups[count:]
 	}
+	return out, nil
+}
+
+// appendTogether appends groups in one call, or one group in several. If the store refuses
+// several groups for good, each half is appended by itself.
+func (t *term) appendTogether(groups []recordGroup) ([]refusedGroup, error) {
 	var records []platform.KeyedRecord
 	for _, g := range groups {
 		records = append(records, g.records...)
 	}
-	end, err := t.states.Append(t.ctx, records)
-	switch {
-	case err == nil:
-		t.applyStored(records, end)
-		return nil, nil
-	case !errors.Is(err, platform.ErrInvalid):
+	err := t.appendRecords(records)
+	if !errors.Is(err, platform.ErrInvalid) {
 		return nil, err
-	case len(groups) == 1:
+	}
+	if len(groups) == 1 {
 		return []refusedGroup{{groups[0], err}}, nil
 	}
 	middle := len(groups) / 2
-	first, err := t.appendGroups(groups[:middle])
+	first, err := t.appendTogether(groups[:middle])
 	if err != nil {
 		return nil, err
 	}
-	second, err := t.appendGroups(groups[middle:])
+	second, err := t.appendTogether(groups[middle:])
 	return append(first, second...), err
 }
 
+// appendRecords appends records in their order, in as many calls as the size requires.
+func (t *term) appendRecords(records []platform.KeyedRecord) error {
+	for len(records) > 0 {
+		count, size := 1, platform.EncodedSize(records[0])
+		for count < len(records) && size+platform.EncodedSize(records[count]) <= t.d.cfg.Platform.maxCallBytes() {
+			size += platform.EncodedSize(records[count])
+			count++
+		}
+		end, err := t.states.Append(t.ctx, records[:count])
+		if err != nil {
+			return err
+		}
+		t.applyStored(records[:count], end)
+		records = records[count:]
+	}
+	return nil
+}
+
 // handleRefused removes a group that the store refuses for good from its batch.
 func (t *term) handleRefused(batch *scheduler.Batch, g refusedGroup, now time.Duration) {
-	bytes := 0
-	for _, r := range g.records {
-		bytes += len(r.Key) + len(r.Value)
-	}
 	key := g.records[0].Key
-	t.d.cfg.Logger.Error("the store refuses a record for good", "job", g.job, "key", key, "records", len(g.records), "bytes", bytes, "err", g.err)
+	t.d.cfg.Logger.Error("the store refuses a record for good", "job", g.job, "key", key, "records", len(g.records), "bytes", g.size(), "err", g.err)
 	t.d.cfg.Metrics.Count("append_refused_for_good", 1)
 	switch {
 	case g.job != "":
--- a/node/dispatcher/append_test.go
+++ b/node/dispatcher/append_test.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -86,3 +87,44 @@
 	to.store.SetLimits(0, 0)
 	assert.Assert(t, to.advanceUntil(8*time.Second, func() bool { return to.storedState(large) == job.StateCancelled }))
 }
+
+// stateRecords returns the newest records of the states whose keys contain the job's id.
+func (to *takeover) stateRecords(id job.ID) []platform.KeyedRecord {
+	to.t.Helper()
+	page, err := to.store.ReadNewest(to.ctx, to.cfg.Platform.States, "")
+	assert.NilError(to.t, err)
+	return slices.DeleteFunc(page.Records, func(r platform.KeyedRecord) bool { return !strings.Contains(r.Key, string(id)) })
+}
+
+// The tasks of a large job, which the previous version stored as one record, are released
+// when the lease of their worker has expired. Guards against a state, or a batch of states,
+// that outgrows the store's limits, and against parts that stay in the store for ever.
+func TestLargeJobIsStoredWithinTheStoresLimits(t *testing.T) {
+	const large, small job.ID = "00000000000000a1", "00000000000000a2"
+	const parts = 188
+	to := newTakeover(t)
+	to.storeJob(large, 12_000, "00000bb87a21d94b")
+	to.storeJob(small, 1, "x")
+	to.cfg.Platform.Limits = platform.StoreLimits{Record: 4096, Call: 30_000}
+	to.takeOver()
+	to.store.SetLimits(4096, 30_000)
+	stored := func() bool { return len(to.stateRecords(large)) == parts+1 }
+	assert.Assert(t, to.advanceUntil(10*time.Second, stored), "%d records", len(to.stateRecords(large)))
+	view := jobview.New()
+	for _, p := range []platform.Partition{to.cfg.Platform.Requests, to.cfg.Platform.States} {
+		page, err := to.store.ReadNewest(to.ctx, p, "")
+		assert.NilError(t, err)
+		for _, r := range page.Records {
+			assert.NilError(t, view.Apply(r))
+		}
+	}
+	restored := view.Restore().Jobs.Entry(large)
+	assert.Equal(t, restored.PlacedCount(), 0)
+	waiting, _ := restored.Task(job.TaskID{StepID: job.StepID{Job: large}, Index: 11_999})
+	assert.DeepEqual(t, waiting, ledger.Task{Attempt: 1, Worker: "w1", Checkpoint: "00000bb87a21d94b"})
+	assert.Equal(t, to.term.jobScheduler.HeldCount(), 0)
+	to.append(to.cfg.Platform.Requests, platform.KeyedRecord{Key: jobview.Key(jobview.KindCancel, large), Value: []byte{1}})
+	assert.Assert(t, to.advanceUntil(5*time.Second, func() bool { return len(to.term.tombstones) > 0 }))
+	to.append(to.cfg.Platform.Requests, platform.KeyedRecord{Key: jobview.Key(jobview.KindCancel, small), Value: []byte{1}})
+	assert.Assert(t, to.advanceUntil(5*time.Second, func() bool { return len(to.stateRecords(large)) == 0 }), "%d records", len(to.stateRecords(large)))
+}
--- a/node/dispatcher/config.go
+++ b/node/dispatcher/config.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"time"
 
 	"github.com/basilferry/basilferry/core/domain"
@@ -29,6 +30,16 @@
 	// DecodeEntry decodes a record of Registry. An entry that it returns an error
 	// for is ignored.
 	DecodeEntry func(platform.KeyedRecord) (platform.RegistryEntry, error)
+	// Limits are the sizes that Store accepts.
+	Limits platform.StoreLimits
+}
+
+// maxCallBytes returns the largest size of an append.
+func (p Platform) maxCallBytes() int {
+	if p.Limits.Call == 0 {
+		return math.MaxInt
+	}
+	return p.Limits.Call
 }
 
 // Config configures a Dispatcher.
--- a/node/dispatcher/status.go
+++ b/node/dispatcher/status.go
@@ -26,6 +26,9 @@
 // addStates queues the statuses of stored state records that clients see differently.
 func (q *statusQueue) addStates(states []scheduler.Record) {
 	for _, r := range states {
+		if r.Part != ledger.MainPart {
+			continue
+		}
 		summary, err := ledger.DecodeSummary(r.State)
 		if err != nil {
 			continue // The scheduler has just encoded the record.
--- a/node/dispatcher/term.go
+++ b/node/dispatcher/term.go
@@ -389,6 +389,9 @@
 			platform.KeyedRecord{Key: jobview.Key(jobview.KindStatus, id)}, platform.KeyedRecord{Key: jobview.Key(jobview.KindCancel, id)},
 			platform.KeyedRecord{Key: jobview.Key(jobview.KindJob, id)})
 		t.statuses.forget(id)
+		for _, part := range t.d.cfg.View.Parts(id) {
+			t.tombstones = append(t.tombstones, platform.KeyedRecord{Key: jobview.PartKey(id, part)})
+		}
 		t.tombstones = append(t.tombstones, platform.KeyedRecord{Key: jobview.Key(jobview.KindState, id)})
 	}
 	return out
--- a/node/entry/node.go
+++ b/node/entry/node.go
@@ -260,9 +260,11 @@
 	if n.followsStates() {
 		followStates = nil
 	}
+	onPlatform := n.platform.Platform
+	onPlatform.Limits = platform.StoreLimits{Record: s.Store.RecordBytes, Call: s.Store.CallBytes}
 	return dispatcher.Config{
 		FollowStates: followStates, Domain: s.Node.Domain,
-		Platform: n.platform.Platform,
+		Platform: onPlatform,
 		Ownership: ownership.Settings{
 			Node: s.Node.Name, Incarnation: incarnation,
 			OwnerTimeout: s.Ownership.SilenceMS.Duration(), RenewInterval: s.Ownership.RenewMS.Duration(),
--- a/node/entry/settings.go
+++ b/node/entry/settings.go
@@ -38,6 +38,10 @@
 	} `json:"listen"`
 	Store struct {
 		Address string `json:"address"`
+		// RecordBytes is the largest size of a record, and CallBytes that of all records
+		// of an append.
+		RecordBytes int `json:"record_bytes"`
+		CallBytes   int `json:"call_bytes"`
 	} `json:"store"`
 	// Advice configures the policy service. Its address is empty if there is none.
 	Advice struct {
@@ -92,6 +96,8 @@
 // defaultSettings returns the values of the fields that a file may omit.
 func defaultSettings() Settings {
 	var s Settings
+	s.Store.RecordBytes = 256 << 10
+	s.Store.CallBytes = 2 << 20
 	s.Workers.LeaseMaxMS = 6000
 	s.Workers.LeaseMS = 6000
 	s.Ownership.SilenceMS = 1600
@@ -147,6 +153,7 @@
 	}{
 		{"workers.lease_max_ms", s.Workers.LeaseMaxMS}, {"workers.lease_ms", s.Workers.LeaseMS}, {"ownership.silence_ms", s.Ownership.SilenceMS},
 		{"ownership.renew_ms", s.Ownership.RenewMS}, {"ownership.offline_ms", s.Ownership.OfflineMS}, {"stop.grace_s", Millis(s.Stop.GraceS * 1000)},
+		{"store.record_bytes", Millis(s.Store.RecordBytes)}, {"store.call_bytes", Millis(s.Store.CallBytes)},
 	} {
 		if field.value <= 0 {
 			return settingsError(fmt.Sprintf("%s is %g", field.name, field.value), "set a positive number")
