A job that is too large is refused when it is handed in, with the limit

Seen: a job of up to 20,000 tasks in each of 10,000 repetitions is accepted, and so is one whose description is over the store's record_bytes; the others in its group commit were refused with it.

TestTooLargeJobsAreRefusedAndNeverRun, TestRequestsAreAppendedWithinTheLimitOfACall and TestStatusesOfAllJobsAreTakenInParts are new.

--- a/node/dispatcher/status.go
+++ b/node/dispatcher/status.go
@@ -61,14 +61,21 @@
 // while the other statuses can wait for the next renewal.
 func (q *statusQueue) isUrgent() bool { return q.urgent }
 
-// take returns and removes the queued records. They must be appended until the store
-// confirms them.
+// maxTakenStatuses bounds the statuses of one append: a new owner may have those of all
+// jobs to write.
+const maxTakenStatuses = 10_000
+
+// take returns and removes queued records, at most maxTakenStatuses. They must be appended
+// until the store confirms them.
 func (q *statusQueue) take() []platform.KeyedRecord {
-	out := make([]platform.KeyedRecord, 0, len(q.pending))
-	for _, r := range q.pending {
+	out := make([]platform.KeyedRecord, 0, min(maxTakenStatuses, len(q.pending)))
+	for id, r := range q.pending {
+		if len(out) == maxTakenStatuses {
+			return out
+		}
 		out = append(out, r)
+		delete(q.pending, id)
 	}
-	clear(q.pending)
 	q.urgent = false
 	return out
 }
--- a/node/dispatcher/status_test.go
+++ b/node/dispatcher/status_test.go
@@ -57,3 +57,15 @@
 	}
 	assert.Equal(t, len(q.queued)+len(q.take()), 0)
 }
+
+// Guards against an append of the statuses of all jobs that is over the store's limit.
+func TestStatusesOfAllJobsAreTakenInParts(t *testing.T) {
+	q := newStatusQueue()
+	for i := range maxTakenStatuses + 1 {
+		q.addStates([]scheduler.Record{stored(fmt.Sprintf("%016x", i), ledger.Summary{State: job.StateCompleted, Started: true})})
+	}
+	assert.Equal(t, len(q.take()), maxTakenStatuses)
+	assert.Assert(t, q.isUrgent())
+	assert.Equal(t, len(q.take()), 1)
+	assert.Assert(t, !q.isUrgent())
+}
--- a/node/entry/node.go
+++ b/node/entry/node.go
@@ -199,9 +199,10 @@
 	})
 	n.committer = storelog.NewCommitter(p.Platform.Store, p.Platform.Requests,
 		fmt.Sprintf("%s-%x", p.Settings.Node.Name, incarnation), p.Clock, decisionlog.Component(p.Logger, "commit"), n.guard)
+	n.committer.LimitCalls(p.Settings.Store.CallBytes)
 	n.dispatcher = dispatcher.New(n.dispatcherConfig(incarnation))
 	n.intake = intake.New(intake.Config{
-		Routes: p.Routes, View: p.View, Requests: n.requests, Required: n.requiredFollowers(), Newest: n.newestStates, Committer: n.committer,
+		Limits: n.storeLimits(), Routes: p.Routes, View: p.View, Requests: n.requests, Required: n.requiredFollowers(), Newest: n.newestStates, Committer: n.committer,
 		OnCommit: func(r platform.KeyedRecord) { n.dispatcher.ApplyRequest(r) }, Clock: p.Clock,
 		Logger: decisionlog.Component(p.Logger, "intake"),
 	})
@@ -261,7 +262,7 @@
 		followStates = nil
 	}
 	onPlatform := n.platform.Platform
-	onPlatform.Limits = platform.StoreLimits{Record: s.Store.RecordBytes, Call: s.Store.CallBytes}
+	onPlatform.Limits = n.storeLimits()
 	return dispatcher.Config{
 		FollowStates: followStates, Domain: s.Node.Domain,
 		Platform: onPlatform,
@@ -283,6 +284,11 @@
 	}
 }
 
+// storeLimits returns the sizes that the store accepts.
+func (n *Node) storeLimits() platform.StoreLimits {
+	return platform.StoreLimits{Record: n.settings.Store.RecordBytes, Call: n.settings.Store.CallBytes}
+}
+
 func claimDelay(s Settings) time.Duration {
 	hash := fnv.New32a()
 	// Writes to a hash never fail.
--- a/node/entry/node_test.go
+++ b/node/entry/node_test.go
@@ -279,6 +279,28 @@
 	assert.Equal(t, c.workers.StartCount("0000000000000007.0.0.0"), 0)
 }
 
+// Guards against a job that is accepted although it is too large: for the store, after which
+// no state of it can be stored, or for the memory of a node.
+func TestTooLargeJobsAreRefusedAndNeverRun(t *testing.T) {
+	c := newCluster(t, 0)
+	n := c.startWith("n1", func(s *Settings) { s.Store.RecordBytes = 2000 })
+	c.owner()
+	repeated, wide := testJob(7), testJob(8)
+	repeated.Steps = repeated.Steps[:1]
+	repeated.Steps[0].Count, repeated.Repeat = job.MaxTasks, job.Repeat{Count: 5, IntervalMS: 1}
+	for range 50 {
+		wide.Steps = append(wide.Steps, wide.Steps[0])
+	}
+	for _, j := range []*job.Job{repeated, wide} {
+		assert.NilError(t, j.Validate())
+		err := n.intake.Submit(context.Background(), j)
+		assert.Equal(t, domain.KindOf(err), domain.KindNotRun)
+		assert.Equal(t, domain.AsError(err).RetryAfter, time.Duration(0))
+		_, err = n.intake.State(context.Background(), j.ID)
+		assert.Equal(t, domain.KindOf(err), domain.KindNotFound)
+	}
+}
+
 // Guards against log lines that are not JSON, and against a request without a log
 // line.
 func TestEachRequestIsLogged(t *testing.T) {
--- a/node/intake/intake.go
+++ b/node/intake/intake.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"time"
 
@@ -43,6 +44,8 @@
 	// them already.
 	Newest    func() *storelog.Follower
 	Committer *storelog.Committer
+	// Limits are the sizes that the store accepts.
+	Limits platform.StoreLimits
 	// OnCommit is called with each record that this node has committed.
 	OnCommit func(platform.KeyedRecord)
 	Clock    *steady.Clock
@@ -89,11 +92,12 @@
 		in.logRequest("refuse", j.ID, "store unreachable", err)
 		return err
 	}
-	value, err := ledger.EncodeJob(j)
+	record, err := in.acceptanceRecord(j)
 	if err != nil {
-		return &domain.Error{Kind: domain.KindBadRequest, Message: err.Error(), Remedy: "send a smaller job"}
+		in.logRequest("refuse", j.ID, "too large", err)
+		return err
 	}
-	err = in.commit(ctx, platform.KeyedRecord{Key: jobview.Key(jobview.KindJob, j.ID), Value: value})
+	err = in.commit(ctx, record)
 	if err != nil {
 		in.logRequest("submit failed", j.ID, "store", err)
 		return err
@@ -102,6 +106,26 @@
 	return nil
 }
 
+// acceptanceRecord returns the record of a job, or an *Error of kind KindNotRun if the job
+// is too large.
+func (in *Intake) acceptanceRecord(j *job.Job) (platform.KeyedRecord, error) {
+	if err := j.CheckTotal(); err != nil {
+		return platform.KeyedRecord{}, err
+	}
+	value, err := ledger.EncodeJob(j)
+	if err != nil {
+		return platform.KeyedRecord{}, &domain.Error{Kind: domain.KindBadRequest, Message: err.Error(), Remedy: "send a smaller job"}
+	}
+	record := platform.KeyedRecord{Key: jobview.Key(jobview.KindJob, j.ID), Value: value}
+	if size := platform.EncodedSize(record); in.cfg.Limits.Record > 0 && size > in.cfg.Limits.Record {
+		return platform.KeyedRecord{}, &domain.Error{
+			Kind: domain.KindNotRun, Message: fmt.Sprintf("the description of the job takes %d bytes", size),
+			Remedy: fmt.Sprintf("send at most %d bytes, with fewer steps or dependencies", in.cfg.Limits.Record),
+		}
+	}
+	return record, nil
+}
+
 func (in *Intake) commit(ctx context.Context, r platform.KeyedRecord) error {
 	r.Offset = platform.UnknownOffset
 	if err := in.cfg.Committer.Commit(ctx, r); err != nil {
--- a/node/storelog/committer.go
+++ b/node/storelog/committer.go
@@ -42,6 +42,10 @@
 	producer  platform.Producer
 	queue     chan *commit
 	guard     *guard.Guard
+	// maxCallBytes is the largest size of an append; 0 for no limit.
+	maxCallBytes int
+	// next is a taken record that did not fit into the last group; nil if there is none.
+	next *commit
 }
 
 type commit struct {
@@ -54,7 +58,10 @@
 
 // withdraw reports whether the record was withdrawn before it became part of an append.
 // It is then certainly not stored.
-func (c *commit) withdraw() bool { return c.taken.CompareAndSwap(false, true) }
+func (c *commit) withdraw() bool { return c.take() }
+
+// take reports whether the record has not been taken before.
+func (c *commit) take() bool { return c.taken.CompareAndSwap(false, true) }
 
 // NewCommitter returns a committer. Run must be called to start it. The name is the
 // producer's name in the store. It must be different each time the process starts,
@@ -67,6 +74,10 @@
 	}
 }
 
+// LimitCalls sets the largest size of an append in bytes; 0 for no limit. A single larger
+// record is appended all the same. It must be called before Run.
+func (c *Committer) LimitCalls(bytes int) { c.maxCallBytes = bytes }
+
 // Commit stores one record. It returns an *Error of kind KindNotRun if the record
 // is certainly not stored, and of kind KindOutcomeUnknown if it may be stored.
 func (c *Committer) Commit(ctx context.Context, r platform.KeyedRecord) error {
@@ -98,10 +109,16 @@
 // Run appends queued records until ctx ends.
 func (c *Committer) Run(ctx context.Context) {
 	for {
+		if c.next != nil {
+			first := c.next
+			c.next = nil
+			c.commit(ctx, c.group([]*commit{first}))
+			continue
+		}
 		select {
 		case first := <-c.queue:
-			if group := c.group(first); len(group) > 0 {
-				c.commit(ctx, group)
+			if first.take() {
+				c.commit(ctx, c.group([]*commit{first}))
 			}
 		case <-ctx.Done():
 			return
@@ -111,22 +128,26 @@
 
 var errPanicked = errors.New("an unexpected error ended the append")
 
-// group returns the first record and those that wait, without the withdrawn ones.
-func (c *Committer) group(first *commit) []*commit {
-	var group []*commit
-	for next := first; ; {
-		if next.taken.CompareAndSwap(false, true) {
-			group = append(group, next)
-		}
-		if len(group) == maxGroupRecords {
-			return group
-		}
+// group adds the records that wait to a group of one, without the withdrawn ones.
+func (c *Committer) group(group []*commit) []*commit {
+	size := platform.EncodedSize(group[0].record)
+	for len(group) < maxGroupRecords {
 		select {
-		case next = <-c.queue:
+		case next := <-c.queue:
+			if !next.take() {
+				continue
+			}
+			size += platform.EncodedSize(next.record)
+			if c.maxCallBytes > 0 && size > c.maxCallBytes {
+				c.next = next
+				return group
+			}
+			group = append(group, next)
 		default:
 			return group
 		}
 	}
+	return group
 }
 
 func (c *Committer) commit(ctx context.Context, group []*commit) {
--- a/node/storelog/fakestore_test.go
+++ b/node/storelog/fakestore_test.go
@@ -23,6 +23,8 @@
 	appends               int
 	// Appends with a value of more than maxValueBytes are refused for good; 0 for no limit.
 	maxValueBytes int
+	// largestAppend is the size of the largest append in bytes.
+	largestAppend int
 }
 
 type producerState struct {
@@ -42,7 +44,10 @@
 		s.refuse--
 		return platform.AppendResult{}, platform.ErrRefused
 	}
+	size := 0
 	for _, r := range a.Records {
+		size += platform.EncodedSize(r)
+		s.largestAppend = max(s.largestAppend, size)
 		if s.maxValueBytes > 0 && len(r.Value) > s.maxValueBytes {
 			return platform.AppendResult{}, platform.ErrInvalid
 		}
--- a/node/storelog/storelog_test.go
+++ b/node/storelog/storelog_test.go
@@ -123,6 +123,30 @@
 	assert.Equal(t, len(s.records[testPartition]), 2)
 }
 
+// Guards against a group of requests that is over the store's limit for one append.
+func TestRequestsAreAppendedWithinTheLimitOfACall(t *testing.T) {
+	const limit = 100
+	s := newFakeStore()
+	c := NewCommitter(s, testPartition, "node-1", steady.New(), slog.New(slog.NewTextHandler(io.Discard, nil)), nil)
+	c.LimitCalls(limit)
+	var group []*commit
+	for range 7 {
+		item := &commit{record: platform.KeyedRecord{Key: "j", Value: make([]byte, 34)}, done: make(chan error, 1)}
+		group = append(group, item)
+		c.queue <- item
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go c.Run(ctx)
+	for _, item := range group {
+		assert.NilError(t, <-item.done)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	assert.Equal(t, len(s.records[testPartition]), len(group))
+	assert.Equal(t, s.largestAppend, 80)
+}
+
 // silentStore does not answer an append for a while. It has performed it.
 type silentStore struct {
 	*fakeStore
