The starts and stops of a large job are sent in parts

Seen (trial on a scratch copy of review/rig2 with 100,000 tasks in place of 12,000): the owner places all tasks in one round and sends all starts at once. It does nothing else for over 1.6 s, another node claims ownership, and the next one repeats that: eight owners in 45 s, 47,209 tasks started after 16 s, and the stand-ins are out of file descriptors.

Cause: neither the placements of a round nor the commands without an answer have a bound. 100,000 tasks take the scheduler 170 ms of a whole core, to which the calls add; a command that has waited for a second is not sent, so that its task is placed again.

Gangs are placed whole.

--- a/core/ledger/entry.go
+++ b/core/ledger/entry.go
@@ -128,19 +128,17 @@
 	}
 }
 
-// ForEachWaiting calls f for every task of a step that is waiting for an
-// attempt.
-func (e *Entry) ForEachWaiting(occurrence, step int, f func(index int, t Task)) {
+// FirstWaiting returns the first tasks of a step that are waiting for an attempt, at most
+// the given number.
+func (e *Entry) FirstWaiting(occurrence, step, limit int) []int {
 	o := e.Occurrences[occurrence]
-	for i := range e.Job.Steps[step].Count {
-		t := Task{}
-		if o != nil {
-			t = o.Steps[step].Tasks[i]
-		}
-		if t.Phase == Waiting {
-			f(i, t)
+	var out []int
+	for i := 0; i < e.Job.Steps[step].Count && len(out) < limit; i++ {
+		if o == nil || o.Steps[step].Tasks[i].Phase == Waiting {
+			out = append(out, i)
 		}
 	}
+	return out
 }
 
 // place records the placement of a new attempt.
--- a/core/ledger/fuzz_test.go
+++ b/core/ledger/fuzz_test.go
@@ -66,7 +66,7 @@
 	for k := range e.Occurrences {
 		for i := range e.Job.Steps {
 			waiting, exhausted := 0, 0
-			e.ForEachWaiting(k, i, func(int, Task) { waiting++ })
+			waiting = len(e.FirstWaiting(k, i, e.Job.Steps[i].Count))
 			if o := e.Occurrences[k]; o != nil {
 				for _, task := range o.Steps[i].Tasks {
 					if task.Phase == Exhausted {
--- a/core/scheduler/heartbeat.go
+++ b/core/scheduler/heartbeat.go
@@ -66,6 +66,7 @@
 		s.handleAdviceResult(result, now)
 		return
 	}
+	s.inFlight.add(result.Command.Kind, -1)
 	w := s.fleet.Worker(result.Command.Worker)
 	if w == nil {
 		return
--- a/core/scheduler/plan.go
+++ b/core/scheduler/plan.go
@@ -30,8 +30,15 @@
 		Interferes: s.hasInterferenceWith,
 		Remaining:  func(w *fleet.Worker, r *fleet.Attempt) (time.Duration, bool) { return remainingTime(w, r, now) },
 	}
+	placed := map[job.StepID]int{}
 	for _, p := range s.planner.Plan(demands, s.fleet.All(), rules) {
 		s.place(p, now)
+		placed[p.Task.StepID]++
+	}
+	for _, d := range demands {
+		if len(d.Waiting) == placed[d.ID] && s.ledger.Entry(d.ID.Job).WaitingCount(d.ID.Occurrence, d.ID.Step) > 0 {
+			s.needsPlan = true // There may be capacity for the rest of the step.
+		}
 	}
 }
 
@@ -138,7 +145,7 @@
 			Deadline: since + objective, NoValueAfter: since + noValueFactor*objective,
 			Remaining: remaining, CoreSeconds: work, TotalWork: e.Job.CoreSeconds(), MeanWork: s.throughput.meanWork(e.Job.Queue.Route),
 		}
-		e.ForEachWaiting(k, i, func(index int, _ ledger.Task) { d.Waiting = append(d.Waiting, index) })
+		d.Waiting = s.waitingTasks(e, k, i)
 		d.Starving = d.Step.Fills && s.isStarving(e, d.Service, now)
 		d.Overdue = step.LongRunning && s.isOverdue(d.ID, now)
 		if queue.Advice && !s.setTickets(&d, now) {
@@ -149,6 +156,16 @@
 	return out
 }
 
+// waitingTasks returns the tasks of a step that this round may place: all members of a gang,
+// and of other steps no more than may be placed now. The others follow in later rounds.
+func (s *Scheduler) waitingTasks(e *ledger.Entry, occurrence, step int) []int {
+	limit := s.maxStepStarts()
+	if e.Job.Steps[step].Gang {
+		limit = e.Job.Steps[step].Count
+	}
+	return e.FirstWaiting(occurrence, step, limit)
+}
+
 // overdueDelay is how long tasks of a long-running step may wait for short work. The
 // platform allows 6 s until a task runs again, which include an append and a start.
 const overdueDelay = 4 * time.Second
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -106,6 +106,7 @@
 	hasUnstoredCompletions bool
 	// unstoredEnds are the completions of known jobs that are in no batch yet.
 	unstoredEnds []unstoredEnd
+	inFlight     inFlight
 	// held are the jobs whose state the store refuses.
 	held map[job.ID]*heldJob
 	// unresolvedBatch is the batch whose append is in progress; nil if there is
--- a/core/scheduler/start.go
+++ b/core/scheduler/start.go
@@ -32,6 +32,7 @@
 // issueStart issues the start command of an attempt, for the first time or again.
 func (s *Scheduler) issueStart(start unsentStart, payload string, now fleet.Instant) {
 	w, r := start.worker, start.attempt
+	s.inFlight.add(CommandStart, 1)
 	r.Sends++
 	r.Token = s.workerToken(w)
 	t, _ := s.ledger.Entry(r.ID.Job).Task(r.ID)
@@ -152,10 +153,14 @@
 // request has no result yet wait for it.
 func (s *Scheduler) sendStops(now fleet.Instant) {
 	for r, stop := range s.stops {
+		if s.inFlight.stops >= maxCommandsInFlight {
+			return
+		}
 		if r.StopSent || now < stop.nextSend || stop.worker.Fenced || stop.worker.Address == "" || r.Phase == fleet.AttemptSent {
 			continue
 		}
 		r.StopSent = true
+		s.inFlight.add(CommandStop, 1)
 		s.commands = append(s.commands, &Command{
 			Kind: CommandStop, Worker: stop.worker.ID, To: stop.worker.Endpoint(), Token: s.workerToken(stop.worker), IssuedAt: now,
 			Task: r.ID, Attempt: r.Attempt,
