A refused append of which an earlier send had no answer is not taken for refused

Found in reading the change to refused appends: if the first send of an append was carried out and its answer lost, and a repeat is refused for good, the next append has the same sequence number, and the store would confirm it as the repetition without storing it; a client would be told that its job never runs.

Change: the owner's term ends then, and a request is answered as unresolved, as after other appends without an answer. A step of which no task can be placed plans no further round.

TestRefusalAfterASendWithoutAnswerIsUnresolved fails without it.

--- a/core/scheduler/plan.go
+++ b/core/scheduler/plan.go
@@ -36,7 +36,7 @@
 		placed[p.Task.StepID]++
 	}
 	for _, d := range demands {
-		if len(d.Waiting) == placed[d.ID] && s.ledger.Entry(d.ID.Job).WaitingCount(d.ID.Occurrence, d.ID.Step) > 0 {
+		if len(d.Waiting) > 0 && len(d.Waiting) == placed[d.ID] && s.ledger.Entry(d.ID.Job).WaitingCount(d.ID.Occurrence, d.ID.Step) > 0 {
 			s.needsPlan = true // There may be capacity for the rest of the step.
 		}
 	}
--- a/node/storelog/committer.go
+++ b/node/storelog/committer.go
@@ -191,7 +191,7 @@
 		}
 		waited := c.clock.Now() - start
 		switch {
-		case errors.Is(err, platform.ErrInvalid):
+		case errors.Is(err, platform.ErrInvalid) && !unknown:
 			return err
 		case ctx.Err() != nil || waited > unresolvedTimeout:
 			if !unknown {
@@ -199,7 +199,7 @@
 			}
 			c.startNewEpoch(err)
 			return unknownOutcome()
-		case errors.Is(err, platform.ErrSequence), errors.Is(err, platform.ErrFenced):
+		case errors.Is(err, platform.ErrSequence), errors.Is(err, platform.ErrFenced), errors.Is(err, platform.ErrInvalid):
 			c.startNewEpoch(err)
 			return unknownOutcome()
 		case !unknown && waited > refusedTimeout:
@@ -233,8 +233,7 @@
 	}
 }
 
-// refusedForGood is the error for a request that the store never accepts. Earlier sends
-// of the same append were refused as well.
+// refusedForGood is the error for a request that the store never accepts.
 func refusedForGood() error {
 	return &domain.Error{
 		Kind: domain.KindNotRun, Message: "the store does not accept a record of this size", Remedy: "send a smaller job, or several",
--- a/node/storelog/fakestore_test.go
+++ b/node/storelog/fakestore_test.go
@@ -23,6 +23,8 @@
 	appends               int
 	// Appends with a value of more than maxValueBytes are refused for good; 0 for no limit.
 	maxValueBytes int
+	// loseNext makes the next append fail without an answer and without effect.
+	loseNext bool
 	// largestAppend is the size of the largest append in bytes.
 	largestAppend int
 }
@@ -44,6 +46,10 @@
 		s.refuse--
 		return platform.AppendResult{}, platform.ErrRefused
 	}
+	if s.loseNext {
+		s.loseNext = false
+		return platform.AppendResult{}, fmt.Errorf("no response")
+	}
 	size := 0
 	for _, r := range a.Records {
 		size += platform.EncodedSize(r)
--- a/node/storelog/storelog_test.go
+++ b/node/storelog/storelog_test.go
@@ -123,6 +123,19 @@
 	assert.Equal(t, len(s.records[testPartition]), 2)
 }
 
+// Guards against an append that is lost because the store takes it for the repetition of a
+// refused one, of which an earlier send without an answer was stored after all; and against
+// "not run" for such a request.
+func TestRefusalAfterASendWithoutAnswerIsUnresolved(t *testing.T) {
+	s := newFakeStore()
+	s.maxValueBytes, s.loseNext = 10, true
+	large := platform.KeyedRecord{Key: "large", Value: make([]byte, 11)}
+	_, err := NewOwnerWriter(s, testPartition, 3).Append(context.Background(), []platform.KeyedRecord{large})
+	assert.ErrorIs(t, err, errUnresolved)
+	s.loseNext = true
+	assert.Equal(t, domain.KindOf(startCommitter(t, s).Commit(context.Background(), large)), domain.KindOutcomeUnknown)
+}
+
 // Guards against a group of requests that is over the store's limit for one append.
 func TestRequestsAreAppendedWithinTheLimitOfACall(t *testing.T) {
 	const limit = 100
--- a/node/storelog/writer.go
+++ b/node/storelog/writer.go
@@ -40,11 +40,17 @@
 // appendRetryDelay is the delay before a failed append of the owner is repeated.
 const appendRetryDelay = 60 * time.Millisecond
 
+// errUnresolved: an earlier send of a refused append had no answer. If it is stored after
+// all, the store would take the next append for its repetition.
+var errUnresolved = errors.New("the store refuses an append for good of which an earlier send had no answer; start a new epoch")
+
 // Append stores the records and returns the partition's end. It repeats a failed
-// append until the store confirms it or ctx ends. ErrFenced and ErrSequence mean that
+// append until the store confirms it or ctx ends. Any other error than that of ctx and
+// ErrInvalid makes the writer unusable. ErrFenced and ErrSequence mean that
 // a newer owner has written to the partition, and ErrInvalid that the store never
 // accepts these records; others can still be appended.
 func (w *OwnerWriter) Append(ctx context.Context, records []platform.KeyedRecord) (int64, error) {
+	unresolved := false
 	for {
 		producer := w.producer
 		result, err := w.store.Append(ctx, platform.Append{Partition: w.partition, Records: records, Producer: &producer})
@@ -52,9 +58,12 @@
 		case err == nil:
 			w.producer.Seq++
 			return result.End, nil
+		case errors.Is(err, platform.ErrInvalid) && unresolved:
+			return 0, errUnresolved
 		case errors.Is(err, platform.ErrFenced), errors.Is(err, platform.ErrSequence), errors.Is(err, platform.ErrInvalid):
 			return 0, err
 		}
+		unresolved = unresolved || !platform.NothingAppended(err)
 		select {
 		case <-ctx.Done():
 			return 0, ctx.Err()
