A metric names the held jobs

The log named a job whose state the store refuses for good, the metrics only the number of such jobs. basilferry_job_held_bytes{job} has the size of the refused records, 0 once they are stored, for at most 100 jobs at a time.

--- a/core/scheduler/held.go
+++ b/core/scheduler/held.go
@@ -84,6 +84,9 @@
 	})
 }
 
+// IsHeld reports whether the store refuses the state of a job.
+func (s *Scheduler) IsHeld(id job.ID) bool { return s.held[id] != nil }
+
 // HeldCount returns the number of jobs whose state the store refuses.
 func (s *Scheduler) HeldCount() int { return len(s.held) }
 
--- a/node/dispatcher/append.go
+++ b/node/dispatcher/append.go
@@ -163,11 +163,33 @@
 	switch {
 	case g.job != "":
 		t.jobScheduler.Hold(batch, g.job, g.err, now)
+		t.reportHeld(g.job, g.size())
 	case key == jobview.LeaseBoundsKey:
 		batch.LeaseBounds = nil
 	}
 }
 
+// maxReportedHolds bounds the jobs that a metric names. The log names all.
+const maxReportedHolds = 100
+
+func (t *term) reportHeld(id job.ID, bytes int) {
+	if len(t.reportedHolds) < maxReportedHolds || t.reportedHolds[id] {
+		t.reportedHolds[id] = true
+		t.d.cfg.Metrics.SetHeld(string(id), bytes)
+	}
+}
+
+// clearHolds clears the metric of the jobs that are no longer held, or of all jobs at the
+// end of the term.
+func (t *term) clearHolds(all bool) {
+	for id := range t.reportedHolds {
+		if all || !t.jobScheduler.IsHeld(id) {
+			t.d.cfg.Metrics.SetHeld(string(id), 0)
+			delete(t.reportedHolds, id)
+		}
+	}
+}
+
 // applyStored applies records that this owner has stored, which end at the given
 // offset, to the read model. Reading its own records back would cost a call for nearly
 // every append.
--- a/node/dispatcher/append_test.go
+++ b/node/dispatcher/append_test.go
@@ -69,11 +69,21 @@
 	return ""
 }
 
+// heldMetric keeps the metric of the held jobs.
+type heldMetric struct {
+	noMetrics
+	bytes map[string]int
+}
+
+func (m heldMetric) SetHeld(job string, bytes int) { m.bytes[job] = bytes }
+
 // Guards against one job whose state the store refuses for good, after which no state of
 // any job is stored and nothing is started.
 func TestRefusedStateConcernsItsJobAlone(t *testing.T) {
 	const large, small job.ID = "00000000000000a1", "00000000000000a2"
 	to := newTakeover(t)
+	held := heldMetric{bytes: map[string]int{}}
+	to.cfg.Metrics = held
 	to.cfg.Scheduler.Retention = time.Minute
 	to.storeJob(large, 100, strings.Repeat("x", 100))
 	to.storeJob(small, 1, "x")
@@ -84,8 +94,10 @@
 	assert.Assert(t, to.advanceUntil(3*time.Second, func() bool { return to.storedState(small) == job.StateCancelled }))
 	assert.Equal(t, to.storedState(large), job.StateActive)
 	assert.Assert(t, to.advanceUntil(time.Second, func() bool { return to.term.jobScheduler.HeldCount() == 1 }))
+	assert.Assert(t, held.bytes[string(large)] > 5000, "%v", held.bytes)
 	to.store.SetLimits(0, 0)
 	assert.Assert(t, to.advanceUntil(8*time.Second, func() bool { return to.storedState(large) == job.StateCancelled }))
+	assert.Assert(t, to.advanceUntil(3*time.Second, func() bool { return held.bytes[string(large)] == 0 }))
 }
 
 // stateRecords returns the newest records of the states whose keys contain the job's id.
--- a/node/dispatcher/config.go
+++ b/node/dispatcher/config.go
@@ -76,6 +76,9 @@
 	Observe(name string, d time.Duration)
 	// ObserveStage records the time of a stage of a job of the named queue.
 	ObserveStage(stage, queue string, d time.Duration)
+	// SetHeld sets the size in bytes of the records that the store refuses for a job; 0
+	// once they are stored.
+	SetHeld(job string, bytes int)
 }
 
 const (
--- a/node/dispatcher/takeover_test.go
+++ b/node/dispatcher/takeover_test.go
@@ -28,6 +28,7 @@
 func (noMetrics) Gauge(string, float64)                      {}
 func (noMetrics) Observe(string, time.Duration)              {}
 func (noMetrics) ObserveStage(string, string, time.Duration) {}
+func (noMetrics) SetHeld(string, int)                        {}
 
 // takeover is a dispatcher that becomes the owner after another node. Its decision
 // goroutine does not run, and its followers read when the test says so.
--- a/node/dispatcher/term.go
+++ b/node/dispatcher/term.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/basilferry/basilferry/core/job"
 	"github.com/basilferry/basilferry/core/jobview"
 	"github.com/basilferry/basilferry/core/ownership"
 	"github.com/basilferry/basilferry/core/platform"
@@ -63,6 +64,8 @@
 	// tombstones delete the states of removed jobs. They are part of the next
 	// append to states.
 	tombstones []platform.KeyedRecord
+	// reportedHolds are the held jobs that a metric names.
+	reportedHolds map[job.ID]bool
 	// statuses holds the status records that are not stored yet.
 	statuses statusQueue
 }
@@ -77,7 +80,7 @@
 		requests: storelog.NewOwnerWriter(p.Store, p.Requests, token),
 		states:   storelog.NewOwnerWriter(p.Store, p.States, token),
 		pulses:   storelog.NewOwnerWriter(p.Store, p.Pulse, token),
-		statuses: newStatusQueue(),
+		statuses: newStatusQueue(), reportedHolds: map[job.ID]bool{},
 	}
 	d.term = t
 	if d.cfg.FollowStates != nil {
@@ -140,6 +143,7 @@
 	}
 	d.cfg.Logger.Info("ownership term ended", "token", d.term.token, "reason", reason, "after", d.cfg.Clock.Now()-d.term.since)
 	d.term.cancel()
+	d.term.clearHolds(true)
 	d.term = nil
 	d.cfg.OnOwnershipChange(false)
 }
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -42,6 +42,11 @@
 	m.scope.Tagged(map[string]string{"call": name}).Histogram("latency", latencyBuckets).RecordDuration(d)
 }
 
+// SetHeld sets the size of the refused records of a held job.
+func (m *metrics) SetHeld(job string, bytes int) {
+	m.scope.Tagged(map[string]string{"job": job}).Gauge("job_held_bytes").Update(float64(bytes))
+}
+
 // ObserveStage records the time of a stage of a job of the named queue.
 func (m *metrics) ObserveStage(stage, queue string, d time.Duration) {
 	m.scope.Tagged(map[string]string{"stage": stage, "queue": queue}).Histogram("stage", latencyBuckets).RecordDuration(d)
