--- a/core/scheduler/harness_test.go
+++ b/core/scheduler/harness_test.go
@@ -11,6 +11,7 @@
 	"github.com/basilferry/basilferry/core/domain"
 	"github.com/basilferry/basilferry/core/fleet"
 	"github.com/basilferry/basilferry/core/job"
+	"github.com/basilferry/basilferry/core/ledger"
 	"github.com/basilferry/basilferry/core/platform"
 )
 
@@ -157,9 +158,13 @@
 	// was stored. lastSeenAt is when the owner last wrote to the store.
 	leaseBounds               []byte
 	leaseBoundsAt, lastSeenAt fleet.Instant
+	// refused is the job whose state the store refuses for good; empty for none.
+	refused job.ID
 	// storedStates are the stored state records of the jobs, and stateOffsets their
 	// offsets. statesEnd is the end of the states.
 	storedStates map[job.ID][]byte
+	// storedParts are the stored parts of the state of testJobID.
+	storedParts  map[int][]byte
 	stateOffsets map[job.ID]int64
 	statesEnd    int64
 	// settled is the owner's settled offset, and settledOffset the stored one.
@@ -205,7 +210,7 @@
 
 func newHarnessWith(t *testing.T, workers int, settings Settings) *harness {
 	t.Helper()
-	h := &harness{t: t, settings: settings, now: time.Minute, unanswered: map[*Command]fleet.Instant{}, storedStates: map[job.ID][]byte{}, stateOffsets: map[job.ID]int64{}}
+	h := &harness{t: t, settings: settings, now: time.Minute, unanswered: map[*Command]fleet.Instant{}, storedStates: map[job.ID][]byte{}, storedParts: map[int][]byte{}, stateOffsets: map[job.ID]int64{}}
 	for i := range workers {
 		f := newFakeWorker(fmt.Sprintf("w%d", i))
 		f.leaseLimit = settings.LeaseLimit
@@ -339,8 +344,16 @@
 	if b.LeaseBounds != nil {
 		h.leaseBounds, h.leaseBoundsAt = b.LeaseBounds, h.now
 	}
-	for _, record := range b.Records {
-		h.storedStates[record.Job] = record.State
+	for _, record := range slices.Clone(b.Records) {
+		if record.Job == h.refused {
+			h.scheduler.Hold(b, record.Job, platform.ErrInvalid, h.now)
+			continue
+		}
+		if record.Part == ledger.MainPart {
+			h.storedStates[record.Job] = record.State
+		} else {
+			h.storedParts[record.Part] = record.State
+		}
 		h.stateOffsets[record.Job] = h.statesEnd
 		h.statesEnd++
 	}
--- a/core/scheduler/heartbeat.go
+++ b/core/scheduler/heartbeat.go
@@ -67,6 +67,7 @@
 		s.handleAdviceResult(result, now)
 		return
 	}
+	s.inFlight.add(result.Command.Kind, -1)
 	w := s.fleet.Worker(result.Command.Worker)
 	if w == nil {
 		return
@@ -303,6 +304,7 @@
 		return
 	}
 	closed := e.IsClosed()
+	s.unstoredEnds = append(s.unstoredEnds, unstoredEnd{job: id.Job, worker: w.ID, incarnation: w.IncarnationID, number: completion.Number})
 	s.ledger.RecordCompletion(id, completion.Attempt, completion.Kind, completion.Checkpoint)
 	s.recordStepEnd(e, id, now)
 	s.countCompletion(completion.Kind)
--- a/core/scheduler/store.go
+++ b/core/scheduler/store.go
@@ -10,9 +10,11 @@
 	"github.com/basilferry/basilferry/core/ledger"
 )
 
-// Record is the state record of one job.
+// Record is a state record of one job.
 type Record struct {
-	Job   job.ID
+	Job job.ID
+	// Part is ledger.MainPart or the number of a part of the job's state.
+	Part  int
 	State []byte
 }
 
@@ -32,6 +34,7 @@
 	entries     []*ledger.Entry
 	starts      []unsentStart
 	completions []processedCompletions
+	ends        []unstoredEnd
 }
 
 // processedCompletions identifies the completions of one incarnation of a worker
@@ -48,6 +51,7 @@
 	if s.unresolvedBatch != nil {
 		return nil, nil
 	}
+	s.retryHeldJobs(now)
 	record, bounds, err := s.encodeLeaseBounds(now)
 	if err != nil {
 		return nil, err
@@ -56,13 +60,15 @@
 		return nil, nil
 	}
 	s.suspendLeases(bounds)
-	b := &Batch{entries: s.ledger.TakeChanged(), starts: s.unsentStarts, LeaseBounds: record, bounds: bounds}
+	b := &Batch{entries: s.takeChangedJobs(), starts: s.unsentStarts, ends: s.takeUnstoredEnds(), LeaseBounds: record, bounds: bounds}
 	for _, e := range b.entries {
-		state, err := ledger.EncodeState(e)
+		records, err := e.TakeStateRecords()
 		if err != nil {
 			return nil, fmt.Errorf("encode state records: %w", err)
 		}
-		b.Records = append(b.Records, Record{Job: e.Job.ID, State: state})
+		for _, r := range records {
+			b.Records = append(b.Records, Record{Job: e.Job.ID, Part: r.Part, State: r.Value})
+		}
 	}
 	for _, w := range s.fleet.All() {
 		if w.LastRead != w.Stored {
@@ -92,18 +98,23 @@
 	if b.LeaseBounds != nil {
 		s.applyLeaseBounds(b.bounds, now)
 	}
+	s.endHolds(b.entries)
 	s.dropFinishedJobs(b.entries)
 	for _, processed := range b.completions {
 		w := s.fleet.Worker(processed.worker)
 		if w == nil || w.IncarnationID != processed.incarnation {
 			continue
 		}
-		w.Stored = processed.lastNumber
+		w.Stored = s.lastStorableEnd(w, processed.lastNumber)
 		if hb := s.heartbeats[w.ID]; hb != nil {
 			hb.next = now
 		}
 	}
 	for _, start := range b.starts {
+		if b.bounds != nil && b.LeaseBounds == nil {
+			s.releaseAttempt(start.worker, start.attempt, "the store refuses the lease bounds", now)
+			continue
+		}
 		s.sendStart(start, now)
 	}
 }
@@ -142,6 +153,17 @@
 	for _, e := range b.entries {
 		s.ledger.MarkChanged(e)
 	}
+	s.markUnstored(b.Records)
 	s.unsentStarts = append(b.starts, s.unsentStarts...)
+	s.unstoredEnds = append(b.ends, s.unstoredEnds...)
 	s.hasUnstoredCompletions = s.hasUnstoredCompletions || len(b.completions) > 0
 }
+
+// markUnstored records that state records of a batch are not stored.
+func (s *Scheduler) markUnstored(records []Record) {
+	for _, r := range records {
+		if e := s.ledger.Entry(r.Job); e != nil {
+			e.MarkUnstored(r.Part)
+		}
+	}
+}
--- a/node/storelog/fakestore_test.go
+++ b/node/storelog/fakestore_test.go
@@ -21,6 +21,12 @@
 	// response had been lost.
 	dropResponses, refuse int
 	appends               int
+	// Appends with a value of more than maxValueBytes are refused for good; 0 for no limit.
+	maxValueBytes int
+	// loseNext makes the next append fail without an answer and without effect.
+	loseNext bool
+	// largestAppend is the size of the largest append in bytes.
+	largestAppend int
 }
 
 type producerState struct {
@@ -40,6 +46,18 @@
 		s.refuse--
 		return platform.AppendResult{}, platform.ErrRefused
 	}
+	if s.loseNext {
+		s.loseNext = false
+		return platform.AppendResult{}, fmt.Errorf("no response")
+	}
+	size := 0
+	for _, r := range a.Records {
+		size += platform.EncodedSize(r)
+		s.largestAppend = max(s.largestAppend, size)
+		if s.maxValueBytes > 0 && len(r.Value) > s.maxValueBytes {
+			return platform.AppendResult{}, platform.ErrInvalid
+		}
+	}
 	result, err := s.append(a)
 	if s.dropResponses > 0 {
 		s.dropResponses--
--- a/node/storelog/storelog_test.go
+++ b/node/storelog/storelog_test.go
@@ -92,6 +92,74 @@
 	assert.Equal(t, len(s.records[testPartition]), 0)
 }
 
+// Guards against an owner that repeats an append for ever which the store never accepts,
+// and that cannot append anything else.
+func TestOwnerWriterReturnsWhenStoreRefusesForGood(t *testing.T) {
+	s := newFakeStore()
+	s.maxValueBytes = 10
+	w := NewOwnerWriter(s, testPartition, 3)
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	_, err := w.Append(ctx, []platform.KeyedRecord{{Key: "large", Value: make([]byte, 11)}})
+	assert.ErrorIs(t, err, platform.ErrInvalid)
+	_, err = w.Append(ctx, []platform.KeyedRecord{record("a")})
+	assert.NilError(t, err)
+}
+
+// Guards against requests that are refused because another client's request, which the
+// store never accepts, is in the same append.
+func TestRequestThatTheStoreRefusesForGoodIsRefusedAlone(t *testing.T) {
+	s := newFakeStore()
+	s.maxValueBytes = 10
+	c := NewCommitter(s, testPartition, "node-1", steady.New(), slog.New(slog.NewTextHandler(io.Discard, nil)), nil)
+	group := []*commit{{record: record("a")}, {record: platform.KeyedRecord{Key: "large", Value: make([]byte, 11)}}, {record: record("b")}}
+	for _, item := range group {
+		item.done = make(chan error, 1)
+	}
+	c.commit(context.Background(), group)
+	assert.NilError(t, <-group[0].done)
+	assert.Equal(t, domain.KindOf(<-group[1].done), domain.KindNotRun)
+	assert.NilError(t, <-group[2].done)
+	assert.Equal(t, len(s.records[testPartition]), 2)
+}
+
+// Guards against an append that is lost because the store takes it for the repetition of a
+// refused one, of which an earlier send without an answer was stored after all; and against
+// "not run" for such a request.
+func TestRefusalAfterASendWithoutAnswerIsUnresolved(t *testing.T) {
+	s := newFakeStore()
+	s.maxValueBytes, s.loseNext = 10, true
+	large := platform.KeyedRecord{Key: "large", Value: make([]byte, 11)}
+	_, err := NewOwnerWriter(s, testPartition, 3).Append(context.Background(), []platform.KeyedRecord{large})
+	assert.ErrorIs(t, err, errUnresolved)
+	s.loseNext = true
+	assert.Equal(t, domain.KindOf(startCommitter(t, s).Commit(context.Background(), large)), domain.KindOutcomeUnknown)
+}
+
+// Guards against a group of requests that is over the store's limit for one append.
+func TestRequestsAreAppendedWithinTheLimitOfACall(t *testing.T) {
+	const limit = 100
+	s := newFakeStore()
+	c := NewCommitter(s, testPartition, "node-1", steady.New(), slog.New(slog.NewTextHandler(io.Discard, nil)), nil)
+	c.LimitCalls(limit)
+	var group []*commit
+	for range 7 {
+		item := &commit{record: platform.KeyedRecord{Key: "j", Value: make([]byte, 34)}, done: make(chan error, 1)}
+		group = append(group, item)
+		c.queue <- item
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go c.Run(ctx)
+	for _, item := range group {
+		assert.NilError(t, <-item.done)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	assert.Equal(t, len(s.records[testPartition]), len(group))
+	assert.Equal(t, s.largestAppend, 80)
+}
+
 // silentStore does not answer an append for a while. It has performed it.
 type silentStore struct {
 	*fakeStore
