Keep the cancellation of a job whose acceptance is read later

Cause: after dropped history the owner reads the newest record of each key in the order of the keys, cancellations before acceptances. The scheduler ignored the cancellation of an unknown job and accepted the job afterwards.

Change: a cancelled job that is not known counts as a finished one, for the retention time of finished jobs, so that a later acceptance does not start it. The read model hands such cancellations to the next owner and drops them with their record. The stand-in of the store returns the newest records in key order, as the platform's does; in the order of offsets no test of the cluster could show the fault.

--- a/core/jobview/view.go
+++ b/core/jobview/view.go
@@ -25,10 +25,16 @@
 	// A status record follows the state record that it is taken from, so on a node
 	// that reads both the summary is at least as new.
 	summary, status ledger.Summary
-	cancelled       bool
+	// cancelled is true if a cancel record was read, also one of a job that is not known.
+	cancelled bool
 	// reload is the reload in which, or after which, the acceptance record was last
-	// applied.
-	reload int
+	// applied, and cancelReload the same of the cancel record.
+	reload, cancelReload int
+}
+
+func newEntry() *entry {
+	pending := ledger.Summary{State: job.StatePending}
+	return &entry{summary: pending, status: pending, stateOffset: -1, statusOffset: -1}
 }
 
 // newest returns the newest known summary of the job's state.
@@ -88,7 +94,8 @@
 }
 
 // FinishReload removes the jobs whose acceptance record was not applied since
-// StartReload, which no longer exist. It does nothing if no reload is in progress.
+// StartReload, and the cancellations of unknown jobs whose record was not. They no longer
+// exist. It does nothing if no reload is in progress.
 func (v *View) FinishReload() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -97,8 +104,16 @@
 	}
 	v.reloading = false
 	for id, e := range v.jobs {
-		if e.known && e.reload < v.reload {
+		isCancelListed := e.cancelled && e.cancelReload == v.reload
+		switch {
+		case e.known && e.reload < v.reload:
 			v.drop(KindJob, id)
+			if isCancelListed {
+				v.jobs[id] = newEntry()
+				v.jobs[id].cancel(v.reload)
+			}
+		case e.cancelled && !isCancelListed:
+			v.drop(KindCancel, id)
 		}
 	}
 }
@@ -124,14 +139,16 @@
 	}
 	e := v.jobs[id]
 	if e == nil {
-		pending := ledger.Summary{State: job.StatePending}
-		e = &entry{summary: pending, status: pending, stateOffset: -1, statusOffset: -1}
+		e = newEntry()
 		v.jobs[id] = e
 	}
-	if kind == KindJob {
+	before := e.isPending()
+	switch kind {
+	case KindJob:
 		e.reload = v.reload
+	case KindCancel:
+		e.cancel(v.reload)
 	}
-	before := e.isPending()
 	err := e.apply(kind, r)
 	if after := e.isPending(); before != after {
 		v.adjustPendingCount(e.queue, after)
@@ -152,10 +169,11 @@
 	}
 }
 
-// drop removes a job when its acceptance record is deleted.
+// drop removes a job when its acceptance record is deleted, and an unknown job when its
+// cancel record is deleted. A known job stays cancelled until it is removed.
 func (v *View) drop(kind Kind, id job.ID) {
 	e := v.jobs[id]
-	if e == nil || kind != KindJob {
+	if e == nil || kind != KindJob && (kind != KindCancel || e.known) {
 		return
 	}
 	if e.isPending() {
@@ -164,6 +182,8 @@
 	delete(v.jobs, id)
 }
 
+func (e *entry) cancel(reload int) { e.cancelled, e.cancelReload = true, reload }
+
 func (e *entry) apply(kind Kind, r platform.KeyedRecord) error {
 	switch kind {
 	case KindJob:
@@ -175,8 +195,6 @@
 			return fmt.Errorf("record %q at offset %d: %w", r.Key, r.Offset, err)
 		}
 		e.known, e.acceptanceRecord, e.queue = true, r.Value, queue
-	case KindCancel:
-		e.cancelled = true
 	case KindState:
 		summary, err := ledger.DecodeSummary(r.Value)
 		if err != nil {
@@ -252,7 +270,7 @@
 	// Finished holds the states of the jobs for which nothing is left to do.
 	Finished map[job.ID]job.State
 	// Cancelled lists the jobs in Jobs that were cancelled but whose stored state
-	// does not show it yet.
+	// does not show it yet, and the cancelled jobs whose acceptance was not read.
 	Cancelled []job.ID
 	// Unshown holds the status records to write: those of jobs whose stored state
 	// differs from what the status records show.
@@ -271,6 +289,9 @@
 	out := Restored{Jobs: ledger.New(), Finished: map[job.ID]job.State{}}
 	for id, e := range v.jobs {
 		if !e.known {
+			if e.cancelled {
+				out.Cancelled = append(out.Cancelled, id)
+			}
 			continue
 		}
 		if e.stateOffset >= 0 && !SameForClients(e.summary, e.status) {
--- a/core/jobview/view_test.go
+++ b/core/jobview/view_test.go
@@ -216,3 +216,60 @@
 	_, _, ok := v.State(testID)
 	assert.Assert(t, ok)
 }
+
+func cancelRecord(value ...byte) platform.KeyedRecord {
+	return platform.KeyedRecord{Key: Key(KindCancel, testID), Value: value}
+}
+
+// Guards against a new owner that does not know that a job was cancelled whose acceptance
+// comes later, and against a cancellation that is kept after its record was deleted.
+func TestCancellationOfUnknownJobIsRestoredUntilDeleted(t *testing.T) {
+	v := New()
+	assert.NilError(t, v.Apply(cancelRecord(1)))
+	_, _, ok := v.State(testID)
+	assert.Assert(t, !ok)
+	r := v.Restore()
+	assert.DeepEqual(t, r.Cancelled, []job.ID{testID})
+	assert.Equal(t, r.Jobs.Len()+len(r.Finished), 0)
+	assert.NilError(t, v.Apply(cancelRecord()))
+	assert.Equal(t, len(v.Restore().Cancelled)+v.Len(), 0)
+}
+
+// The records of an expired job are deleted one after the other. Guards against a cancelled
+// job that a new owner runs because only the deletion of the cancellation has been applied.
+func TestKnownJobStaysCancelledUntilItIsRemoved(t *testing.T) {
+	v := New()
+	for _, r := range []platform.KeyedRecord{acceptanceRecord(t), cancelRecord(1), cancelRecord()} {
+		assert.NilError(t, v.Apply(r))
+	}
+	assert.DeepEqual(t, v.Restore().Cancelled, []job.ID{testID})
+}
+
+// Guards against a cancellation of an unknown job that is forgotten in a reload, or kept
+// although it was deleted in a part of the history that this node has not read.
+func TestReloadKeepsTheCancellationsThatItLists(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		before, listed []platform.KeyedRecord
+		cancelled      bool
+	}{
+		{"listed", nil, []platform.KeyedRecord{cancelRecord(1)}, true},
+		{"listed again", []platform.KeyedRecord{cancelRecord(1)}, []platform.KeyedRecord{cancelRecord(1)}, true},
+		{"not listed", []platform.KeyedRecord{cancelRecord(1)}, nil, false},
+		{"before its job", nil, []platform.KeyedRecord{cancelRecord(1), acceptanceRecord(t)}, true},
+		{"its job is not listed", []platform.KeyedRecord{acceptanceRecord(t), cancelRecord(1)}, []platform.KeyedRecord{cancelRecord(1)}, true},
+		{"neither is listed", []platform.KeyedRecord{acceptanceRecord(t), cancelRecord(1)}, nil, false},
+	} {
+		v := New()
+		for _, r := range c.before {
+			assert.NilError(t, v.Apply(r))
+		}
+		v.StartReload()
+		for _, r := range c.listed {
+			assert.NilError(t, v.Apply(r))
+		}
+		v.FinishReload()
+		assert.Equal(t, len(v.Restore().Cancelled) == 1, c.cancelled, c.name)
+		assert.Equal(t, v.PendingCount("checks"), 0, c.name)
+	}
+}
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -138,8 +138,8 @@
 	// accepted is when each job was accepted.
 	accepted map[job.ID]fleet.Instant
 	// finished are the closed jobs that the job table has dropped because they have
-	// no placed tasks. They are kept so that a late copy of a request does not run a
-	// job again.
+	// no placed tasks, and the jobs that were cancelled before their acceptance was read.
+	// They are kept so that a late acceptance or a late copy of one does not run a job.
 	finished map[job.ID]job.State
 	// closed lists the closed jobs in the order in which they were closed.
 	closed []closedJob
@@ -317,9 +317,14 @@
 	return nil
 }
 
-// Accept adds a job that a client has submitted. A known job is ignored.
+// Accept adds a job that a client has submitted. A known job, and one that was cancelled
+// before, is ignored.
 func (s *Scheduler) Accept(j *job.Job, now fleet.Instant) {
-	if _, finished := s.finished[j.ID]; finished || s.ledger.Entry(j.ID) != nil {
+	if state, finished := s.finished[j.ID]; finished {
+		s.recordDecision(Decision{Action: "ignore job", Job: j.ID, Reason: "the job is already " + string(state)})
+		return
+	}
+	if s.ledger.Entry(j.ID) != nil {
 		return
 	}
 	s.ledger.Accept(j)
@@ -328,8 +333,16 @@
 	s.needsPlan = true
 }
 
-// Cancel cancels a job at a client's request.
+// Cancel cancels a job at a client's request. The acceptance of an unknown job may still
+// be read: the newest records of a partition come in the order of their keys, and the
+// store may carry out an append late. The cancellation then holds for Retention.
 func (s *Scheduler) Cancel(id job.ID, now fleet.Instant) {
+	if s.State(id) == "" {
+		s.finished[id] = job.StateCancelled
+		s.closed = append(s.closed, closedJob{id: id, closedAt: now})
+		s.recordDecision(Decision{Action: "cancel", Job: id, Reason: "a client cancelled the job, whose acceptance has not been read"})
+		return
+	}
 	if !s.ledger.Cancel(id) {
 		return
 	}
--- a/node/dispatcher/records.go
+++ b/node/dispatcher/records.go
@@ -43,7 +43,9 @@
 			d.post(func() { d.acceptJob(r) })
 		}
 	case jobview.KindCancel:
-		d.post(func() { d.cancelJob(id) })
+		if !d.hasRead(r) {
+			d.post(func() { d.cancelJob(id) })
+		}
 	}
 }
 
--- a/standin/fleet/store.go
+++ b/standin/fleet/store.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -161,7 +163,7 @@
 	}
 }
 
-// ReadNewest implements platform.Store, with all keys in one page.
+// ReadNewest implements platform.Store, with all keys in one page, in their order.
 func (s *Store) ReadNewest(_ context.Context, p platform.Partition, _ string) (platform.NewestPage, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -179,5 +181,6 @@
 			page.Records = append(page.Records, r)
 		}
 	}
+	slices.SortFunc(page.Records, func(a, b platform.KeyedRecord) int { return strings.Compare(a.Key, b.Key) })
 	return page, nil
 }
