Store the cancellation of an unknown job before it is answered 410

Cause: 410 rested on the proof that no job had been accepted before the call. Nothing in the log spoke against one that an undecided append brings later.

Change: a DELETE of a job that no node has accepted appends its cancellation and is answered 410 only once that is stored; until then 503 (not cancelled) or 504 (unknown). The order in the log voids a later acceptance, whichever node appends it, for every owner and in every read model. Repeats of the DELETE store nothing.

--- a/core/jobview/keys.go
+++ b/core/jobview/keys.go
@@ -14,7 +14,7 @@
 	KindOwnerShare Kind = 'p'
 	// KindJob: a job was accepted.
 	KindJob Kind = 'j'
-	// KindCancel: a client cancelled a job.
+	// KindCancel: a client cancelled a job, which may not have been accepted yet.
 	KindCancel Kind = 'c'
 	// KindState: the state of a job's tasks. Only an owner needs it.
 	KindState Kind = 's'
--- a/core/jobview/view.go
+++ b/core/jobview/view.go
@@ -240,6 +240,15 @@
 	return state, e.queue, true
 }
 
+// IsCancelled reports whether the cancellation of a job was read, also if no such job is
+// known.
+func (v *View) IsCancelled(id job.ID) bool {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	e := v.jobs[id]
+	return e != nil && e.cancelled
+}
+
 // PendingCount returns how many open jobs of a queue have no task that has been
 // placed on a worker.
 func (v *View) PendingCount(queue string) int {
--- a/node/intake/intake.go
+++ b/node/intake/intake.go
@@ -78,8 +78,8 @@
 }
 
 // Submit stores a job. It returns nil if the job is accepted or was accepted
-// before. An *Error of kind KindNotRun means that the job is not accepted and
-// never runs.
+// before. A job that was cancelled before is accepted as a cancelled one. An *Error of
+// kind KindNotRun means that the job is not accepted and never runs.
 func (in *Intake) Submit(ctx context.Context, j *job.Job) error {
 	if _, _, known := in.cfg.View.State(j.ID); known {
 		in.logRequest("submit", j.ID, "already accepted", nil)
@@ -98,7 +98,11 @@
 		in.logRequest("submit failed", j.ID, "store", err)
 		return err
 	}
-	in.logRequest("accept", j.ID, "stored", nil)
+	reason := "stored"
+	if in.cfg.View.IsCancelled(j.ID) {
+		reason = "stored, and cancelled before"
+	}
+	in.logRequest("accept", j.ID, reason, nil)
 	return nil
 }
 
@@ -172,21 +176,45 @@
 	return nil
 }
 
-// Cancel cancels a job. It has no effect on a finished job.
+// Cancel cancels a job. It has no effect on a finished job. It returns an *Error of kind
+// KindNotFound if no such job had been accepted before the call, and none that is accepted
+// later under this id will run. Of other errors, KindOutcomeUnknown and KindInternal leave
+// open whether the job is cancelled, and the others mean that it is not.
 func (in *Intake) Cancel(ctx context.Context, id job.ID) error {
 	state, err := in.State(ctx, id)
-	if err != nil {
+	switch {
+	case domain.KindOf(err) == domain.KindNotFound:
+		return in.cancelUnknown(ctx, id)
+	case err != nil:
 		return err
-	}
-	if state.IsFinal() {
+	case state.IsFinal():
 		in.logRequest("cancel", id, "already "+string(state), nil)
 		return nil
 	}
-	err = in.commit(ctx, platform.KeyedRecord{Key: jobview.Key(jobview.KindCancel, id), Value: []byte{1}})
+	err = in.storeCancel(ctx, id)
 	in.logRequest("cancel", id, "requested by the client", err)
 	return err
 }
 
+// cancelUnknown stores the cancellation of a job that has not been accepted. Its request,
+// or an append of its acceptance whose outcome is unknown, may still be on the way.
+func (in *Intake) cancelUnknown(ctx context.Context, id job.ID) error {
+	if in.cfg.View.IsCancelled(id) {
+		in.logRequest("cancel", id, "cancelled before, and no such job since", nil)
+		return jobNotFound(id)
+	}
+	if err := in.storeCancel(ctx, id); err != nil {
+		in.logRequest("cancel", id, "no such job yet", err)
+		return err
+	}
+	in.logRequest("cancel", id, "no such job, and a later one is void", nil)
+	return jobNotFound(id)
+}
+
+func (in *Intake) storeCancel(ctx context.Context, id job.ID) error {
+	return in.commit(ctx, platform.KeyedRecord{Key: jobview.Key(jobview.KindCancel, id), Value: []byte{1}})
+}
+
 // PendingCount returns the number of accepted jobs of the queue that have not started.
 func (in *Intake) PendingCount(q job.Queue) int { return in.cfg.View.PendingCount(q.Route) }
 
