scheduler: a command from before a raise of the token may extend a confirmed start's lease

Cause: a worker restarts unnoticed and confirms a start; its clock shows the restart, and the lease counts as the longest one from that answer. A heartbeat or another start from before the raise of the token, without an answer or refused, can reach that incarnation later and make it grant the longest lease anew. Only attempts whose own start had no answer waited for that lease. Change: the failure of such a command extends the bound of the worker's lease, for all of its attempts.

--- a/core/scheduler/incarnation.go
+++ b/core/scheduler/incarnation.go
@@ -181,6 +181,9 @@
 // long as it grants one; observeLaterLease then returns true. A connection leads to one
 // process: one that was opened while the current incarnation ran does not lead to a later
 // one.
+//
+// Between a raise of the token and the first answer, that incarnation may already run
+// attempts whose starts were confirmed.
 func (s *Scheduler) observeLaterLease(w *fleet.Worker, err error, now fleet.Instant) bool {
 	var failure *platform.CallError
 	if errors.As(err, &failure) {
@@ -188,7 +191,11 @@
 			return false
 		}
 	}
-	w.Lease.ExtendLaterEnd(now + fleet.LongestLease(s.settings.LeaseLimit))
+	longest := now + fleet.LongestLease(s.settings.LeaseLimit)
+	w.Lease.ExtendLaterEnd(longest)
+	if !w.HeartbeatAnswered {
+		w.Lease.ExtendLatestEnd(longest, fleet.LeaseOfAnyCommand)
+	}
 	return true
 }
 
--- /dev/null
+++ b/core/scheduler/laterlease_test.go
@@ -0,0 +1,85 @@
+package scheduler
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// startUnnoticed places the first task on the first worker, which restarts before the start
+// and a heartbeat with a lease reach it. It returns both commands.
+func (h *harness) startUnnoticed() (start, heartbeat *Command) {
+	h.t.Helper()
+	h.runFor(2 * time.Second)
+	f := h.workers[0]
+	j := singleStepJob(1, 1000)
+	j.Steps[0].RequiredLabel = h.onlyKind(f)
+	h.delays = func(c *Command) bool {
+		return c.Worker == f.id && (c.Kind == CommandStart || c.Kind == CommandHeartbeat && c.Heartbeat.Until > 0)
+	}
+	h.scheduler.Accept(j, h.now)
+	h.runUntil(func() bool {
+		for _, c := range h.delayed {
+			if c.Kind == CommandStart {
+				start = c
+			} else {
+				heartbeat = c
+			}
+		}
+		return start != nil && heartbeat != nil
+	})
+	h.unanswered[heartbeat] = h.now + commandTimeout
+	f.restart(time.Second)
+	return start, heartbeat
+}
+
+// A worker restarts unnoticed and carries out a start that is answered, and within the
+// time of a call a heartbeat that was meant for its former incarnation. Guards against
+// counting the longest lease from the answer to the start.
+func TestHeartbeatToAFormerIncarnationAfterAConfirmedStart(t *testing.T) {
+	h := newHarnessWith(t, 2, longLimitSettings())
+	start, heartbeat := h.startUnnoticed()
+	f := h.workers[0]
+	result, ok := f.execute(start)
+	assert.Assert(t, ok && result.Err == nil)
+	h.scheduler.HandleResult(result, h.now)
+	h.cutOffAndAllowElsewhere(f)
+	h.runFor(commandTimeout - 2*harnessStep)
+	f.unresponsive = false
+	_, _ = f.execute(heartbeat)
+	f.unresponsive = true
+	h.checkRunsOnceAfterLoss(3 * longLimitSettings().LeaseLimit)
+}
+
+// Two tasks are started on a worker that has restarted unnoticed. The first start is
+// confirmed; the second gets no answer, and takes effect later. Guards against counting the
+// longest lease of the first task from its own answer.
+func TestUnansweredStartExtendsTheLeaseOfAConfirmedOne(t *testing.T) {
+	h := newHarnessWith(t, 2, longLimitSettings())
+	h.runFor(2 * time.Second)
+	f := h.workers[0]
+	j := singleStepJob(2, 1000)
+	j.Steps[0].RequiredLabel = h.onlyKind(f)
+	h.delays = func(c *Command) bool { return c.Worker == f.id }
+	var starts []*Command
+	h.scheduler.Accept(j, h.now)
+	h.runUntil(func() bool {
+		starts = slices.DeleteFunc(slices.Clone(h.delayed), func(c *Command) bool { return c.Kind != CommandStart })
+		return len(starts) == 2
+	})
+	if starts[0].Start.Task != firstTaskID {
+		slices.Reverse(starts)
+	}
+	f.restart(time.Second)
+	result, _ := f.execute(starts[0])
+	h.scheduler.HandleResult(result, h.now)
+	h.unanswered[starts[1]] = h.now + commandTimeout
+	h.cutOffAndAllowElsewhere(f)
+	h.runFor(commandTimeout - 2*harnessStep)
+	f.unresponsive = false
+	_, _ = f.execute(starts[1])
+	f.unresponsive = true
+	h.checkRunsOnceAfterLoss(3 * longLimitSettings().LeaseLimit)
+}
