--- a/core/scheduler/bounds.go
+++ b/core/scheduler/bounds.go
@@ -121,7 +121,9 @@
 		case suspended:
 			bounds.suspended[w.ID] = true
 		case end > assumed:
-			bounds.longLeases[w.ID] = end
+			if len(bounds.longLeases) <= maxLongLeases {
+				bounds.longLeases[w.ID] = end
+			}
 			bounds.longLease = max(bounds.longLease, end)
 			changed = changed || len(w.Attempts) > 0 && !s.storedBounds.covers(w.ID, end)
 		}
