scheduler: store the bounds again once no long lease is needed

It stayed the newest record for as long as no worker fell silent. The next process of a killed owner reads it when it starts and counts these leases from then: a task of a worker lost with the owner started again after 10.1 s instead of 6.7 s, a minute after the leases had ended. Change: one more record, without them, once none is longer than what a later owner assumes anyway. Result: TestExpiredLongLeaseDelaysNoTask failed before (10.12 s) and passes.

--- a/core/scheduler/bounds.go
+++ b/core/scheduler/bounds.go
@@ -106,6 +106,9 @@
 	return end <= max(b.longLeases[id], b.longLease)
 }
 
+// hasLongLeases reports whether the record lists responsive workers.
+func (b *leaseBounds) hasLongLeases() bool { return len(b.longLeases) > 0 || b.longLease > 0 }
+
 // currentLeaseBounds returns the lease bounds to store, and whether the stored record of
 // this owner does not cover them.
 func (s *Scheduler) currentLeaseBounds(now fleet.Instant) (bounds leaseBounds, changed bool) {
@@ -128,6 +131,8 @@
 			changed = changed || len(w.Attempts) > 0 && !s.storedBounds.covers(w.ID, end)
 		}
 	}
+	// The next process of this node counts stored leases from when it reads the record.
+	changed = changed || len(bounds.longLeases) == 0 && s.storedBounds.hasLongLeases()
 	if len(bounds.longLeases) > maxLongLeases {
 		bounds.longLeases = nil
 	} else {
--- a/core/scheduler/laterlease_test.go
+++ b/core/scheduler/laterlease_test.go
@@ -83,3 +83,51 @@
 	f.unresponsive = true
 	h.checkRunsOnceAfterLoss(3 * longLimitSettings().LeaseLimit)
 }
+
+// Guards against a next owner that releases tasks on one of many workers with long leases,
+// which share one bound, before that lease has expired.
+func TestManyLongLeasesAreHandedOver(t *testing.T) {
+	for _, n := range []int{maxLongLeases - 1, maxLongLeases, maxLongLeases + 1, 3 * maxLongLeases} {
+		h := newHarnessWith(t, n, longLimitSettings())
+		h.scheduler.Accept(singleStepJob(n, 3000), h.now)
+		h.runUntil(func() bool { return h.startedCount() == n })
+		ends := map[string]time.Duration{}
+		for _, w := range h.scheduler.Fleet().All() {
+			ends[string(w.ID)] = w.Lease.LatestEnd()
+		}
+		h.previousOwnerEnded = true
+		h.replaceOwner(6)
+		for _, w := range h.scheduler.Fleet().All() {
+			assert.Assert(t, w.Lease.LatestEnd() >= ends[string(w.ID)], "%d workers, %s: %v, before %v", n, w.ID, w.Lease.LatestEnd(), ends[string(w.ID)])
+		}
+	}
+}
+
+// startedCount returns how many attempts the workers have started.
+func (h *harness) startedCount() int {
+	n := 0
+	for _, f := range h.workers {
+		n += len(f.started)
+	}
+	return n
+}
+
+// Guards against a long lease that a restarted owner counts again from its own start,
+// although it expired long ago.
+func TestExpiredLongLeaseDelaysNoTask(t *testing.T) {
+	h := newHarnessWith(t, 2, longLimitSettings())
+	f := h.workers[0]
+	h.runFor(100 * time.Millisecond)
+	j := singleStepJob(1, 1000)
+	j.Steps[0].RequiredLabel, j.Steps[0].LongRunning = h.onlyKind(f), true
+	h.scheduler.Accept(j, h.now)
+	h.runFor(time.Minute)
+	assert.Equal(t, h.startCount(firstTaskID), 1)
+	h.cutOffAndAllowElsewhere(f)
+	lostAt := h.now
+	h.previousOwnerEnded = true
+	h.leaseBoundsAt = h.now // The next process reads the record when it starts.
+	s := h.replaceOwner(6)
+	h.runUntil(func() bool { return h.startCount(firstTaskID) > 1 })
+	assert.Assert(t, h.now-lostAt <= s.maxLeaseDuration()+200*time.Millisecond, "%v", h.now-lostAt)
+}
