scheduler: a stored bound covers the commands in progress

Cause: the bound of a worker that is stored with a start in progress counted the longest lease from the writing of the record, with 0.5 s to spare, and after a raise of the token from the last confirmed start. A start, or a heartbeat from before the raise, that the next incarnation carries out later within the time of its call outlasts that bound, which the next owner relies on. Change: while such a command can be in progress, the bound is longer by the longest time of a call.

--- a/core/scheduler/bounds.go
+++ b/core/scheduler/bounds.go
@@ -173,17 +173,27 @@
 }
 
 // leaseRemaining returns how long attempts on the worker can still be running under its
-// lease. A start in progress may reach a later incarnation.
+// lease. A command in progress may reach a later incarnation.
 func (s *Scheduler) leaseRemaining(w *fleet.Worker, now fleet.Instant) time.Duration {
 	remaining := max(0, w.LeaseRemaining(now))
 	for _, r := range w.Attempts {
-		if r.Phase == fleet.AttemptSent {
-			remaining = max(remaining, s.maxLaterLease())
+		if r.Phase == fleet.AttemptSent || mayRunUnderNewLease(w, r) {
+			remaining = max(remaining, maxCallTime+s.maxLaterLease())
 		}
 	}
 	return remaining
 }
 
+// maxCallTime is the longest time from the issue of a command that grants a lease until
+// its call has ended.
+const maxCallTime = 3 * time.Second
+
+// mayRunUnderNewLease reports whether a command from before the last raise of the token may
+// still extend the lease of an attempt.
+func mayRunUnderNewLease(w *fleet.Worker, r *fleet.Attempt) bool {
+	return !w.HeartbeatAnswered && !r.Listed && (r.Phase == fleet.AttemptStarted || r.Phase == fleet.AttemptUnresolved)
+}
+
 // maxLaterLease returns how long the lease can last that a later incarnation of a worker
 // grants for a start in progress.
 func (s *Scheduler) maxLaterLease() time.Duration {
@@ -269,7 +279,7 @@
 	if err := cbor.Unmarshal(record, &stored); err != nil {
 		return storedLeaseBounds{}, fmt.Errorf("decode lease bounds: %w", err)
 	}
-	longest := remainingMS(s.settings.MaxOffline + max(s.maxLeaseDuration(), s.maxLaterLease()))
+	longest := remainingMS(max(s.settings.MaxOffline, maxCallTime) + max(s.maxLeaseDuration(), s.maxLaterLease()))
 	check := func(id domain.WorkerID, remainingMS int64) error {
 		if remainingMS < 0 || remainingMS > longest {
 			return fmt.Errorf("decode lease bounds: a lease of worker %s lasts %d ms", id, remainingMS)
--- a/core/scheduler/laterlease_test.go
+++ b/core/scheduler/laterlease_test.go
@@ -166,3 +166,48 @@
 		assert.Assert(t, len(h.workersRunning(firstTaskID)) <= 1)
 	}
 }
+
+// The bound of the worker is stored before the heartbeat to its former incarnation, which
+// may wait, takes effect. Guards against a next owner that relies on that bound.
+func TestStoredBoundCoversAHeartbeatInProgress(t *testing.T) {
+	for _, c := range ownerChanges {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarnessWith(t, 2, longLimitSettings())
+			start, heartbeat := h.startUnnoticed()
+			f := h.workers[0]
+			failsAt := heartbeat.IssuedAt + heartbeat.Heartbeat.Wait + commandTimeout
+			h.unanswered[heartbeat] = failsAt
+			result, ok := f.execute(start)
+			assert.Assert(t, ok && result.Err == nil)
+			h.scheduler.HandleResult(result, h.now)
+			h.cutOffAndAllowElsewhere(f)
+			h.runFor(failsAt - h.now - 2*harnessStep)
+			f.unresponsive = false
+			_, _ = f.execute(heartbeat)
+			f.unresponsive = true
+			h.runFor(4 * harnessStep)
+			h.changeOwner(c)
+			h.checkRunsOnceAfterLoss(2*testSettings.MaxOffline + 2*longLimitSettings().LeaseLimit)
+		})
+	}
+}
+
+// A worker with a start in progress misses a heartbeat while a hand-over is prepared, so
+// its bound is stored at once. Its next incarnation carries the start out within the time
+// of a call. Guards against a stored bound that the start outlasts.
+func TestStoredBoundCoversAStartInProgress(t *testing.T) {
+	h := newHarnessWith(t, 2, longLimitSettings())
+	start, heartbeat := h.startUnnoticed()
+	f := h.workers[0]
+	f.slow = true
+	h.unanswered[start] = start.IssuedAt + commandTimeout
+	h.unanswered[heartbeat] = h.now + harnessStep
+	h.cutOffAndAllowElsewhere(f)
+	h.scheduler.PrepareHandOver(h.now)
+	h.runFor(start.IssuedAt + commandTimeout - harnessStep - h.now)
+	f.unresponsive = false
+	_, _ = f.execute(start)
+	f.unresponsive = true
+	h.replaceOwner(6)
+	h.checkRunsOnceAfterLoss(2*testSettings.MaxOffline + 2*longLimitSettings().LeaseLimit)
+}
