scheduler: an order may reach a later incarnation seconds late

Callers can see a task run twice, or start after its end was noted (rule TWICE). Cause: an order without an answer may be carried out seconds later. If the worker has restarted, is registered again and does not respond, its next incarnation starts the task then, under the longest lease that it grants. The owner counted that lease from the notice of the restart. Change: it counts from the longest delay of an order. Only attempts whose outcome is not known wait for that, and only until the worker answers.

--- a/core/scheduler/bounds.go
+++ b/core/scheduler/bounds.go
@@ -279,7 +279,7 @@
 	if err := cbor.Unmarshal(record, &stored); err != nil {
 		return storedLeaseBounds{}, fmt.Errorf("decode lease bounds: %w", err)
 	}
-	longest := remainingMS(max(s.settings.MaxOffline, maxCallTime) + max(s.maxLeaseDuration(), s.maxLaterLease()))
+	longest := remainingMS(max(s.settings.MaxOffline, maxOrderDelay) + max(s.maxLeaseDuration(), s.maxLaterLease()))
 	check := func(id domain.WorkerID, remainingMS int64) error {
 		if remainingMS < 0 || remainingMS > longest {
 			return fmt.Errorf("decode lease bounds: a lease of worker %s lasts %d ms", id, remainingMS)
--- a/core/scheduler/incarnation.go
+++ b/core/scheduler/incarnation.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/basilferry/basilferry/core/fleet"
 	"github.com/basilferry/basilferry/core/job"
@@ -137,10 +138,14 @@
 		}
 	}
 	if len(w.Attempts) > 0 {
-		w.Lease.ExtendLatestEnd(now+fleet.LongestLease(s.settings.LeaseLimit), fleet.LeaseOfAnyCommand)
+		w.Lease.ExtendLatestEnd(now+maxOrderDelay+fleet.LongestLease(s.settings.LeaseLimit), fleet.LeaseOfAnyCommand)
 	}
 }
 
+// maxOrderDelay is the longest time from the issue of a command until a worker carries it
+// out, if its call got no answer.
+const maxOrderDelay = 12 * time.Second
+
 // forgetStatus discards what an ended incarnation has reported about an attempt that
 // a later one may be running.
 func (s *Scheduler) forgetStatus(w *fleet.Worker, r *fleet.Attempt, now fleet.Instant) {
--- a/core/scheduler/laterlease_test.go
+++ b/core/scheduler/laterlease_test.go
@@ -211,3 +211,27 @@
 	h.replaceOwner(6)
 	h.checkRunsOnceAfterLoss(2*testSettings.MaxOffline + 2*longLimitSettings().LeaseLimit)
 }
+
+// A start is carried out seconds after its call was given up, by an incarnation of its
+// worker that is registered and does not respond. Guards against counting the longest lease
+// from the notice of the restart.
+func TestLateStartOnARegisteredIncarnation(t *testing.T) {
+	for _, c := range ownerChanges {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarnessWith(t, 2, longLimitSettings())
+			start, _ := h.startUnnoticed()
+			f := h.workers[0]
+			h.unanswered[start] = start.IssuedAt + commandTimeout
+			h.cutOffAndAllowElsewhere(f)
+			h.runFor(commandTimeout)
+			h.register(f)
+			h.runFor(start.IssuedAt + maxOrderDelay - h.now)
+			f.unresponsive = false
+			_, _ = f.execute(start)
+			f.unresponsive = true
+			assert.Equal(t, h.startCount(firstTaskID), 1)
+			h.changeOwner(c)
+			h.checkRunsOnceAfterLoss(3*longLimitSettings().LeaseLimit + maxOrderDelay)
+		})
+	}
+}
