--- a/core/scheduler/laterlease_test.go
+++ b/core/scheduler/laterlease_test.go
@@ -235,3 +235,24 @@
 		})
 	}
 }
+
+// A start is carried out seconds after its call was given up, by the next incarnation of
+// its worker that is not registered. Guards against counting the longest lease from the end
+// of the call.
+func TestLateStartOnTheNextIncarnation(t *testing.T) {
+	for _, late := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second} {
+		t.Run(late.String(), func(t *testing.T) {
+			h := newHarnessWith(t, 2, longLimitSettings())
+			start, _ := h.startUnnoticed()
+			f := h.workers[0]
+			h.unanswered[start] = start.IssuedAt + commandTimeout
+			h.cutOffAndAllowElsewhere(f)
+			h.runFor(commandTimeout + late)
+			f.unresponsive = false
+			_, _ = f.execute(start)
+			f.unresponsive = true
+			assert.Equal(t, h.startCount(firstTaskID), 1)
+			h.checkRunsOnceAfterLoss(3 * longLimitSettings().LeaseLimit)
+		})
+	}
+}
