--- a/core/scheduler/incarnation.go
+++ b/core/scheduler/incarnation.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/basilferry/basilferry/core/fleet"
 	"github.com/basilferry/basilferry/core/job"
@@ -112,7 +113,7 @@
 
 // observeRegisteredIncarnation applies the incarnation that a registry entry names.
 func (s *Scheduler) observeRegisteredIncarnation(w *fleet.Worker, now fleet.Instant) {
-	if w.IncarnationID != 0 && w.StartedUnixMS > w.IncarnationID {
+	if w.IncarnationID != 0 && w.StartedUnixMS > w.IncarnationID && w.StartedUnixMS != w.FormerIncarnationID {
 		s.endIncarnation(w, fmt.Sprintf("incarnation %d is registered", w.StartedUnixMS), now)
 	}
 }
@@ -137,10 +138,14 @@
 		}
 	}
 	if len(w.Attempts) > 0 {
-		w.Lease.ExtendLatestEnd(now+fleet.LongestLease(s.settings.LeaseLimit), fleet.LeaseOfAnyCommand)
+		w.Lease.ExtendLatestEnd(now+maxOrderDelay+fleet.LongestLease(s.settings.LeaseLimit), fleet.LeaseOfAnyCommand)
 	}
 }
 
+// maxOrderDelay is the longest time from the issue of a command until a worker carries it
+// out, if its call got no answer.
+const maxOrderDelay = 12 * time.Second
+
 // forgetStatus discards what an ended incarnation has reported about an attempt that
 // a later one may be running.
 func (s *Scheduler) forgetStatus(w *fleet.Worker, r *fleet.Attempt, now fleet.Instant) {
@@ -181,6 +186,9 @@
 // long as it grants one; observeLaterLease then returns true. A connection leads to one
 // process: one that was opened while the current incarnation ran does not lead to a later
 // one.
+//
+// Between a raise of the token and the first answer, that incarnation may already run
+// attempts whose starts were confirmed.
 func (s *Scheduler) observeLaterLease(w *fleet.Worker, err error, now fleet.Instant) bool {
 	var failure *platform.CallError
 	if errors.As(err, &failure) {
@@ -188,7 +196,11 @@
 			return false
 		}
 	}
-	w.Lease.ExtendLaterEnd(now + fleet.LongestLease(s.settings.LeaseLimit))
+	longest := now + fleet.LongestLease(s.settings.LeaseLimit)
+	w.Lease.ExtendLaterEnd(longest)
+	if !w.HeartbeatAnswered {
+		w.Lease.ExtendLatestEnd(longest, fleet.LeaseOfAnyCommand)
+	}
 	return true
 }
 
