scheduler: an answer ends the wait for orders to a former incarnation

After the notice of a restart, attempts of unknown outcome wait for orders that are carried out late. The first answer under the raised token ends their effect, but only at the first contact with an owner did it shorten the bound of the lease. It now does at each restart. TestAnswerOfARegisteredIncarnationEndsTheWaitForLateOrders failed before.

TestJobPlacedDuringAClaimIsNotPlacedAgain had scheduler settings of zero, so that a pause of 0.5 s of the test process let the lease of the placed attempt expire. It has a lease of 5 s now; what it checks is unchanged.

--- a/core/scheduler/incarnation.go
+++ b/core/scheduler/incarnation.go
@@ -72,13 +72,12 @@
 // and last as long as the worker grants.
 func (s *Scheduler) boundFirstLease(w *fleet.Worker, result Result, now fleet.Instant) {
 	longest := now + fleet.LongestLease(s.settings.LeaseLimit)
-	if w.LastContact == 0 {
+	if w.LastContact == 0 && runsInherited(w, result) {
+		// The previous owner knew the incarnation, and its lease.
 		w.Lease.LimitLatestEnd(longest, fleet.LeaseOfAnyCommand)
-		if runsInherited(w, result) {
-			return // The previous owner knew the incarnation, and its lease.
-		}
+		return
 	}
-	w.Lease.ExtendLatestEnd(longest, fleet.LeaseOfAnyCommand)
+	w.Lease.SetLatestEnd(longest, fleet.LeaseOfAnyCommand)
 }
 
 // runsInherited reports whether a report lists an inherited attempt whose start the
--- a/core/scheduler/laterlease_test.go
+++ b/core/scheduler/laterlease_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/basilferry/basilferry/core/fleet"
 )
 
 // startUnnoticed places the first task on the first worker, which restarts before the start
@@ -256,3 +258,21 @@
 		})
 	}
 }
+
+// Guards against a wait for late orders that goes on after the worker has answered, which
+// ends their effect.
+func TestAnswerOfARegisteredIncarnationEndsTheWaitForLateOrders(t *testing.T) {
+	h := newHarnessWith(t, 2, longLimitSettings())
+	start, _ := h.startUnnoticed()
+	f := h.workers[0]
+	h.unanswered[start] = start.IssuedAt + commandTimeout
+	f.unresponsive = true
+	h.runFor(commandTimeout)
+	h.register(f)
+	w := h.scheduler.Fleet().Worker(f.id)
+	longest := fleet.LongestLease(longLimitSettings().LeaseLimit)
+	assert.Assert(t, w.Lease.Remaining(h.now) > longest)
+	f.unresponsive = false
+	h.runUntil(func() bool { return w.HeartbeatAnswered })
+	assert.Assert(t, w.Lease.Remaining(h.now) <= longest)
+}
--- a/node/dispatcher/takeover_test.go
+++ b/node/dispatcher/takeover_test.go
@@ -17,6 +17,7 @@
 	"github.com/basilferry/basilferry/core/ledger"
 	"github.com/basilferry/basilferry/core/ownership"
 	"github.com/basilferry/basilferry/core/platform"
+	"github.com/basilferry/basilferry/core/scheduler"
 	"github.com/basilferry/basilferry/node/steady"
 	"github.com/basilferry/basilferry/node/storelog"
 	"github.com/basilferry/basilferry/standin/fleet"
@@ -128,6 +129,7 @@
 // read the previous owner's states, and places its tasks again while they run.
 func TestJobPlacedDuringAClaimIsNotPlacedAgain(t *testing.T) {
 	to := newTakeover(t)
+	to.cfg.Scheduler = scheduler.Settings{Lease: 5 * time.Second, LeaseLimit: 6 * time.Second, MaxOffline: 5 * time.Second}
 	record, offset := to.claim()
 	to.placeByPreviousOwner()
 	to.observeOwner(record, offset)
