scheduler: only the start in progress waits for a later incarnation

Cause: the stored bound of a worker covered the start in progress there, and held for all its tasks. Change: the record has the bound of the lease, and by itself that of a later incarnation with the tasks that it may run. TestStartInProgressDelaysNoOtherTaskOfALostWorker failed before and passes.

--- a/core/fleet/incarnation.go
+++ b/core/fleet/incarnation.go
@@ -78,16 +78,13 @@
 // mayRunLater reports whether a later incarnation than the current one may run the attempt.
 func (w *Worker) mayRunLater(r *Attempt) bool { return r.MayRunLater && !r.Listed }
 
-// LeaseRemaining returns how long attempts on the worker can still be running under its
-// lease; negative if none can.
-func (w *Worker) LeaseRemaining(now Instant) time.Duration {
-	remaining := w.Lease.Remaining(now)
-	for _, r := range w.Attempts {
-		if w.mayRunLater(r) {
-			remaining = max(remaining, w.Lease.laterEnd-now)
-		}
+// LaterLeaseRemaining returns how long the attempt can still be running under the lease of
+// a later incarnation; negative or 0 if it cannot.
+func (w *Worker) LaterLeaseRemaining(r *Attempt, now Instant) time.Duration {
+	if !w.mayRunLater(r) {
+		return 0
 	}
-	return remaining
+	return w.Lease.laterEnd - now
 }
 
 // MaxAnswerTime is the longest time in which a worker answers a start request, unless the
--- a/core/scheduler/bounds.go
+++ b/core/scheduler/bounds.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -70,8 +71,11 @@
 		ID      domain.WorkerID
 		Address string
 		// RemainingMS is how long the lease can still be valid after the record was
-		// written, in milliseconds.
-		RemainingMS int64
+		// written, in milliseconds. LaterMS is the same for a lease of a later incarnation
+		// that may run some of the attempts; 0 for none. Later are the tasks of these
+		// attempts; empty for all.
+		RemainingMS, LaterMS int64
+		Later                []string
 	}
 )
 
@@ -151,7 +155,7 @@
 	out := storedLeaseBounds{Token: int64(s.token), LongLeaseMS: remainingMS(bounds.longLease - now)}
 	for _, w := range s.fleet.All() {
 		if bounds.suspended[w.ID] {
-			out.Workers = append(out.Workers, storedLeaseBound{ID: w.ID, Address: w.Address, RemainingMS: remainingMS(s.leaseRemaining(w, now))})
+			out.Workers = append(out.Workers, s.storedBoundOf(w, now))
 		}
 		if end, ok := bounds.longLeases[w.ID]; ok {
 			out.LongLeases = append(out.LongLeases, storedLongLease{ID: w.ID, RemainingMS: remainingMS(end - now)})
@@ -172,18 +176,43 @@
 	return remaining.Milliseconds() + 1
 }
 
+// maxLaterTasks is how many tasks of a worker the lease bounds record names.
+const maxLaterTasks = 4
+
+// storedBoundOf returns the entry of an unresponsive worker.
+func (s *Scheduler) storedBoundOf(w *fleet.Worker, now fleet.Instant) storedLeaseBound {
+	out := storedLeaseBound{ID: w.ID, Address: w.Address, RemainingMS: remainingMS(w.Lease.Remaining(now))}
+	for _, r := range w.Attempts {
+		if later := remainingMS(s.laterLeaseRemaining(w, r, now)); later > out.RemainingMS {
+			out.LaterMS = max(out.LaterMS, later)
+			out.Later = append(out.Later, r.ID.String())
+		}
+	}
+	if len(out.Later) > maxLaterTasks {
+		out.Later = nil
+	}
+	return out
+}
+
 // leaseRemaining returns how long attempts on the worker can still be running under its
-// lease. A command in progress may reach a later incarnation.
+// lease, or under that of a later incarnation.
 func (s *Scheduler) leaseRemaining(w *fleet.Worker, now fleet.Instant) time.Duration {
-	remaining := max(0, w.LeaseRemaining(now))
+	remaining := max(0, w.Lease.Remaining(now))
 	for _, r := range w.Attempts {
-		if r.Phase == fleet.AttemptSent || mayRunUnderNewLease(w, r) {
-			remaining = max(remaining, maxCallTime+s.maxLaterLease())
-		}
+		remaining = max(remaining, s.laterLeaseRemaining(w, r, now))
 	}
 	return remaining
 }
 
+// laterLeaseRemaining returns how long an attempt can still be running under the lease of a
+// later incarnation, which a command in progress may reach; negative or 0 if it cannot.
+func (s *Scheduler) laterLeaseRemaining(w *fleet.Worker, r *fleet.Attempt, now fleet.Instant) time.Duration {
+	if r.Phase == fleet.AttemptSent || mayRunUnderNewLease(w, r) {
+		return maxCallTime + s.maxLaterLease()
+	}
+	return w.LaterLeaseRemaining(r, now)
+}
+
 // maxCallTime is the longest time from the issue of a command that grants a lease until
 // its call has ended.
 const maxCallTime = 3 * time.Second
@@ -248,7 +277,6 @@
 	for _, w := range s.fleet.All() {
 		w.Lease.ExtendLatestEnd(last+lease, fleet.LeaseOfPreviousOwner)
 		w.Lease.ExtendLatestEnd(readAt+milliseconds(stored.LongLeaseMS), fleet.LeaseOfBoundsRecord)
-		s.restoreUnsettledStarts(&previous, w, last)
 	}
 	for _, b := range stored.LongLeases {
 		if w := s.fleet.Worker(b.ID); w != nil {
@@ -260,12 +288,18 @@
 		w.Address = b.Address
 		w.LeaseSuspended = true
 		w.Lease.SetLatestEnd(readAt+milliseconds(b.RemainingMS), fleet.LeaseOfBoundsRecord)
+		w.Lease.ExtendLaterEnd(readAt + milliseconds(b.LaterMS))
 		for _, r := range w.Attempts {
-			r.MayRunLater = false // The record covers it.
+			r.MayRunLater = b.LaterMS > 0 && (len(b.Later) == 0 || slices.Contains(b.Later, r.ID.String()))
 		}
 		s.storedBounds.suspended[b.ID] = true
 		s.heartbeat(w, now)
 	}
+	for _, w := range s.fleet.All() {
+		if !s.storedBounds.suspended[w.ID] { // The record covers the others.
+			s.restoreUnsettledStarts(&previous, w, last)
+		}
+	}
 	return err
 }
 
@@ -288,7 +322,7 @@
 	}
 	err := check("(all)", stored.LongLeaseMS)
 	for _, b := range stored.Workers {
-		err = errors.Join(err, check(b.ID, b.RemainingMS))
+		err = errors.Join(err, check(b.ID, b.RemainingMS), check(b.ID, b.LaterMS))
 	}
 	for _, b := range stored.LongLeases {
 		err = errors.Join(err, check(b.ID, b.RemainingMS))
--- a/core/scheduler/handover_test.go
+++ b/core/scheduler/handover_test.go
@@ -206,3 +206,28 @@
 		}
 	}
 }
+
+// Guards against the tasks of a lost worker that wait for a later incarnation which only
+// another start, in progress at the change of owner, may have reached.
+func TestStartInProgressDelaysNoOtherTaskOfALostWorker(t *testing.T) {
+	h := newHarnessWith(t, 2, longLimitSettings())
+	h.heartbeatsWait = true
+	f := h.startOnUnresponsiveWorker()
+	f.unresponsive = false
+	h.runFor(settleTime + settledOffsetInterval)
+	other := singleStepJob(1, 1000)
+	other.ID = "00000000000000bb"
+	other.Steps[0].RequiredLabel = h.onlyKind(f)
+	h.delays = func(c *Command) bool { return c.Kind == CommandStart && c.Task.Job == other.ID }
+	h.scheduler.Accept(other, h.now)
+	h.runUntil(func() bool { return len(h.delayed) > 0 })
+	f.unresponsive = true
+	lostAt := h.now
+	h.runFor(500 * time.Millisecond)
+	h.prepareHandOver()
+	h.runSilently(takeoverTime)
+	h.replaceOwner(6)
+	h.runUntilStartedElsewhere(20 * time.Second)
+	limit := fleet.LongestLease(testSettings.Lease) + handOverLimit + takeoverTime + time.Second
+	assert.Assert(t, h.now-lostAt <= limit, "%v", h.now-lostAt)
+}
