scheduler: name all starts in progress in the lease bounds record

With more than four starts in progress on a lost worker, the bound of a later incarnation still held for all its tasks. The number of names is now limited for the record, not for a worker. TestStartInProgressDelaysNoOtherTaskOfALostWorker has eight such starts, failed before and passes.

--- a/core/scheduler/bounds.go
+++ b/core/scheduler/bounds.go
@@ -152,10 +152,15 @@
 	if !changed {
 		return nil, nil, nil
 	}
+	named := 0
 	out := storedLeaseBounds{Token: int64(s.token), LongLeaseMS: remainingMS(bounds.longLease - now)}
 	for _, w := range s.fleet.All() {
 		if bounds.suspended[w.ID] {
-			out.Workers = append(out.Workers, s.storedBoundOf(w, now))
+			bound := s.storedBoundOf(w, now)
+			if named += len(bound.Later); named > maxNamedTasks {
+				bound.Later = nil
+			}
+			out.Workers = append(out.Workers, bound)
 		}
 		if end, ok := bounds.longLeases[w.ID]; ok {
 			out.LongLeases = append(out.LongLeases, storedLongLease{ID: w.ID, RemainingMS: remainingMS(end - now)})
@@ -176,8 +181,9 @@
 	return remaining.Milliseconds() + 1
 }
 
-// maxLaterTasks is how many tasks of a worker the lease bounds record names.
-const maxLaterTasks = 4
+// maxNamedTasks is how many tasks a lease bounds record names at most, which limits its
+// size.
+const maxNamedTasks = 2000
 
 // storedBoundOf returns the entry of an unresponsive worker.
 func (s *Scheduler) storedBoundOf(w *fleet.Worker, now fleet.Instant) storedLeaseBound {
@@ -188,9 +194,6 @@
 			out.Later = append(out.Later, r.ID.String())
 		}
 	}
-	if len(out.Later) > maxLaterTasks {
-		out.Later = nil
-	}
 	return out
 }
 
--- a/core/scheduler/handover_test.go
+++ b/core/scheduler/handover_test.go
@@ -215,7 +215,7 @@
 	f := h.startOnUnresponsiveWorker()
 	f.unresponsive = false
 	h.runFor(settleTime + settledOffsetInterval)
-	other := singleStepJob(1, 1000)
+	other := singleStepJob(8, 100)
 	other.ID = "00000000000000bb"
 	other.Steps[0].RequiredLabel = h.onlyKind(f)
 	h.delays = func(c *Command) bool { return c.Kind == CommandStart && c.Task.Job == other.ID }
