The state of a job with long checkpoints is divided further

Cause: a part of a job's state has 64 tasks, and an undivided state up to 256, whatever the size of their checkpoints, for which the platform names no limit.

Change: a record of over 64 KiB is divided: into parts of 64 tasks, these into parts of 16, 4 and 1. Each division numbers its parts differently, and the main record, stored last, names the one in force, so that an owner that fails in between leaves the former state whole. Stored records keep their form while nothing outgrows it.

Measured: TestStateWithLongCheckpointsIsDividedFurther (record of 121,618 bytes) and TestJobWithLongCheckpointsIsNotHeld (nothing stored in 10 s) failed before.

--- a/core/ledger/entry.go
+++ b/core/ledger/entry.go
@@ -27,7 +27,7 @@
 }
 
 func newEntry(j *job.Job) *Entry {
-	return &Entry{Job: j, Occurrences: make([]*Occurrence, j.Occurrences()), division: newDivision(j)}
+	return &Entry{Job: j, Occurrences: make([]*Occurrence, j.Occurrences()), division: initialDivision(j)}
 }
 
 // State returns the state of the job as clients see it.
--- a/core/ledger/parts_test.go
+++ b/core/ledger/parts_test.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
@@ -14,6 +15,12 @@
 type storedRecords struct {
 	main  []byte
 	parts map[int][]byte
+	// maxRecord is the largest size of a record that is expected.
+	maxRecord int
+}
+
+func newStoredRecords() *storedRecords {
+	return &storedRecords{parts: map[int][]byte{}, maxRecord: 4096}
 }
 
 // take takes the records that are not stored, stores the first limit of them, and returns
@@ -23,7 +30,7 @@
 	records, err := e.TakeStateRecords()
 	assert.NilError(t, err)
 	for i, r := range records {
-		assert.Assert(t, len(r.Value) <= 4096, "record of %d bytes", len(r.Value))
+		assert.Assert(t, len(r.Value) <= s.maxRecord, "record of %d bytes", len(r.Value))
 		bytes += len(r.Value)
 		switch {
 		case i >= limit:
@@ -63,7 +70,7 @@
 		l := New()
 		e := l.Accept(testJob(step(count), step(1, 0)))
 		placeAll(l, e, 0)
-		stored := &storedRecords{parts: map[int][]byte{}}
+		stored := newStoredRecords()
 		stored.take(t, e, allRecords)
 		last := count - 1
 		l.RecordCompletion(task(0, last), 1, platform.CompletionDone, "")
@@ -95,7 +102,7 @@
 	e := l.Accept(j)
 	id := job.TaskID{StepID: job.StepID{Job: testID, Occurrence: 13, Step: 1}, Index: 49}
 	l.Place(id, 1, "w1")
-	stored := &storedRecords{parts: map[int][]byte{}}
+	stored := newStoredRecords()
 	stored.take(t, e, allRecords)
 	assert.Equal(t, len(stored.parts), 1)
 	_, restored := stored.restore(t, j)
@@ -111,7 +118,8 @@
 	placeAll(l, e, 0)
 	record, err := EncodeState(e)
 	assert.NilError(t, err)
-	stored := &storedRecords{main: record, parts: map[int][]byte{}}
+	stored := newStoredRecords()
+	stored.main = record
 	l, e = stored.restore(t, e.Job)
 	assert.Equal(t, e.PlacedCount(), 300)
 	l.RecordCompletion(task(0, 7), 1, platform.CompletionDone, "")
@@ -146,7 +154,7 @@
 			l := New()
 			e := l.Accept(j)
 			placeAll(l, e, 0)
-			stored := &storedRecords{parts: map[int][]byte{}}
+			stored := newStoredRecords()
 			stored.take(t, e, allRecords)
 			l.RecordCompletion(task(0, 0), 1, kind, "")
 			stored.take(t, e, limit)
@@ -169,8 +177,48 @@
 	l := New()
 	e := l.Accept(testJob(step(300)))
 	placeAll(l, e, 0)
-	stored := &storedRecords{parts: map[int][]byte{}}
+	stored := newStoredRecords()
 	stored.take(t, e, allRecords)
 	assert.ErrorContains(t, New().RestoreParts(testJob(step(290)), stored.main, stored.parts), "44 tasks in the record and 34 in the job")
 	assert.ErrorContains(t, New().RestoreParts(testJob(step(257)), stored.main, map[int][]byte{6: stored.parts[5]}), "no part 6")
 }
+
+// Guards against a job that the store refuses for good because its checkpoints are long, and
+// against an owner that fails while the state is divided further: the next one must find the
+// last state that is stored whole.
+func TestStateWithLongCheckpointsIsDividedFurther(t *testing.T) {
+	for _, c := range []struct{ tasks, longBytes, parts int }{
+		{tasks: 200, longBytes: 600, parts: 4},      // was one record
+		{tasks: 200, longBytes: 4000, parts: 13},    // was one record, parts of 16 tasks
+		{tasks: 200, longBytes: 60_000, parts: 200}, // was one record, parts of one task
+		{tasks: 1000, longBytes: 4000, parts: 63},
+		{tasks: 1000, longBytes: 15_000, parts: 250},
+	} {
+		records := c.parts + 1
+		for _, limit := range []int{0, 1, records / 2, records - 1, records} {
+			l := New()
+			e := l.Accept(testJob(step(c.tasks)))
+			stored := newStoredRecords()
+			stored.maxRecord = maxRecordBytes
+			placeAll(l, e, 0)
+			stored.take(t, e, allRecords)
+			partsBefore := len(stored.parts)
+			for i := range c.tasks {
+				l.Checkpoint(task(0, i), 1, strings.Repeat("x", c.longBytes))
+				l.Lost(task(0, i), 1)
+			}
+			stored.take(t, e, limit)
+			_, restored := stored.restore(t, e.Job)
+			placed, checkpointBytes := c.tasks, len(testCheckpoint)
+			if limit == records {
+				placed, checkpointBytes = 0, c.longBytes
+				assert.Equal(t, len(stored.parts)-partsBefore, c.parts)
+			}
+			assert.Equal(t, restored.PlacedCount(), placed)
+			for i := range c.tasks {
+				restoredTask, _ := restored.Task(task(0, i))
+				assert.Equal(t, len(restoredTask.Checkpoint), checkpointBytes, "task %d, %d records stored", i, limit)
+			}
+		}
+	}
+}
--- a/core/ledger/record.go
+++ b/core/ledger/record.go
@@ -149,14 +149,7 @@
 // RestoreParts adds a job like Restore, with the newest records of the parts of its state.
 func (l *Ledger) RestoreParts(j *job.Job, record []byte, parts map[int][]byte) error {
 	e := newEntry(j)
-	var err error
-	switch {
-	case e.division != nil:
-		err = e.restoreDivided(record, parts)
-	case record != nil:
-		err = e.restore(record)
-	}
-	if err != nil {
+	if err := e.restoreRecords(record, parts); err != nil {
 		return fmt.Errorf("restore job %s: %w", j.ID, err)
 	}
 	l.entries[j.ID] = e
@@ -167,6 +160,21 @@
 	return nil
 }
 
+func (e *Entry) restoreRecords(record []byte, parts map[int][]byte) error {
+	var divided storedDivision
+	switch {
+	case record == nil && e.division == nil:
+		return nil // Parts are valid once their main record is stored.
+	case record == nil:
+		return e.restoreAllParts(parts)
+	case len(record) > headerBytes && cbor.Unmarshal(record[headerBytes:], &divided) == nil:
+		return e.restoreDivided(divided, record, parts)
+	case e.division != nil:
+		return e.restoreUndividedLargeJob(record)
+	}
+	return e.restore(record)
+}
+
 func (e *Entry) restore(record []byte) error {
 	summary, err := DecodeSummary(record)
 	if err != nil {
--- a/node/dispatcher/append_test.go
+++ b/node/dispatcher/append_test.go
@@ -140,3 +140,29 @@
 	to.append(to.cfg.Platform.Requests, platform.KeyedRecord{Key: jobview.Key(jobview.KindCancel, small), Value: []byte{1}})
 	assert.Assert(t, to.advanceUntil(5*time.Second, func() bool { return len(to.stateRecords(large)) == 0 }), "%d records", len(to.stateRecords(large)))
 }
+
+// A worker reports long checkpoints for the tasks of a job of a few hundred. Guards against a
+// job of which nothing is stored or started any more because its state outgrows a record.
+func TestJobWithLongCheckpointsIsNotHeld(t *testing.T) {
+	const id job.ID = "00000000000000a1"
+	const tasks, maxRecord = 256, 256 << 10
+	to := newTakeover(t)
+	to.storeJob(id, tasks, strings.Repeat("x", 2000))
+	to.cfg.Platform.Limits = platform.StoreLimits{Record: maxRecord, Call: 2 << 20}
+	to.takeOver()
+	to.store.SetLimits(maxRecord, 2<<20)
+	released := func() bool {
+		view := jobview.New()
+		for _, r := range to.stateRecords(id) {
+			assert.NilError(t, view.Apply(r))
+		}
+		page, err := to.store.ReadNewest(to.ctx, to.cfg.Platform.Requests, "")
+		assert.NilError(t, err)
+		for _, r := range page.Records {
+			assert.NilError(t, view.Apply(r))
+		}
+		return view.Restore().Jobs.Entry(id).PlacedCount() == 0
+	}
+	assert.Assert(t, to.advanceUntil(10*time.Second, released))
+	assert.Equal(t, to.term.jobScheduler.HeldCount(), 0)
+}
