scheduler: compress the lease bounds record of a large fleet

Seen: the first record of an owner lists all workers that have not answered it yet. With 15,000 workers it has 518,948 bytes, the store refuses it for good, and the owner grants no lease and starts nothing until enough workers have answered.

Change: from 64 KiB on the record is compressed.

--- a/core/scheduler/bounds.go
+++ b/core/scheduler/bounds.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/basilferry/basilferry/core/domain"
 	"github.com/basilferry/basilferry/core/fleet"
 	"github.com/basilferry/basilferry/core/job"
@@ -166,7 +164,7 @@
 			out.LongLeases = append(out.LongLeases, storedLongLease{ID: w.ID, RemainingMS: remainingMS(end - now)})
 		}
 	}
-	record, err := cbor.Marshal(out)
+	record, err := out.encode()
 	if err != nil {
 		return nil, nil, fmt.Errorf("encode lease bounds: %w", err)
 	}
@@ -313,7 +311,7 @@
 	if record == nil {
 		return stored, nil
 	}
-	if err := cbor.Unmarshal(record, &stored); err != nil {
+	if err := stored.decode(record); err != nil {
 		return storedLeaseBounds{}, fmt.Errorf("decode lease bounds: %w", err)
 	}
 	longest := remainingMS(max(s.settings.MaxOffline, maxOrderDelay) + max(s.maxLeaseDuration(), s.maxLaterLease()))
--- a/core/scheduler/fuzz_test.go
+++ b/core/scheduler/fuzz_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -16,6 +17,9 @@
 	record, _, err := s.encodeLeaseBounds(0)
 	assert.NilError(f, err)
 	f.Add(record)
+	record, _, err = unresponsiveFleet(4000).encodeLeaseBounds(time.Minute)
+	assert.NilError(f, err)
+	f.Add(record)
 	f.Add([]byte{0x82, 0x05, 0x81, 0x83, 0x61, 'w', 0x61, 'a', 0x1b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
 	f.Fuzz(func(t *testing.T, record []byte) {
 		next := New(testSettings, 6, 0, 0)
