A worker keeps the ends of a job that its owner cannot decode

Cause: the scheduler does not learn of such a job, and takes its ends for those of a job that is over.

Change: the read model names the jobs that cannot be decoded, and the scheduler holds them like those whose state the store refuses: their ends stay on the workers, and a late copy of the acceptance does not start them. Nothing of them is started, as before.

--- a/core/jobview/view.go
+++ b/core/jobview/view.go
@@ -355,7 +355,7 @@
 	Unshown []platform.KeyedRecord
 	// Unreadable has an error for each job whose records cannot be decoded. Such
 	// a job is in no other field.
-	Unreadable []error
+	Unreadable map[job.ID]error
 }
 
 // Restore returns the jobs that the records describe. It does not decode
@@ -364,7 +364,7 @@
 func (v *View) Restore() Restored {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	out := Restored{Jobs: ledger.New(), StateOffsets: map[job.ID]int64{}, Finished: map[job.ID]job.State{}}
+	out := Restored{Jobs: ledger.New(), StateOffsets: map[job.ID]int64{}, Finished: map[job.ID]job.State{}, Unreadable: map[job.ID]error{}}
 	for id, e := range v.jobs {
 		if !e.known {
 			if e.cancelled {
@@ -384,7 +384,7 @@
 			err = out.Jobs.RestoreParts(j, e.stateRecord, e.partValues())
 		}
 		if err != nil {
-			out.Unreadable = append(out.Unreadable, fmt.Errorf("job %s: %w", id, err))
+			out.Unreadable[id] = err
 			continue
 		}
 		if e.stateOffset >= 0 {
--- a/core/scheduler/bounds.go
+++ b/core/scheduler/bounds.go
@@ -37,6 +37,8 @@
 	// StateOffsets holds the offset of the newest state of each job.
 	SettledOffset int64
 	StateOffsets  map[job.ID]int64
+	// Unreadable are the jobs whose records cannot be decoded.
+	Unreadable []job.ID
 }
 
 // unresponsiveDelay is how long a worker must have been unresponsive before it is
--- a/core/scheduler/harness_test.go
+++ b/core/scheduler/harness_test.go
@@ -158,6 +158,8 @@
 	// was stored. lastSeenAt is when the owner last wrote to the store.
 	leaseBounds               []byte
 	leaseBoundsAt, lastSeenAt fleet.Instant
+	// unreadable are the jobs whose records the next owner cannot decode.
+	unreadable []job.ID
 	// refused is the job whose state the store refuses for good; empty for none.
 	refused job.ID
 	// storedStates are the stored state records of the jobs, and stateOffsets their
--- a/core/scheduler/heartbeat.go
+++ b/core/scheduler/heartbeat.go
@@ -299,12 +299,17 @@
 		}
 		s.removeAttempt(w, r)
 	}
+	end := unstoredEnd{job: id.Job, worker: w.ID, incarnation: w.IncarnationID, number: completion.Number}
+	if s.isUnreadable(id.Job) {
+		s.held[id.Job].keep(end)
+		return
+	}
 	e := s.ledger.Entry(id.Job)
 	if e == nil {
 		return
 	}
 	closed := e.IsClosed()
-	s.unstoredEnds = append(s.unstoredEnds, unstoredEnd{job: id.Job, worker: w.ID, incarnation: w.IncarnationID, number: completion.Number})
+	s.unstoredEnds = append(s.unstoredEnds, end)
 	s.ledger.RecordCompletion(id, completion.Attempt, completion.Kind, completion.Checkpoint)
 	s.recordStepEnd(e, id, now)
 	s.countCompletion(completion.Kind)
--- a/core/scheduler/held.go
+++ b/core/scheduler/held.go
@@ -14,10 +14,13 @@
 // may have become small enough since.
 const holdRetryInterval = 5 * time.Second
 
-// heldJob is a job whose state the store refuses for good. Nothing of it is started, and
-// the workers keep its completions, until its state has been stored.
+// heldJob is a job whose state the store refuses for good, or whose records this owner
+// cannot decode. Nothing of it is started, and the workers keep its completions, until its
+// state has been stored, or for a later owner that can decode it.
 type heldJob struct {
-	retryAt fleet.Instant
+	// unreadable is true if the records cannot be decoded.
+	unreadable bool
+	retryAt    fleet.Instant
 	// retrying is true while the state is part of the batch that is taken.
 	retrying bool
 	// ends are the first completions that the workers must keep, by worker.
@@ -31,6 +34,21 @@
 	}
 }
 
+// holdUnreadable holds the jobs whose records this owner cannot decode.
+func (s *Scheduler) holdUnreadable(ids []job.ID) {
+	for _, id := range ids {
+		s.held[id] = &heldJob{unreadable: true, ends: map[domain.WorkerID]unstoredEnd{}}
+		s.Counters.Held++
+		s.recordDecision(Decision{Action: "hold job", Job: id, Reason: "its records cannot be decoded"})
+	}
+}
+
+// isUnreadable reports whether this owner cannot decode the records of a job.
+func (s *Scheduler) isUnreadable(id job.ID) bool {
+	h := s.held[id]
+	return h != nil && h.unreadable
+}
+
 // unstoredEnd identifies a completion that a worker must not forget yet.
 type unstoredEnd struct {
 	job         job.ID
@@ -87,7 +105,8 @@
 // IsHeld reports whether the store refuses the state of a job.
 func (s *Scheduler) IsHeld(id job.ID) bool { return s.held[id] != nil }
 
-// HeldCount returns the number of jobs whose state the store refuses.
+// HeldCount returns the number of jobs whose state the store refuses, or which this owner
+// cannot decode.
 func (s *Scheduler) HeldCount() int { return len(s.held) }
 
 // retryHeldJobs schedules the states of held jobs to be stored again when that is due.
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -303,6 +303,7 @@
 		}
 	})
 	s.needsPlan = true
+	s.holdUnreadable(previous.Unreadable)
 	return s.restoreLeaseBounds(previous, now)
 }
 
@@ -331,6 +332,10 @@
 		s.recordDecision(Decision{Action: "ignore job", Job: j.ID, Reason: "the job is already " + string(state)})
 		return
 	}
+	if s.isUnreadable(j.ID) {
+		s.recordDecision(Decision{Action: "ignore job", Job: j.ID, Reason: "its stored records cannot be decoded"})
+		return
+	}
 	if s.ledger.Entry(j.ID) != nil {
 		return
 	}
--- a/core/scheduler/scheduler_test.go
+++ b/core/scheduler/scheduler_test.go
@@ -127,7 +127,7 @@
 	h.t.Helper()
 	scheduler := New(h.settings, token, h.now, h.now)
 	previous := PreviousOwner{LastSeenAt: h.lastSeenAt, Token: h.scheduler.Token(), ProcessEnded: h.previousOwnerEnded, LeaseBounds: h.leaseBounds, LeaseBoundsReadAt: h.leaseBoundsAt,
-		SettledOffset: h.settledOffset, StateOffsets: h.stateOffsets}
+		SettledOffset: h.settledOffset, StateOffsets: h.stateOffsets, Unreadable: h.unreadable}
 	assert.NilError(h.t, scheduler.Restore(jobs, previous, h.now, h.now.Milliseconds()))
 	h.setScheduler(scheduler)
 	return scheduler
--- a/node/dispatcher/append_test.go
+++ b/node/dispatcher/append_test.go
@@ -166,3 +166,17 @@
 	assert.Assert(t, to.advanceUntil(10*time.Second, released))
 	assert.Equal(t, to.term.jobScheduler.HeldCount(), 0)
 }
+
+// Guards against an owner that lets workers forget the ends of a job whose stored state it
+// cannot decode, so that the next owner runs its tasks again.
+func TestJobThatCannotBeDecodedIsHeld(t *testing.T) {
+	const id job.ID = "00000000000000a1"
+	to := newTakeover(t)
+	to.storeJob(id, 1, "x")
+	undecodable := append(ledger.Summary{State: job.StateActive, Started: true, Placed: true}.Record(), 0xff)
+	_, err := to.previousStates.Append(to.ctx, []platform.KeyedRecord{{Key: jobview.Key(jobview.KindState, id), Value: undecodable}})
+	assert.NilError(t, err)
+	to.takeOver()
+	assert.Equal(t, to.term.jobScheduler.HeldCount(), 1)
+	assert.Equal(t, to.term.jobScheduler.State(id), job.State(""))
+}
--- a/node/dispatcher/term.go
+++ b/node/dispatcher/term.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/basilferry/basilferry/core/job"
@@ -168,13 +170,14 @@
 func (t *term) startScheduler(now time.Duration) {
 	d := t.d
 	restored := d.cfg.View.Restore()
-	for _, err := range restored.Unreadable {
-		d.cfg.Logger.Error("job record cannot be decoded", "err", err)
+	for id, err := range restored.Unreadable {
+		d.cfg.Logger.Error("job record cannot be decoded", "job", id, "err", err)
 	}
 	s := scheduler.New(d.cfg.Scheduler, t.token, d.claimedAfter, now)
 	t.jobScheduler = s
 	previous := d.previousOwner
 	previous.StateOffsets = restored.StateOffsets
+	previous.Unreadable = slices.Collect(maps.Keys(restored.Unreadable))
 	if err := s.Restore(restored.Jobs, previous, now, time.Now().UnixMilli()); err != nil {
 		d.cfg.Logger.Error("lease bounds of the previous owner cannot be decoded; assuming its longest lease for all workers", "err", err)
 	}
