dispatch: spread a gang that prefers one rack if it must

Cause: a gang that prefers one rack was only placed on a rack with enough free capacity, whether or not any rack could ever have it. The preference is one of speed: on more than one rack the tasks take longer.

Change: the gang is spread at once if the registered workers of no rack could hold it, and after 1.2 s without anything of its job running, with 0.4 of the service's capacity free, if some rack could but is not free: the rule for best-effort work that would be slow. A step that is no gang was spread before.

Measured: TestSameRackGangIsSpreadOnlyIfItMust (three of six cases) and TestSameRackGangRunsAgainAfterItsRackHasShrunk failed before.

--- a/core/dispatch/order.go
+++ b/core/dispatch/order.go
@@ -33,7 +33,7 @@
 	TotalWork, MeanWork float64
 	// Starving is true if no task of the job has run for a while although much
 	// capacity is free. One task is then placed on any worker on which it fits,
-	// however slow it would be there.
+	// however slow it would be there. A gang is placed on several racks.
 	Starving bool
 	// Overdue is true if a long-running task has waited so long that it comes before
 	// short work. Otherwise steady short work near full load would keep it waiting for ever.
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -45,6 +45,8 @@
 
 // Planner plans placements and reuses its buffers between rounds.
 type Planner struct {
+	// workers are all workers of the round, and candidates the usable ones.
+	workers      []*fleet.Worker
 	candidates   []candidate
 	failed       []failure
 	chosen       []Placement
@@ -103,7 +105,7 @@
 // Plan assigns waiting tasks to workers, in the order of the demands. The
 // result is valid until the next call.
 func (p *Planner) Plan(demands []Demand, workers []*fleet.Worker, rules Rules) []Placement {
-	p.rules = rules
+	p.rules, p.workers = rules, workers
 	p.resetCandidates(workers)
 	p.failed = p.failed[:0]
 	p.chosen = p.chosen[:0]
@@ -172,7 +174,8 @@
 func (p *Planner) placeGang(d *Demand) {
 	rack := ""
 	if d.Step.SameRack {
-		if rack = p.rackFor(d); rack == "" {
+		rack = p.rackFor(d)
+		if rack == "" && !d.Starving && p.someRackCanHold(d) {
 			// Spread over several racks, each task would take several times as long.
 			// Waiting until one rack has enough free capacity is faster.
 			return
@@ -234,6 +237,26 @@
 	return best
 }
 
+// someRackCanHold reports whether the registered workers of a rack could run all tasks of
+// the demand if nothing else ran there.
+func (p *Planner) someRackCanHold(d *Demand) bool {
+	need, tasksPerRack := d.Step.ReservedCapacity(), map[string]int{}
+	for _, w := range p.workers {
+		if !w.Registered || w.Service != d.Service || !w.HasLabel(d.Step.RequiredLabel) {
+			continue
+		}
+		fits := timesFits(need, w.Capacity)
+		if d.Step.MaxPerWorker > 0 {
+			fits = min(fits, d.Step.MaxPerWorker)
+		}
+		tasksPerRack[w.Rack()] += fits
+		if tasksPerRack[w.Rack()] >= len(d.Waiting) {
+			return true
+		}
+	}
+	return false
+}
+
 // taskCapacity returns how many tasks of the step fit on the worker.
 func (c *candidate) taskCapacity(step *job.Step) int {
 	count := 0
--- a/core/dispatch/plan_test.go
+++ b/core/dispatch/plan_test.go
@@ -100,6 +100,37 @@
 	assert.Equal(t, placed[0].Worker.Rack(), placed[1].Worker.Rack())
 }
 
+// A gang that prefers one rack, on racks of two workers with capacity for one task each.
+// Guards against a gang that never runs because no rack can hold it, or because some rack is
+// never free, and against one that is spread although a rack soon has capacity.
+func TestSameRackGangIsSpreadOnlyIfItMust(t *testing.T) {
+	for name, c := range map[string]struct {
+		tasks, maxPerWorker, cores int
+		busy, starving             bool
+		placed                     int
+	}{
+		"fits into a rack":                        {tasks: 2, cores: 4, placed: 2},
+		"waits for a rack":                        {tasks: 2, cores: 4, busy: true},
+		"has waited for a rack":                   {tasks: 2, cores: 4, busy: true, starving: true, placed: 2},
+		"larger than any rack":                    {tasks: 3, cores: 4, placed: 3},
+		"larger than any rack, and than the rest": {tasks: 4, cores: 4, busy: true},
+		"held apart by the limit per worker":      {tasks: 3, maxPerWorker: 1, cores: 1, placed: 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			all := workers(6, 4)
+			if c.busy {
+				for i := range 3 {
+					all[2*i].Add(&fleet.Attempt{ID: job.TaskID{StepID: job.StepID{Job: "busy"}, Index: i}, Need: cpu(4)})
+				}
+			}
+			d := demand("rack", job.Step{Count: c.tasks, Need: cpu(int64(c.cores)), SameRack: true, Gang: true, MaxPerWorker: c.maxPerWorker}, c.tasks)
+			d.Starving = c.starving
+			var p Planner
+			assert.Equal(t, len(p.Plan([]Demand{d}, all, permissiveRules())), c.placed)
+		})
+	}
+}
+
 // Tasks that must not share a worker. Guards against more tasks per worker
 // than the step allows when several are placed in one plan.
 func TestMaxPerWorkerCountsPlannedTasks(t *testing.T) {
--- a/core/scheduler/plan.go
+++ b/core/scheduler/plan.go
@@ -146,7 +146,7 @@
 			Remaining: remaining, CoreSeconds: work, TotalWork: e.Job.CoreSeconds(), MeanWork: s.throughput.meanWork(e.Job.Queue.Route),
 		}
 		d.Waiting = s.waitingTasks(e, k, i)
-		d.Starving = d.Step.Fills && s.isStarving(e, d.Service, now)
+		d.Starving = mayStarve(step) && s.isStarving(e, d.Service, now)
 		d.Overdue = step.LongRunning && s.isOverdue(d.ID, now)
 		if queue.Advice && !s.setTickets(&d, now) {
 			continue
@@ -192,6 +192,10 @@
 // run while less than half of the capacity is in use.
 const minFreeShare = 0.4
 
+// mayStarve reports whether a step may wait although there is capacity for it, because it
+// would be slow there.
+func mayStarve(step *job.Step) bool { return step.Fills || step.Gang && step.SameRack }
+
 // freeShare returns the share of a service's CPU capacity that was free at the
 // start of the planning round.
 func (s *Scheduler) freeShare(service string) float64 {
--- a/core/scheduler/scheduler_test.go
+++ b/core/scheduler/scheduler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -290,6 +291,41 @@
 	}
 }
 
+// A gang that prefers one rack fills one, which then loses a worker for good. Guards against
+// a gang that never runs again although the other workers have capacity for it.
+func TestSameRackGangRunsAgainAfterItsRackHasShrunk(t *testing.T) {
+	for _, gone := range []bool{true, false} {
+		t.Run(fmt.Sprintf("unregistered %v", gone), func(t *testing.T) {
+			h := newHarness(t, 8)
+			j := singleStepJob(4, 4000)
+			j.Steps[0].Gang, j.Steps[0].SameRack = true, true
+			h.scheduler.Accept(j, h.now)
+			h.runFor(time.Second)
+			first := h.workersRunning(firstTaskID)
+			assert.Equal(t, len(first), 1)
+			inRack := slices.Index(h.workers, first[0]) % 2
+			for i, f := range h.workers {
+				if i%2 != inRack && i < 4 || f == first[0] {
+					f.unresponsive = true
+					if gone {
+						h.scheduler.UnregisterWorker(f.id)
+					}
+				}
+			}
+			for _, f := range h.workers {
+				if !f.unresponsive && len(f.attempts) == 1 {
+					f.finish(h.onlyTask(f), platform.CompletionStopped)
+				}
+			}
+			h.runFor(testSettings.LeaseLimit + 3*time.Second)
+			for i := range j.Steps[0].Count {
+				running := h.workersRunning(fmt.Sprintf("%s.0.0.%d", testJobID, i))
+				assert.Assert(t, slices.ContainsFunc(running, func(f *fakeWorker) bool { return !f.unresponsive }), "task %d", i)
+			}
+		})
+	}
+}
+
 // onlyTask returns the task that runs on the worker, which must be the only one.
 func (h *harness) onlyTask(f *fakeWorker) string {
 	assert.Equal(h.t, len(f.attempts), 1)
