A job counts as waiting until a worker has reported one of its tasks

Cause: a job left the state pending with the placement of its first task.

Change: it leaves it once a worker has reported a task: by its answer to the start, its list, an end or a checkpoint. The status record that shows it is queued at that moment and stored with the next renewal, as it was after the placement; no state is stored for it. A state from before that moment does not make the job pending again, neither for clients nor for a new owner.

TestPendingCountCountsJobsThatHaveNotStarted counted a placed job as begun; it now checks that it waits, and that it does not once it has begun.

--- a/core/job/state.go
+++ b/core/job/state.go
@@ -5,9 +5,9 @@
 
 // States of a job.
 const (
-	// StatePending: the job is accepted and no task has been placed on a worker.
+	// StatePending: the job is accepted and no task is known to have begun on a worker.
 	StatePending State = "pending"
-	// StateActive: a task has been placed on a worker.
+	// StateActive: a worker has reported that a task has begun.
 	StateActive State = "active"
 	// StateCompleted: all tasks are done.
 	StateCompleted State = "completed"
--- a/core/jobview/view.go
+++ b/core/jobview/view.go
@@ -71,8 +71,7 @@
 // isFinished reports whether nothing is left to do for the job.
 func (e *entry) isFinished() bool { return e.summary.Finished() || e.status.Finished() }
 
-// isPending reports whether the job is open and none of its tasks has been placed
-// on a worker yet.
+// isPending reports whether the job is open and none of its tasks is known to have begun.
 func (e *entry) isPending() bool {
 	return e.known && !e.cancelled && e.newest().State == job.StatePending
 }
@@ -285,10 +284,14 @@
 	return slices.Collect(maps.Keys(e.parts))
 }
 
-// SameForClients reports whether two summaries of a job need no status record between
-// them.
-func SameForClients(a, b ledger.Summary) bool {
-	return a.State == b.State && a.Finished() == b.Finished()
+// ChangesForClients reports whether a newer summary of a job needs a status record after
+// the given one. A job stays active: an owner that stores a state may not have heard yet
+// that a task has begun.
+func ChangesForClients(before, newer ledger.Summary) bool {
+	if before.State == job.StateActive && newer.State == job.StatePending {
+		return false
+	}
+	return before.State != newer.State || before.Finished() != newer.Finished()
 }
 
 // State returns the state of a job as clients see it, and its queue; ok is
@@ -316,8 +319,8 @@
 	return e != nil && e.cancelled
 }
 
-// PendingCount returns how many open jobs of a queue have no task that has been
-// placed on a worker.
+// PendingCount returns how many open jobs of a queue have no task that is known to have
+// begun.
 func (v *View) PendingCount(queue string) int {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
@@ -372,7 +375,7 @@
 			}
 			continue
 		}
-		if e.stateOffset >= 0 && !SameForClients(e.summary, e.status) {
+		if e.stateOffset >= 0 && ChangesForClients(e.status, e.summary) {
 			out.Unshown = append(out.Unshown, platform.KeyedRecord{Key: Key(KindStatus, id), Value: e.summary.Record()})
 		}
 		if e.isFinished() {
@@ -387,6 +390,9 @@
 			out.Unreadable[id] = err
 			continue
 		}
+		if e.newest().State == job.StateActive {
+			out.Jobs.Begin(id)
+		}
 		if e.stateOffset >= 0 {
 			out.StateOffsets[id] = e.stateOffset
 		}
--- a/core/jobview/view_test.go
+++ b/core/jobview/view_test.go
@@ -42,6 +42,11 @@
 
 func place(l *ledger.Ledger) { l.Place(firstTask, 1, "w1") }
 
+func begin(l *ledger.Ledger) {
+	place(l)
+	l.Begin(testID)
+}
+
 func finish(l *ledger.Ledger) {
 	place(l)
 	l.RecordCompletion(firstTask, 1, platform.CompletionDone, "")
@@ -70,13 +75,30 @@
 	assert.NilError(t, v.Apply(acceptanceRecord(t)))
 	assert.NilError(t, v.Apply(acceptanceRecord(t)))
 	assert.Equal(t, v.PendingCount("checks"), 1)
+	// A placed task has not begun: its worker may be silent, or refuse the start.
 	assert.NilError(t, v.Apply(stateRecord(t, 1, place)))
+	assert.Equal(t, v.PendingCount("checks"), 1)
+	assert.NilError(t, v.Apply(stateRecord(t, 2, begin)))
 	assert.Equal(t, v.PendingCount("checks"), 0)
 	assert.NilError(t, v.Apply(platform.KeyedRecord{Key: Key(KindJob, testID)}))
 	assert.Equal(t, v.PendingCount("checks"), 0)
 	assert.Equal(t, v.Len(), 0)
 }
 
+// The stored state of a job that has begun is from before its first task began. Guards
+// against a new owner that shows the job as pending again.
+func TestNewOwnerShowsABegunJobAsActive(t *testing.T) {
+	v := New()
+	assert.NilError(t, v.Apply(acceptanceRecord(t)))
+	assert.NilError(t, v.Apply(stateRecord(t, 1, place)))
+	active := ledger.Summary{State: job.StateActive, Started: true, Placed: true}
+	assert.NilError(t, v.Apply(platform.KeyedRecord{Key: Key(KindStatus, testID), Value: active.Record(), Offset: 1}))
+	r := v.Restore()
+	assert.Equal(t, len(r.Unshown), 0)
+	assert.Equal(t, r.Jobs.Entry(testID).State(), job.StateActive)
+	assert.Equal(t, v.PendingCount("checks"), 0)
+}
+
 // Guards against a new owner that starts a cancelled job: the state record may
 // be older than the cancellation.
 func TestNextOwnerSeesCancellation(t *testing.T) {
--- a/core/ledger/entry.go
+++ b/core/ledger/entry.go
@@ -16,8 +16,9 @@
 	Cancelled bool
 	// Failed is set once a task has failed as often as its queue allows.
 	Failed bool
-	// Started is set once a task has been placed.
-	Started bool
+	// Started is set once a task has been placed, and Begun once a worker has reported that
+	// a task has begun.
+	Started, Begun bool
 	// finished counts the occurrences whose steps are all done.
 	finished int
 	// placed counts the tasks that may be executing.
@@ -39,7 +40,7 @@
 		return job.StateFailed
 	case e.Cancelled:
 		return job.StateCancelled
-	case e.Started:
+	case e.Begun:
 		return job.StateActive
 	}
 	return job.StatePending
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -70,6 +70,19 @@
 	return true
 }
 
+// Begin records that a worker has reported a task of the job. It reports whether that is
+// the first one, so that clients see the job differently. The state is stored with the
+// next change: a later owner learns it from the workers too. Completions and checkpoints
+// show the same.
+func (l *Ledger) Begin(id job.ID) bool {
+	e := l.entries[id]
+	if e == nil || e.Begun {
+		return false
+	}
+	e.Begun = true
+	return e.State() == job.StateActive
+}
+
 // Place records that an attempt of a task is about to be sent to a worker. The
 // state record must be stored before the start request is sent, so that a later
 // owner knows where the task may be executing.
@@ -110,7 +123,7 @@
 	}
 	if e := l.entries[id.Job]; e != nil {
 		if _, t := e.task(id); t != nil && t.Phase == Placed && t.Attempt == attempt {
-			t.Checkpoint = checkpoint
+			t.Checkpoint, e.Begun = checkpoint, true
 		}
 	}
 }
@@ -129,6 +142,7 @@
 		return false
 	}
 	current := t.Phase == Placed && t.Attempt == attempt
+	e.Begun = true
 	l.changed[id.Job] = e
 	e.division.markTask(id)
 	spec := e.Job.Steps[id.Step]
--- a/core/ledger/parts.go
+++ b/core/ledger/parts.go
@@ -256,7 +256,7 @@
 	if i < 0 {
 		return fmt.Errorf("the state has parts of %d tasks, which this version cannot read", stored.PartTasks)
 	}
-	e.Cancelled, e.Failed, e.Started = stored.Cancelled, stored.Failed, summary.Started
+	e.Cancelled, e.Failed, e.Started, e.Begun = stored.Cancelled, stored.Failed, summary.Started, summary.State == job.StateActive
 	e.division = divisions[i]
 	e.division.main = record
 	return e.restoreAllParts(parts)
--- a/core/ledger/record.go
+++ b/core/ledger/record.go
@@ -184,7 +184,7 @@
 	if err := cbor.Unmarshal(record[headerBytes:], &stored); err != nil {
 		return err
 	}
-	e.Cancelled, e.Failed, e.Started = stored.Cancelled, stored.Failed, summary.Started
+	e.Cancelled, e.Failed, e.Started, e.Begun = stored.Cancelled, stored.Failed, summary.Started, summary.State == job.StateActive
 	for _, o := range stored.Occurrences {
 		if o.Index < 0 || o.Index >= len(e.Occurrences) || len(o.Steps) != len(e.Job.Steps) {
 			return fmt.Errorf("occurrence %d with %d steps does not fit the job", o.Index, len(o.Steps))
--- a/core/scheduler/heartbeat.go
+++ b/core/scheduler/heartbeat.go
@@ -231,6 +231,7 @@
 		return
 	}
 	r.Listed = true
+	s.begin(id.Job)
 	if r.Phase != fleet.AttemptStarted {
 		r.Phase = fleet.AttemptStarted
 		r.StartedAt = now
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -101,6 +101,9 @@
 	stops map[*fleet.Attempt]*pendingStop
 	// unsentStarts are the start requests whose placements are in no batch yet.
 	unsentStarts []unsentStart
+	// begun are the jobs of which the first task has begun and that the driver has not
+	// taken yet.
+	begun []job.ID
 	// hasUnstoredCompletions is true if completions were read that are in no batch
 	// yet.
 	hasUnstoredCompletions bool
@@ -251,6 +254,21 @@
 	return out
 }
 
+// TakeBegun returns and removes the jobs of which the first task has begun since the last
+// call.
+func (s *Scheduler) TakeBegun() []job.ID {
+	out := s.begun
+	s.begun = nil
+	return out
+}
+
+// begin records that a worker has reported a task of the job.
+func (s *Scheduler) begin(id job.ID) {
+	if s.ledger.Begin(id) {
+		s.begun = append(s.begun, id)
+	}
+}
+
 // TakeDecisions returns and removes the decisions since the last call. It also
 // returns how many were dropped because the driver did not take them in time.
 func (s *Scheduler) TakeDecisions() ([]Decision, int64) {
--- a/core/scheduler/start.go
+++ b/core/scheduler/start.go
@@ -107,6 +107,7 @@
 func (s *Scheduler) confirmStart(w *fleet.Worker, r *fleet.Attempt, result Result, now fleet.Instant) {
 	s.observeStartClock(w, r, result.Command, result.Clock, now)
 	s.Counters.Started++
+	s.begin(r.ID.Job)
 	if r.Phase == fleet.AttemptSent {
 		r.Phase = fleet.AttemptStarted
 		r.StartedAt = now
--- a/node/dispatcher/status.go
+++ b/node/dispatcher/status.go
@@ -37,15 +37,25 @@
 		if !ok {
 			before = ledger.Summary{State: job.StatePending}
 		}
-		if jobview.SameForClients(before, summary) {
-			continue
+		if jobview.ChangesForClients(before, summary) {
+			q.add(r.Job, summary)
 		}
-		q.queued[r.Job] = summary
-		q.pending[r.Job] = platform.KeyedRecord{Key: jobview.Key(jobview.KindStatus, r.Job), Value: summary.Record()}
-		q.urgent = q.urgent || summary.State.IsFinal()
 	}
 }
 
+// addBegun queues the statuses of jobs of which the first task has begun.
+func (q *statusQueue) addBegun(ids []job.ID) {
+	for _, id := range ids {
+		q.add(id, ledger.Summary{State: job.StateActive, Started: true, Placed: true})
+	}
+}
+
+func (q *statusQueue) add(id job.ID, summary ledger.Summary) {
+	q.queued[id] = summary
+	q.pending[id] = platform.KeyedRecord{Key: jobview.Key(jobview.KindStatus, id), Value: summary.Record()}
+	q.urgent = q.urgent || summary.State.IsFinal()
+}
+
 // addAll queues records that a previous owner has not stored.
 func (q *statusQueue) addAll(records []platform.KeyedRecord) {
 	for _, r := range records {
--- a/node/dispatcher/status_test.go
+++ b/node/dispatcher/status_test.go
@@ -47,6 +47,21 @@
 	}
 }
 
+// A state that was taken before its job began is stored afterwards. Guards against clients
+// that see the job as pending again.
+func TestJobThatHasBegunIsNotShownAsPendingAgain(t *testing.T) {
+	q := newStatusQueue()
+	q.addBegun([]job.ID{statusTestID})
+	q.addStates([]scheduler.Record{stored(statusTestID, ledger.Summary{State: job.StatePending, Started: true, Placed: true})})
+	records := q.take()
+	assert.Equal(t, len(records), 1)
+	summary, err := ledger.DecodeSummary(records[0].Value)
+	assert.NilError(t, err)
+	assert.Equal(t, summary.State, job.StateActive)
+	q.addStates([]scheduler.Record{stored(statusTestID, ledger.Summary{State: job.StateActive, Started: true, Placed: true})})
+	assert.Equal(t, len(q.take()), 0)
+}
+
 // Guards against a queue that grows with the number of jobs in a term.
 func TestForgottenJobsLeaveTheStatusQueue(t *testing.T) {
 	q := newStatusQueue()
--- a/node/dispatcher/term.go
+++ b/node/dispatcher/term.go
@@ -264,6 +264,7 @@
 	}
 	t.jobScheduler.Advance(now, time.Now().UnixMilli())
 	t.jobScheduler.ObserveRound(now, d.cfg.Clock.Now()-now)
+	t.statuses.addBegun(t.jobScheduler.TakeBegun())
 	t.append(now)
 	t.pulse(now)
 	if t.statuses.isUrgent() && now >= t.statusesFrom {
