scheduler: seal the leases before a planned release

Cause: a worker that has answered the leaving owner and is lost before it answers the next one is in no stored record. The next owner assumes that its lease was renewed for 6.5 s after the last sign of an owner that has released its claim and renews nothing.

Change: once the hand-over is prepared the owner starts nothing more and stores a lease bounds record that lists all workers with attempts, which get no lease from then on; it releases its claim when that is stored, or after 0.3 s. The next owner treats them like other workers in the record, so no rule that guards against two runs changes.

Measured: TestTaskOfAWorkerLostAroundTheReleaseRestartsSoon fails in 6 of 6 cases without the sealing, TestSealedOwnerGrantsNoLease and TestPlannedStopStoresWhenAllLeasesEnd too.

--- a/core/scheduler/bounds.go
+++ b/core/scheduler/bounds.go
@@ -79,10 +79,16 @@
 	}
 )
 
-// needsLeaseBound reports whether the worker belongs in the lease bounds record: it
-// has been unresponsive for some time, and attempts may be running on it.
+// needsLeaseBound reports whether the worker belongs in the lease bounds record: attempts
+// may be running on it, and it has been unresponsive for some time or the leases are sealed.
 func (s *Scheduler) needsLeaseBound(w *fleet.Worker, now fleet.Instant) bool {
-	if len(w.Attempts) == 0 || w.UnresponsiveSince == 0 {
+	if len(w.Attempts) == 0 {
+		return false
+	}
+	if s.handOver != nil && s.handOver.sealed {
+		return true
+	}
+	if w.UnresponsiveSince == 0 {
 		return false
 	}
 	// The first record contains every worker that has not responded yet. It separates
--- a/core/scheduler/handover.go
+++ b/core/scheduler/handover.go
@@ -26,6 +26,8 @@
 	since fleet.Instant
 	// heartbeatWait is how long a worker may delay its heartbeat response.
 	heartbeatWait time.Duration
+	// sealed is true once no more leases are granted.
+	sealed bool
 }
 
 // PrepareHandOver makes the scheduler store the lease bounds of each worker that misses
@@ -60,6 +62,31 @@
 	return unknown == 0 && s.leaseBoundsStored, unknown
 }
 
+// SealLeases ends the starts and the grants of leases of this owner, which is about to
+// release its claim: the next lease bounds record lists all workers with attempts. The next
+// owner then knows when the lease of each ends, also of one that is lost before it answers
+// the next owner.
+func (s *Scheduler) SealLeases() {
+	s.StopStarting()
+	if s.handOver != nil {
+		s.handOver.sealed = true
+	}
+}
+
+// AreLeasesSealed reports whether the stored lease bounds record lists all workers with
+// attempts.
+func (s *Scheduler) AreLeasesSealed() bool {
+	if s.handOver == nil || !s.handOver.sealed {
+		return false
+	}
+	for _, w := range s.fleet.All() {
+		if len(w.Attempts) > 0 && !s.storedBounds.suspended[w.ID] {
+			return false
+		}
+	}
+	return true
+}
+
 // LeaseWait is how long the attempts on workers that do not respond count as executing
 // because of their leases.
 type LeaseWait struct {
--- a/core/scheduler/handover_test.go
+++ b/core/scheduler/handover_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -13,6 +14,8 @@
 const (
 	// handOverLimit is how long a hand-over is prepared at most.
 	handOverLimit = 1800 * time.Millisecond
+	// sealLimit is how long it waits after that until the leases are sealed.
+	sealLimit = 300 * time.Millisecond
 	// takeoverTime is the time from the release until the next owner schedules.
 	takeoverTime = 300 * time.Millisecond
 )
@@ -99,6 +102,87 @@
 	}
 }
 
+// A worker is lost when the owner is about to release its claim, or has released it, in each
+// case after it has responded to that owner and before it responds to the next one. Guards
+// against a task that waits as if the former owner had granted leases after its release, and
+// against one that starts again while the lost worker still runs it.
+func TestTaskOfAWorkerLostAroundTheReleaseRestartsSoon(t *testing.T) {
+	const round = 200 * time.Millisecond
+	for _, c := range []struct {
+		name string
+		// lostBefore is how long before the leases are sealed the worker is lost, and
+		// lostAfter how long after the release.
+		lostBefore, lostAfter time.Duration
+	}{
+		{"before the leases are sealed", harnessStep, 0},
+		{"as they are sealed", 0, 0},
+		{"after the release", 0, takeoverTime / 2},
+	} {
+		for _, runsOn := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, runs on %v", c.name, runsOn), func(t *testing.T) {
+				h := newHarness(t, 2)
+				h.heartbeatsWait = true
+				f := h.startOnUnresponsiveWorker()
+				f.unresponsive = false
+				h.runFor(3 * time.Second)
+				h.prepareHandOver()
+				lose := func() {
+					f.unresponsive = true
+					if !runsOn {
+						clear(f.attempts)
+					}
+				}
+				if c.lostAfter == 0 {
+					lose()
+				}
+				h.runFor(c.lostBefore)
+				h.scheduler.SealLeases()
+				for began := h.now; !h.scheduler.AreLeasesSealed(); h.runFor(harnessStep) {
+					assert.Assert(t, h.now-began < sealLimit)
+				}
+				h.runSilently(c.lostAfter)
+				lose()
+				lostAt := h.now
+				h.runSilently(takeoverTime - c.lostAfter)
+				h.replaceOwner(6)
+				for h.startCount(firstTaskID) < 2 {
+					h.runFor(harnessStep)
+					assert.Assert(t, len(h.workersRunning(firstTaskID)) < 2, "two runs after %v", h.now-lostAt)
+					assert.Assert(t, h.now-lostAt <= fleet.LongestLease(testSettings.Lease)+takeoverTime+round, "%v", h.now-lostAt)
+				}
+			})
+		}
+	}
+}
+
+// Guards against an owner that grants a lease, or starts a task, after it has stored for the
+// next one when all leases end.
+func TestSealedOwnerGrantsNoLease(t *testing.T) {
+	h := newHarness(t, 2)
+	j := singleStepJob(2, 3000)
+	j.Steps[0].LongRunning = true
+	h.scheduler.Accept(j, h.now)
+	h.runFor(time.Second)
+	h.prepareHandOver()
+	h.scheduler.SealLeases()
+	h.runFor(100 * time.Millisecond)
+	assert.Assert(t, h.scheduler.AreLeasesSealed())
+	leases := []time.Duration{h.workers[0].leaseUntil, h.workers[1].leaseUntil}
+	later := singleStepJob(1, 100)
+	later.ID = otherJobID
+	h.scheduler.Accept(later, h.now)
+	h.runFor(time.Second)
+	assert.DeepEqual(t, []time.Duration{h.workers[0].leaseUntil, h.workers[1].leaseUntil}, leases)
+	assert.Equal(t, h.startCount(string(otherJobID)+".0.0.0"), 0)
+	h.replaceOwner(6)
+	h.runFor(time.Second)
+	for i, f := range h.workers {
+		assert.Assert(t, f.leaseUntil > leases[i] && len(f.attempts) > 0)
+	}
+	assert.Equal(t, h.startCount(firstTaskID), 1)
+	assert.Equal(t, h.startCount(string(otherJobID)+".0.0.0"), 1)
+}
+
 // runSilently advances the workers while there is no owner.
 func (h *harness) runSilently(d time.Duration) {
 	for end := h.now + d; h.now < end; {
--- a/core/scheduler/restart_soak_test.go
+++ b/core/scheduler/restart_soak_test.go
@@ -339,6 +339,7 @@
 	}
 	owner.PrepareHandOver(s.now)
 	var release func()
+	sealBy := fleet.Instant(0)
 	release = func() {
 		if s.scheduler != owner {
 			return
@@ -347,6 +348,14 @@
 			s.after(harnessStep, release)
 			return
 		}
+		if sealBy == 0 {
+			owner.SealLeases()
+			sealBy = s.now + sealLimit
+		}
+		if !owner.AreLeasesSealed() && s.now < sealBy {
+			s.after(harnessStep, release)
+			return
+		}
 		s.noOwnerUntil = s.now + s.between(harnessStep, time.Second)
 		s.after(s.noOwnerUntil-s.now, func() {
 			if s.scheduler == owner {
--- a/node/dispatcher/config.go
+++ b/node/dispatcher/config.go
@@ -111,6 +111,9 @@
 	// handOverLimit is the longest time for which a planned hand-over is prepared. A
 	// worker that is lost when it begins misses a heartbeat within 1.7 s.
 	handOverLimit = 1800 * time.Millisecond
+	// sealLimit is the longest time after it until the lease bounds of all workers are
+	// stored. The owner starts nothing meanwhile.
+	sealLimit = 300 * time.Millisecond
 	// maxReadGap is the time without a complete read of the log after which the
 	// owner timeout restarts. A read of an idle log returns within a second.
 	maxReadGap = 2 * time.Second
--- a/node/dispatcher/term.go
+++ b/node/dispatcher/term.go
@@ -65,6 +65,8 @@
 	// handOverFrom is when the preparation of the hand-over began, and handOverBy when it
 	// ends at the latest.
 	handOverFrom, handOverBy time.Duration
+	// sealedAt is when the leases were sealed; 0 before that.
+	sealedAt time.Duration
 	// tombstones delete the states of removed jobs. They are part of the next
 	// append to states.
 	tombstones []platform.KeyedRecord
@@ -435,11 +437,18 @@
 		return
 	}
 	ready, unknown := t.jobScheduler.IsReadyToHandOver(now)
-	if !ready && now < t.handOverBy {
+	if t.sealedAt == 0 {
+		if !ready && now < t.handOverBy {
+			return
+		}
+		t.sealedAt = now
+		t.jobScheduler.SealLeases()
+	}
+	if !t.jobScheduler.AreLeasesSealed() && now-t.sealedAt < sealLimit {
 		return
 	}
 	wait := t.jobScheduler.LeaseWait(now)
-	t.d.cfg.Logger.Info("hand-over prepared", "token", t.token, "after_ms", (now - t.handOverFrom).Milliseconds(), "workers_unknown", unknown,
+	t.d.cfg.Logger.Info("hand-over prepared", "token", t.token, "after_ms", (now - t.handOverFrom).Milliseconds(), "sealing_ms", (now - t.sealedAt).Milliseconds(), "workers_unknown", unknown,
 		"workers_bounded", wait.Bounded, "bounded_ms", wait.BoundedFor.Milliseconds())
 	t.d.ownership.MarkUnfit(now)
 }
