ownership: the renewal of a newer claim ends an owner's term

Change: the renewal of another process with a newer token ends the ownership, like the claim that it renews.

Measured: TestRenewalOfANewerClaimEndsTheOwnership failed in the first case ("owning"), and TestTermEndsWithItsReleaseOrANewerClaim with its two new rows, which expect that there is no term afterwards. Not shown with processes.

--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -154,6 +154,10 @@
 	case KindClaim:
 		o.observeClaim(r, TokenAt(offset), now)
 	case KindRenewal:
+		if r.Token > o.token && !o.IsOwn(r) {
+			// Its claim was in the history that was dropped before it was read.
+			o.transition(otherClaimed)
+		}
 		if r.Token >= o.token {
 			o.token, o.owner, o.vacant, o.ownerSeenAt = r.Token, r, o.isPreviousIncarnation(r), now
 		}
--- a/core/ownership/ownership_test.go
+++ b/core/ownership/ownership_test.go
@@ -54,6 +54,38 @@
 	assert.Assert(t, !owning)
 }
 
+// An owner is cut off and replaced, the history is dropped, and it reads the renewal of the
+// next owner in place of the claim. Guards against an owner that goes on with the fencing
+// token of the next one.
+func TestRenewalOfANewerClaimEndsTheOwnership(t *testing.T) {
+	for name, leave := range map[string]func(*Ownership, Instant){
+		"owning": func(*Ownership, Instant) {}, "preparing": (*Ownership).MarkLeaving, "resigning": (*Ownership).MarkUnfit,
+	} {
+		o := New(settings, 0)
+		o.Observe(claimBy("n1", 7), 9, time.Second)
+		leave(o, time.Second)
+		renewal := Record{Kind: KindRenewal, Node: "n2", Incarnation: 1, Token: 13}
+		o.Observe(renewal, 20, 2*time.Second)
+		_, owning := o.OwnToken()
+		assert.Assert(t, !owning && !o.IsResigning(), name)
+		owner, token := o.Owner()
+		assert.Equal(t, owner, "n2", name)
+		assert.Equal(t, token, platform.Token(13), name)
+		assert.Equal(t, o.NextAction(3*time.Second, 3*time.Second), Wait, name)
+	}
+}
+
+// Guards against an owner that takes its own renewal, or one of a former owner that it reads
+// late, for that of a newer owner.
+func TestOtherRenewalsDoNotEndTheOwnership(t *testing.T) {
+	o := New(settings, 0)
+	o.Observe(claimBy("n1", 7), 9, time.Second)
+	o.Observe(Record{Kind: KindRenewal, Node: "n2", Incarnation: 1, Token: 4}, 5, time.Second)
+	o.Observe(Record{Kind: KindRenewal, Node: "n1", Incarnation: 7, Token: 10}, 11, time.Second)
+	_, owning := o.OwnToken()
+	assert.Assert(t, owning)
+}
+
 // Guards against waiting for the owner timeout of this node's own previous
 // incarnation, and against mistaking its claim for one of this incarnation.
 func TestRestartedOwnerClaimsImmediately(t *testing.T) {
--- a/node/dispatcher/handover_test.go
+++ b/node/dispatcher/handover_test.go
@@ -47,6 +47,7 @@
 // owner timeout, and against one that goes on after a newer claim.
 func TestTermEndsWithItsReleaseOrANewerClaim(t *testing.T) {
 	newerClaim := ownership.Record{Kind: ownership.KindClaim, Node: "n2", Incarnation: 1}
+	newerRenewal := ownership.Record{Kind: ownership.KindRenewal, Node: "n2", Incarnation: 1, Token: 6}
 	for _, c := range []struct {
 		name    string
 		resigns func(*ownership.Ownership, ownership.Instant)
@@ -62,6 +63,8 @@
 		{"newer claim while preparing", (*ownership.Ownership).MarkLeaving, newerClaim, 6, false},
 		{"newer claim while resigning", (*ownership.Ownership).MarkUnfit, newerClaim, 6, false},
 		{"older claim", nil, newerClaim, 2, true},
+		{"renewal of a newer claim", nil, newerRenewal, 9, false},
+		{"renewal of a newer claim while preparing", (*ownership.Ownership).MarkLeaving, newerRenewal, 9, false},
 	} {
 		d := newTestDispatcher(t)
 		d.observeOwner(ownRecord(ownership.KindClaim, 0), 4)
@@ -72,6 +75,7 @@
 		}
 		d.observeOwner(c.record, c.offset)
 		assert.Equal(t, d.term == term, c.goesOn, c.name)
+		assert.Equal(t, d.term != nil, c.goesOn, c.name)
 		assert.Equal(t, term.ctx.Err() == nil, c.goesOn, "%s: commands of an ended term are not sent", c.name)
 	}
 }
