scheduler: count the stops of other attempts as in flight

Cause: stopOtherAttempt built its command beside sendStops, without counting it, and its answer was counted all the same, so each such stop let one more be in flight for good.

Change: one function issues both. TestStopOfAnotherAttemptCountsAsInFlight failed before (0 in flight, not 1).

--- a/core/scheduler/flight_test.go
+++ b/core/scheduler/flight_test.go
@@ -54,3 +54,18 @@
 	assert.Assert(t, largest[CommandStart] <= maxCommandsInFlight && largest[CommandStop] <= maxCommandsInFlight, "%v", largest)
 	h.runFor(time.Second)
 }
+
+// Guards against stops of other attempts that are counted as answered but not as issued, so
+// that ever more stops are in flight at a time.
+func TestStopOfAnotherAttemptCountsAsInFlight(t *testing.T) {
+	h := newHarness(t, 1)
+	h.runFor(time.Second)
+	h.scheduler.TakeCommands()
+	id := job.TaskID{StepID: job.StepID{Job: testJobID}}
+	h.scheduler.stopOtherAttempt(h.scheduler.Fleet().Worker(h.workers[0].id), id, 1, h.now)
+	commands := h.scheduler.TakeCommands()
+	assert.Equal(t, len(commands), 1)
+	assert.Equal(t, h.scheduler.inFlight.stops, 1)
+	h.scheduler.HandleResult(Result{Command: commands[0]}, h.now)
+	assert.Equal(t, h.scheduler.inFlight.stops, 0)
+}
--- a/core/scheduler/heartbeat.go
+++ b/core/scheduler/heartbeat.go
@@ -218,9 +218,7 @@
 	s.recordDecision(Decision{
 		Action: "stop", Job: id.Job, Task: id.String(), Attempt: number, Worker: w.ID, Reason: "another attempt is placed on the worker",
 	})
-	s.commands = append(s.commands, &Command{
-		Kind: CommandStop, Worker: w.ID, To: w.Endpoint(), Token: s.workerToken(w), IssuedAt: now, Task: id, Attempt: number,
-	})
+	s.issueStop(w, id, number, now)
 }
 
 // confirmAttempt records an attempt that the worker reports as running.
--- a/core/scheduler/start.go
+++ b/core/scheduler/start.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/basilferry/basilferry/core/fleet"
+	"github.com/basilferry/basilferry/core/job"
 	"github.com/basilferry/basilferry/core/platform"
 )
 
@@ -161,14 +162,18 @@
 			continue
 		}
 		r.StopSent = true
-		s.inFlight.add(CommandStop, 1)
-		s.commands = append(s.commands, &Command{
-			Kind: CommandStop, Worker: stop.worker.ID, To: stop.worker.Endpoint(), Token: s.workerToken(stop.worker), IssuedAt: now,
-			Task: r.ID, Attempt: r.Attempt,
-		})
+		s.issueStop(stop.worker, r.ID, r.Attempt, now)
 	}
 }
 
+// issueStop issues a command that stops an attempt of a task.
+func (s *Scheduler) issueStop(w *fleet.Worker, id job.TaskID, attempt int, now fleet.Instant) {
+	s.inFlight.add(CommandStop, 1)
+	s.commands = append(s.commands, &Command{
+		Kind: CommandStop, Worker: w.ID, To: w.Endpoint(), Token: s.workerToken(w), IssuedAt: now, Task: id, Attempt: attempt,
+	})
+}
+
 func (s *Scheduler) handleStopResult(w *fleet.Worker, result Result, now fleet.Instant) {
 	r := w.Attempts[result.Command.Task]
 	if r == nil || r.Attempt != result.Command.Attempt {
