scheduler: learn nothing from a worker whose registry entry is not known

After the hand-over best-effort tasks were stopped for interference (55 times against 4), and serving tasks stayed over their targets to the end.

Cause: a new owner calls the workers of the lease bounds record before it has read their registry entries. Their capacity is 0 until then, so that the CPU that tasks use became a share of a thousand capacities, and the interference model learned from it. It did so before for workers that were silent at the change; sealed leases list all workers.

Change: such a report neither teaches the model nor changes a speed.

Measured: TestWorkerWithoutRegistryEntryTeachesNothing failed before.

--- a/core/fleet/worker.go
+++ b/core/fleet/worker.go
@@ -180,6 +180,10 @@
 		now >= w.AvoidUntil && now-w.LastContact < unresponsiveAfter
 }
 
+// IsDescribed reports whether the worker's registry entry, and so its capacity, is known. A
+// new owner may reach a worker of a lease bounds record before it has read its entry.
+func (w *Worker) IsDescribed() bool { return w.Capacity != domain.Resources{} }
+
 // unresponsiveAfter is how long after its last contact a worker gets no new
 // attempts. Workers answer heartbeats within a second.
 const unresponsiveAfter = 1500 * time.Millisecond
--- a/core/scheduler/speed.go
+++ b/core/scheduler/speed.go
@@ -21,7 +21,7 @@
 // adjustSpeed adds a worker's report to the sharing model and adjusts the speed
 // limits of its best-effort attempts. It stops those that have to move.
 func (s *Scheduler) adjustSpeed(w *fleet.Worker, now fleet.Instant) {
-	if !w.HasServing() {
+	if !w.HasServing() || !w.IsDescribed() {
 		return
 	}
 	serving := s.observeServing(w, now)
