--- a/core/dispatch/order.go
+++ b/core/dispatch/order.go
@@ -17,6 +17,8 @@
 	Service string
 	// Priority is that of the queue; 0 is the highest.
 	Priority int
+	// Account is the client account of the job; empty if it belongs to none.
+	Account string
 	// Waiting lists the indexes of the tasks that wait for an attempt.
 	Waiting []int
 	// Deadline is the time by which the occurrence should be finished, and
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -83,6 +83,9 @@
 	// Interferes reports whether best-effort tasks on the worker are known to
 	// interfere with a serving image.
 	Interferes func(w *fleet.Worker, image string) bool
+	// AccountRoom returns what an account may start beyond what it has, at the start of
+	// the round. It is not limited for an account without a limit.
+	AccountRoom func(account string) (room domain.Resources, limited bool)
 	// Remaining estimates how long an attempt will keep its capacity. It is not ok for
 	// an attempt that does not end by itself.
 	Remaining func(*fleet.Worker, *fleet.Attempt) (remaining time.Duration, ok bool)
--- a/core/fleet/worker.go
+++ b/core/fleet/worker.go
@@ -41,6 +41,9 @@
 	Step *job.Step
 	// Need is the capacity that the attempt reserves.
 	Need domain.Resources
+	// Account is the client account of the job; empty if it belongs to none or the job
+	// is not known.
+	Account string
 	// Sends counts how often the start request was sent, SentAt is when it was sent
 	// first, and Token is the fencing token that it carried last; 0 for a previous
 	// owner's request.
--- a/core/job/job.go
+++ b/core/job/job.go
@@ -97,6 +97,9 @@
 	Repeat  Repeat
 	// Queue is the policy of the queue when the job was accepted.
 	Queue Queue
+	// Account is the name of the client account that submitted the job; empty if it
+	// belongs to no account.
+	Account string
 	// SubmittedUnixMS is the wall clock time of the accepting node at the
 	// acceptance, in Unix milliseconds.
 	SubmittedUnixMS int64
--- a/core/platform/operator.go
+++ b/core/platform/operator.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/basilferry/basilferry/core/account"
 	"github.com/basilferry/basilferry/core/domain"
 	"github.com/basilferry/basilferry/core/job"
 )
@@ -31,6 +32,8 @@
 	Host  string
 	// PathPrefix ends with a slash.
 	PathPrefix string
+	// Public is true if requests need no API key. Their jobs belong to no account.
+	Public bool
 }
 
 // RequestLimits bound what a client may send.
@@ -58,6 +61,11 @@
 	Routes   []Route
 	Services map[string]ServiceConfig
 	Limits   RequestLimits
+	// HasAccounts is true if accounts are enabled, also if Accounts is empty.
+	HasAccounts bool
+	Accounts    []account.Account
+	// AccountWarnings lists the entries of accounts that cannot be used as they are.
+	AccountWarnings []string
 }
 
 // OperatorChange is one record written by the operator. At most one of Config
