--- a/core/job/job.go
+++ b/core/job/job.go
@@ -99,7 +99,7 @@
 	Queue Queue
 	// Account is the name of the client account that submitted the job; empty if it
 	// belongs to no account.
-	Account string
+	Account string `cbor:",omitempty"`
 	// SubmittedUnixMS is the wall clock time of the accepting node at the
 	// acceptance, in Unix milliseconds.
 	SubmittedUnixMS int64
--- a/core/jobview/view.go
+++ b/core/jobview/view.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"unique"
 
 	"github.com/basilferry/basilferry/core/job"
 	"github.com/basilferry/basilferry/core/ledger"
@@ -20,7 +21,12 @@
 	known            bool
 	acceptanceRecord []byte
 	queue            string
-	stateRecord      []byte
+	// account is the account of the job, empty for none. It is that of the first
+	// acceptance record in the order of the offsets. accountOffset is the offset of this
+	// record; -1 if it is unknown, because this node has written the record itself.
+	account       unique.Handle[string]
+	accountOffset int64
+	stateRecord   []byte
 	// parts are the newest records of the parts of a large job's state. The numbers stay
 	// known when the job is finished, until the parts are deleted.
 	parts map[int]partRecord
@@ -38,9 +44,13 @@
 	reload, cancelReload int
 }
 
+// noAccount is the account of jobs that belong to none, and unreadableAccount that of jobs
+// whose acceptance record cannot be decoded. No client has the latter.
+var noAccount, unreadableAccount = unique.Make(""), unique.Make("\x00")
+
 func newEntry() *entry {
 	pending := ledger.Summary{State: job.StatePending}
-	return &entry{summary: pending, status: pending, stateOffset: -1, statusOffset: -1}
+	return &entry{account: noAccount, summary: pending, status: pending, accountOffset: -1, stateOffset: -1, statusOffset: -1}
 }
 
 // partRecord is a record of a part of a job's state. The value of a finished job is nil.
@@ -204,13 +214,18 @@
 	switch kind {
 	case KindJob:
 		if e.known {
-			return nil // A repeated submission does not change the job.
+			// A repeated submission does not change the job.
+			if r.Offset >= 0 && (e.accountOffset < 0 || r.Offset < e.accountOffset) {
+				e.setAccount(r)
+			}
+			return nil
 		}
 		queue, err := ledger.DecodeQueueName(r.Value)
 		if err != nil {
 			return fmt.Errorf("record %q at offset %d: %w", r.Key, r.Offset, err)
 		}
 		e.known, e.acceptanceRecord, e.queue = true, r.Value, queue
+		e.setAccount(r)
 	case KindState:
 		summary, err := ledger.DecodeSummary(r.Value)
 		if err != nil {
@@ -236,6 +251,14 @@
 	return nil
 }
 
+// setAccount takes the account of the job from an acceptance record.
+func (e *entry) setAccount(r platform.KeyedRecord) {
+	e.account, e.accountOffset = unreadableAccount, r.Offset
+	if name, err := ledger.DecodeAccount(r.Value); err == nil {
+		e.account = unique.Make(name)
+	}
+}
+
 // dropRecords drops the records of a finished job.
 func (e *entry) dropRecords() {
 	if e.acceptanceRecord != nil {
@@ -310,6 +333,18 @@
 	return state, e.queue, true
 }
 
+// Account returns the account of a job, which is empty for a job that belongs to none; ok
+// is false for an unknown job.
+func (v *View) Account(id job.ID) (account string, ok bool) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	e := v.jobs[id]
+	if e == nil || !e.known {
+		return "", false
+	}
+	return e.account.Value(), true
+}
+
 // IsCancelled reports whether the cancellation of a job was read, also if no such job is
 // known.
 func (v *View) IsCancelled(id job.ID) bool {
--- a/core/ledger/record.go
+++ b/core/ledger/record.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"bytes"
 	"fmt"
 	"slices"
 
@@ -276,6 +277,31 @@
 	return string(record[1 : 1+int(record[0])]), nil
 }
 
+// accountField is the name of job.Job.Account in an acceptance record.
+const accountField = "Account"
+
+// DecodeAccount reads the account from an acceptance record. It is empty for a job that
+// belongs to no account; such a record, like those of former versions, lacks the field and
+// is not decoded.
+func DecodeAccount(record []byte) (string, error) {
+	name, err := DecodeQueueName(record)
+	if err != nil {
+		return "", err
+	}
+	body := record[1+len(name):]
+	if !bytes.Contains(body, []byte(accountField)) {
+		return "", nil
+	}
+	var stored struct {
+		_   struct{} `cbor:",toarray"`
+		Job struct{ Account string }
+	}
+	if err := cbor.Unmarshal(body, &stored); err != nil {
+		return "", fmt.Errorf("decode account of acceptance record: %w", err)
+	}
+	return stored.Job.Account, nil
+}
+
 // DecodeJob reads an acceptance record.
 func DecodeJob(record []byte) (*job.Job, error) {
 	name, err := DecodeQueueName(record)
