--- a/node/storelog/follower.go
+++ b/node/storelog/follower.go
@@ -74,6 +74,8 @@
 	// read that waited for records counts for the time of its response less
 	// maxResponseAge, not for its start.
 	lastRead atomic.Int64
+	// lastSent is when the latest complete read was sent; negative before the first one.
+	lastSent atomic.Int64
 	// end is the offset up to which the partition has been read; -1 before the first
 	// complete read.
 	end atomic.Int64
@@ -103,6 +105,7 @@
 	}
 	f := &Follower{cfg: cfg, wake: make(chan struct{}, 1), readDone: make(chan struct{})}
 	f.lastRead.Store(-1)
+	f.lastSent.Store(-1)
 	f.end.Store(-1)
 	return f
 }
@@ -115,6 +118,14 @@
 	return time.Duration(v), v >= 0
 }
 
+// LastSent returns when the latest complete read was sent: every record that the store had
+// then has certainly been passed to Apply. For a load of the newest records this is when
+// its first page was requested. The result ok is false before the first complete read.
+func (f *Follower) LastSent() (at time.Duration, ok bool) {
+	v := f.lastSent.Load()
+	return time.Duration(v), v >= 0
+}
+
 // End returns the offset up to which the partition has been read, or -1 before the
 // first complete read.
 func (f *Follower) End() int64 { return f.end.Load() }
@@ -190,6 +201,7 @@
 		f.cfg.Reset()
 	}
 	from, after := int64(-1), ""
+	firstSent := f.cfg.Clock.Now()
 	for {
 		sent := f.cfg.Clock.Now()
 		page, err := f.cfg.Store.ReadNewest(ctx, f.cfg.Partition, after)
@@ -205,7 +217,7 @@
 		}
 		if !page.More || len(page.Records) == 0 {
 			f.markRegained()
-			f.markCaughtUp(sent, from)
+			f.markCaughtUp(firstSent, sent, from)
 			return from, nil
 		}
 	}
@@ -230,17 +242,20 @@
 		f.apply(batch.Records, batch.Transfer)
 		from += int64(len(batch.Records))
 		if from >= batch.End {
-			f.markCaughtUp(sent, from)
+			f.markCaughtUp(sent, sent, from)
 			f.waitForNextRead(ctx)
 		}
 	}
 }
 
-func (f *Follower) markCaughtUp(sent time.Duration, end int64) {
+// markCaughtUp notes a complete read. firstSent is when the first of its calls was sent and
+// sent when the last one was.
+func (f *Follower) markCaughtUp(firstSent, sent time.Duration, end int64) {
 	if f.cfg.OnCaughtUp != nil {
 		f.cfg.OnCaughtUp(end)
 	}
 	f.lastRead.Store(int64(max(sent, f.cfg.Clock.Now()-maxResponseAge)))
+	f.lastSent.Store(int64(firstSent))
 	f.end.Store(end)
 	f.mu.Lock()
 	close(f.readDone)
