--- a/core/jobview/view_test.go
+++ b/core/jobview/view_test.go
@@ -336,3 +336,29 @@
 		assert.Equal(t, v.PendingCount("checks"), 0, c.name)
 	}
 }
+
+// Guards against nodes that disagree about a job's account: of two submissions with one id,
+// the first in the store decides, also on the node that wrote the second one.
+func TestAccountIsThatOfTheFirstStoredSubmission(t *testing.T) {
+	submission := func(offset int64, account string) platform.KeyedRecord {
+		j := testJob()
+		j.Account = account
+		value, err := ledger.EncodeJob(j)
+		assert.NilError(t, err)
+		return platform.KeyedRecord{Offset: offset, Key: Key(KindJob, testID), Value: value}
+	}
+	for name, records := range map[string][]platform.KeyedRecord{
+		"in order":      {submission(5, "a"), submission(6, "b")},
+		"own one first": {submission(platform.UnknownOffset, "b"), submission(5, "a"), submission(6, "b")},
+		"read again":    {submission(6, "b"), submission(5, "a"), submission(6, "b")},
+	} {
+		v := New()
+		for _, r := range records {
+			assert.NilError(t, v.Apply(r))
+		}
+		account, ok := v.Account(testID)
+		assert.Assert(t, ok && account == "a", "%s: %q", name, account)
+	}
+	_, ok := New().Account(testID)
+	assert.Assert(t, !ok)
+}
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -150,3 +150,18 @@
 		assert.Assert(t, New().Restore(testJob(step(1)), record) != nil, "%+v", stored)
 	}
 }
+
+// Guards against a job whose account is lost in the store, and against an account that is
+// read from a record without one, as former versions store it.
+func TestAccountIsReadFromTheAcceptanceRecord(t *testing.T) {
+	for _, c := range []struct{ account, payload string }{{"", ""}, {"north", ""}, {"", "gAccounteast"}, {"north", "Account"}} {
+		j := &job.Job{ID: "0123456789abcdef", Account: c.account, Payload: c.payload, Steps: []job.Step{{Count: 1}}}
+		record, err := EncodeJob(j)
+		assert.NilError(t, err)
+		got, err := DecodeAccount(record)
+		assert.NilError(t, err)
+		assert.Equal(t, got, c.account)
+		_, err = DecodeAccount(record[:len(record)-1])
+		assert.Equal(t, err != nil, c.account+c.payload != "", "a record without the name of the field is not decoded")
+	}
+}
--- a/node/entry/node_test.go
+++ b/node/entry/node_test.go
@@ -40,6 +40,8 @@
 	nodeStore platform.Store
 	// operatorStore is the store from which nodes read the operator's records.
 	operatorStore platform.Store
+	// decodeConfig decodes the operator's configuration; nil for version 1 with one route.
+	decodeConfig func(platform.KeyedRecord) (platform.OperatorChange, error)
 }
 
 type testNode struct {
@@ -168,6 +170,9 @@
 			if zone, ok := strings.CutPrefix(r.Key, "evacuate/"); ok {
 				return platform.OperatorChange{Evacuate: domain.FailureDomain(zone), Removed: len(r.Value) == 0}, nil
 			}
+			if c.decodeConfig != nil {
+				return c.decodeConfig(r)
+			}
 			return platform.OperatorChange{Config: &platform.OperatorConfig{
 				Version: 1, Routes: []platform.Route{{Queue: testQueue, Host: "h", PathPrefix: "/"}},
 			}}, nil
@@ -336,6 +341,7 @@
 		`"127.0.0.1:3"`:          "",
 		`"later_field": {}`:      `"ownership": {"renew_ms": 2000}`,
 		`"later_field": {}}`:     `"later_field": {}`,
+		`"later_field"`:          `"accounts": {"strict_revoke": true}, "later_field"`,
 		`"failure_domain": "no`:  `"failure_domain": 7, "x": "no`,
 		`"readiness": "127.0.0.`: `"other": "127.0.0.`,
 	} {
--- a/node/storelog/storelog_test.go
+++ b/node/storelog/storelog_test.go
@@ -408,3 +408,40 @@
 	assert.Equal(t, first.end, int64(1))
 	assert.Equal(t, second.end, int64(2))
 }
+
+// pagedStore has two pages of newest records and notes when each was requested.
+type pagedStore struct {
+	*heldStore
+	clock *steady.Clock
+	asked []time.Duration
+}
+
+func (s *pagedStore) ReadNewest(_ context.Context, _ platform.Partition, after string) (platform.NewestPage, error) {
+	s.asked = append(s.asked, s.clock.Now())
+	for s.clock.Now() == s.asked[len(s.asked)-1] { // The pages are requested at different times.
+	}
+	return platform.NewestPage{Records: []platform.KeyedRecord{record("k" + after)}, More: after == ""}, nil
+}
+
+// A key may be removed between two pages, or while a read waits for records. Guards against
+// an age of the configuration that counts from a later time than the first request.
+func TestLastSentIsWhenACompleteReadWasSent(t *testing.T) {
+	s := &pagedStore{heldStore: newHeldStore(), clock: steady.New()}
+	f := NewFollower(FollowerConfig{
+		Store: s, Partition: testPartition, Clock: s.clock, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), Apply: func(platform.KeyedRecord) {},
+	})
+	_, ok := f.LastSent()
+	assert.Assert(t, !ok)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); f.Run(ctx) }()
+	defer func() { cancel(); <-done }()
+	<-s.held
+	loaded, ok := f.LastSent()
+	assert.Assert(t, ok && len(s.asked) == 2 && loaded <= s.asked[0], "%v, asked %v", loaded, s.asked)
+	atRead := s.clock.Now() // The first read is in progress.
+	s.release <- struct{}{}
+	<-s.held
+	sent, _ := f.LastSent()
+	assert.Assert(t, loaded < sent && sent <= atRead, "%v, %v, %v", loaded, sent, atRead)
+}
