--- a/node/entry/configage_test.go
+++ b/node/entry/configage_test.go
@@ -61,16 +61,20 @@
 	return s.Store.Read(ctx, p, from, wait)
 }
 
-// decodeKeys decodes a configuration of a test: its version, and keys of accounts of the
-// same name. An entry "bad" makes it undecodable.
+// decodeKeys decodes a configuration of a test: a word whose length is the version, and keys
+// that are also the names of their accounts. All accounts have one more key in common. The
+// key "bad" makes the record undecodable.
 func decodeKeys(r platform.KeyedRecord) (platform.OperatorChange, error) {
 	fields := strings.Fields(string(r.Value))
-	c := &platform.OperatorConfig{Version: int64(len(fields[0])), HasAccounts: true, Routes: []platform.Route{{Queue: testQueue, Host: "h", PathPrefix: "/"}}}
+	c := &platform.OperatorConfig{
+		Version: int64(len(fields[0])), HasAccounts: true, Routes: []platform.Route{{Queue: testQueue, Host: "h", PathPrefix: "/"}},
+	}
 	for _, key := range fields[1:] {
 		if key == "bad" {
 			return platform.OperatorChange{}, errors.New("cannot be read")
 		}
-		c.Accounts = append(c.Accounts, account.Account{Name: key, Keys: []account.Digest{account.DigestOf(key), account.DigestOf("shared")}, Weight: 1})
+		keys := []account.Digest{account.DigestOf(key), account.DigestOf("shared")}
+		c.Accounts = append(c.Accounts, account.Account{Name: key, Keys: keys, Weight: 1})
 	}
 	return platform.OperatorChange{Config: c}, nil
 }
--- a/node/entry/reload.go
+++ b/node/entry/reload.go
@@ -32,7 +32,7 @@
 		return
 	}
 	n.applyRuntimeLimits(s)
-	restart := s.Node != n.settings.Node || s.Listen != n.settings.Listen || s.Store != n.settings.Store
+	restart := s.Node != n.settings.Node || s.Listen != n.settings.Listen || s.Store != n.settings.Store || s.Accounts != n.settings.Accounts
 	n.logger.Info("reload", "part", "node", "gc_percent", s.Runtime.GCPercent, "memory_mb", s.Machine.MemoryMB, "needs_restart", restart)
 }
 
