--- a/node/storelog/storelog_test.go
+++ b/node/storelog/storelog_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"runtime"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -435,6 +436,9 @@
 	loaded, ok := f.LastSent()
 	assert.Assert(t, ok && len(s.asked) == 2 && loaded <= s.asked[0], "%v, asked %v", loaded, s.asked)
 	reading := s.clock.Now()
+	for s.clock.Now() <= reading+maxResponseAge { // The response arrives later than LastRead assumes.
+		runtime.Gosched()
+	}
 	s.release <- struct{}{}
 	<-s.held
 	sent, _ := f.LastSent()
