--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -14,10 +14,14 @@
 	// tokenRaises counts the raises of all workers. A worker that is added starts with
 	// it, because an earlier record of the same worker may have had as many.
 	tokenRaises int64
+	// accounts is kept by the workers as attempts are added and removed.
+	accounts accountUse
 }
 
 // New returns an empty worker table.
-func New() *Fleet { return &Fleet{workers: map[domain.WorkerID]*Worker{}} }
+func New() *Fleet {
+	return &Fleet{workers: map[domain.WorkerID]*Worker{}, accounts: accountUse{}}
+}
 
 // Worker returns the worker with the id, or nil if it is unknown.
 func (f *Fleet) Worker(id domain.WorkerID) *Worker { return f.workers[id] }
@@ -32,7 +36,7 @@
 		return w
 	}
 	w := newWorker(platform.RegistryEntry{ID: id})
-	w.TokenRaises = f.tokenRaises
+	w.TokenRaises, w.accounts = f.tokenRaises, f.accounts
 	f.workers[id] = w
 	f.order = append(f.order, w)
 	return w
--- a/core/fleet/worker.go
+++ b/core/fleet/worker.go
@@ -42,8 +42,11 @@
 	// Need is the capacity that the attempt reserves.
 	Need domain.Resources
 	// Account is the client account of the job; empty if it belongs to none or the job
-	// is not known.
+	// is not known. It must not change while the attempt is on a worker.
 	Account string
+	// FullNeed is the need of the step, with the CPU of best-effort tasks, of an attempt
+	// that has no Step although its job is known.
+	FullNeed domain.Resources
 	// Sends counts how often the start request was sent, SentAt is when it was sent
 	// first, and Token is the fencing token that it carried last; 0 for a previous
 	// owner's request.
@@ -143,6 +146,8 @@
 	ServingCPU int64
 	// bestEffort counts the best-effort attempts.
 	bestEffort int
+	// accounts is the use of the accounts by the attempts of all workers of the table.
+	accounts accountUse
 }
 
 func newWorker(entry platform.RegistryEntry) *Worker {
@@ -204,6 +209,7 @@
 	}
 	w.Attempts[r.ID] = r
 	w.Used = w.Used.Add(r.Need)
+	w.accounts.add(r.Account, r.accountNeed())
 	if r.Step == nil {
 		return
 	}
@@ -227,6 +233,7 @@
 	}
 	delete(w.Attempts, r.ID)
 	w.Used = w.Used.Sub(r.Need)
+	w.accounts.add(r.Account, domain.Resources{}.Sub(r.accountNeed()))
 	if r.Step == nil {
 		return
 	}
--- a/core/scheduler/heartbeat.go
+++ b/core/scheduler/heartbeat.go
@@ -249,7 +249,8 @@
 		ID: id, Attempt: running.Attempt, Phase: fleet.AttemptStarted, StartedAt: now, AttemptStatus: fleet.AttemptStatus{Listed: true},
 	}
 	if e := s.ledger.Entry(id.Job); e != nil && id.Step < len(e.Job.Steps) {
-		r.Need = e.Job.Steps[id.Step].ReservedCapacity()
+		step := &e.Job.Steps[id.Step]
+		r.Need, r.FullNeed, r.Account = step.ReservedCapacity(), step.Need, e.Job.Account
 	}
 	w.Add(r)
 	s.requestStop(w, r, "no placement matches the attempt", now)
--- a/core/scheduler/plan.go
+++ b/core/scheduler/plan.go
@@ -64,14 +64,15 @@
 
 // place records a placement. The start request is sent once it is stored.
 func (s *Scheduler) place(p dispatch.Placement, now fleet.Instant) {
-	attempt := s.ledger.NextAttempt(p.Task.StepID, p.Task.Index)
+	attempt, e := s.ledger.NextAttempt(p.Task.StepID, p.Task.Index), s.ledger.Entry(p.Task.Job)
 	if p.Step.Gang {
 		attempt = s.gangAttemptNumber(p, attempt)
 	}
 	s.recordPlaceStage(p, now)
 	s.ledger.Place(p.Task, attempt, p.Worker.ID)
 	r := &fleet.Attempt{
-		ID: p.Task, Attempt: attempt, Phase: fleet.AttemptUnsent, Step: p.Step, Need: p.Step.ReservedCapacity(), PlacedAt: now, SpeedPercent: fullSpeedPercent, SpeedKnown: true,
+		ID: p.Task, Attempt: attempt, Phase: fleet.AttemptUnsent, Step: p.Step, Need: p.Step.ReservedCapacity(),
+		Account: e.Job.Account, PlacedAt: now, SpeedPercent: fullSpeedPercent, SpeedKnown: true,
 	}
 	p.Worker.Add(r)
 	s.unsentStarts = append(s.unsentStarts, unsentStart{worker: p.Worker, attempt: r, ticket: p.Ticket})
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -311,7 +311,7 @@
 			step := &e.Job.Steps[id.Step]
 			w.Add(&fleet.Attempt{
 				ID: id, Attempt: t.Attempt, Phase: fleet.AttemptInherited, Step: step, Need: step.ReservedCapacity(),
-				PlacedAt: now, StartedAt: now,
+				Account: e.Job.Account, PlacedAt: now, StartedAt: now,
 			})
 			w.UnresponsiveSince = now
 		})
