--- a/core/dispatch/claim.go
+++ b/core/dispatch/claim.go
@@ -44,11 +44,15 @@
 // round get none of the capacity that the task needs. Otherwise smaller tasks would take
 // each part of it as soon as it becomes free.
 //
+// A claim takes from the room of the demand's account: what an account may not start keeps
+// no capacity from others, and smaller tasks of the account leave the room to the task.
+//
 // A claim lasts for one round. The next round mostly chooses the same workers, because
 // only their free capacity has grown.
 func (p *Planner) claimWorkers(d *Demand, tasks int) {
-	service := p.claimsOf(d.Service)
-	if service.left == 0 || service.demands == maxClaimingDemands {
+	service, account := p.claimsOf(d.Service), p.accountOf(d)
+	tasks = account.limitTasks(d, tasks)
+	if tasks == 0 || service.left == 0 || service.demands == maxClaimingDemands {
 		return
 	}
 	need := d.Step.ReservedCapacity()
@@ -63,6 +67,7 @@
 	for ; tasks > 0 && len(p.soonest) > 0; tasks-- {
 		c := &p.candidates[p.soonest[0].candidate]
 		c.claimed, c.free = true, withheld(c.free, need)
+		account.take(d)
 		service.left--
 		p.soonest.removeFirst()
 	}
--- a/core/dispatch/order.go
+++ b/core/dispatch/order.go
@@ -19,6 +19,9 @@
 	Priority int
 	// Account is the client account of the job; empty if it belongs to none.
 	Account string
+	// WaitsForAccount is set by Plan if tasks were not placed because of the limit of the
+	// account.
+	WaitsForAccount bool
 	// Waiting lists the indexes of the tasks that wait for an attempt.
 	Waiting []int
 	// Deadline is the time by which the occurrence should be finished, and
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -59,6 +59,8 @@
 	claims   map[string]*claims
 	soonest  ranking
 	releases []release
+	// accounts holds the rooms of the accounts in this round; nil for one without a limit.
+	accounts map[string]*accountRoom
 	rules    Rules
 }
 
@@ -85,7 +87,11 @@
 	Interferes func(w *fleet.Worker, image string) bool
 	// AccountRoom returns what an account may start beyond what it has, at the start of
 	// the round. It is not limited for an account without a limit.
+	// AccountRoom is nil if there are no accounts.
 	AccountRoom func(account string) (room domain.Resources, limited bool)
+	// AccountIdle reports whether an account has no attempts. It may then start one task
+	// that is larger than its room.
+	AccountIdle func(account string) bool
 	// Remaining estimates how long an attempt will keep its capacity. It is not ok for
 	// an attempt that does not end by itself.
 	Remaining func(*fleet.Worker, *fleet.Attempt) (remaining time.Duration, ok bool)
@@ -113,6 +119,7 @@
 	p.failed = p.failed[:0]
 	p.chosen = p.chosen[:0]
 	clear(p.claims)
+	clear(p.accounts)
 	for i := range demands {
 		p.placeStep(&demands[i])
 	}
@@ -138,8 +145,14 @@
 // placeStep places as many of a demand's tasks as fit. The tasks of a gang are
 // placed all together or not at all.
 func (p *Planner) placeStep(d *Demand) {
+	account := p.accountOf(d)
 	if d.Step.Gang {
-		p.placeGang(d)
+		if d.WaitsForAccount = !account.holdsGang(d); !d.WaitsForAccount {
+			p.placeGang(d)
+		}
+		return
+	}
+	if d.WaitsForAccount = !account.holdsTask(d); d.WaitsForAccount {
 		return
 	}
 	// If no rack has capacity for all tasks, they may run on any rack.
@@ -151,7 +164,7 @@
 	if d.Starving && placed == 0 {
 		p.placeStarvingTask(d)
 	}
-	if d.Overdue && placed < len(d.Waiting) {
+	if d.Overdue && placed < len(d.Waiting) && !d.WaitsForAccount {
 		p.claimWorkers(d, len(d.Waiting)-placed)
 	}
 }
@@ -185,8 +198,16 @@
 		}
 	}
 	before, failed := len(p.chosen), len(p.failed)
+	account := p.accountOf(d)
+	var room accountRoom
+	if account != nil {
+		room = *account
+	}
 	if p.placeTasks(d, rack) < len(d.Waiting) {
 		p.removePlacements(before)
+		if account != nil {
+			*account = room
+		}
 		// A demand that did not fit alongside the gang may fit without it.
 		p.failed = p.failed[:failed]
 	}
@@ -300,7 +321,13 @@
 		return 0
 	}
 	p.rateCandidates(d, need, rack)
+	account := p.accountOf(d)
 	for placed, index := range d.Waiting {
+		if !d.Step.Gang && !account.holdsTask(d) {
+			// Not a failure: others may have tasks of the same size placed.
+			d.WaitsForAccount = true
+			return placed
+		}
 		if len(p.ranking) == 0 {
 			if !constrained {
 				p.failed = append(p.failed, failure{service: d.Service, bestEffort: d.Step.Fills, need: d.Step.Need})
@@ -350,6 +377,7 @@
 // addPlacement assigns a task to a candidate.
 func (p *Planner) addPlacement(c *candidate, d *Demand, index int) {
 	c.reserve(d)
+	p.accountOf(d).take(d)
 	p.chosen = append(p.chosen, Placement{
 		Task: job.TaskID{StepID: d.ID, Index: index}, Step: d.Step, Worker: c.worker,
 		Ticket: d.Tickets[string(c.worker.ID)],
