--- a/core/scheduler/harness_test.go
+++ b/core/scheduler/harness_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/basilferry/basilferry/core/account"
 	"github.com/basilferry/basilferry/core/domain"
 	"github.com/basilferry/basilferry/core/fleet"
 	"github.com/basilferry/basilferry/core/job"
@@ -189,6 +190,10 @@
 	// delayed and get no result.
 	delays  func(*Command) bool
 	delayed []*Command
+	// accounts are the client accounts of the configuration, and configChanges counts the
+	// configurations after the first.
+	accounts      []account.Account
+	configChanges int64
 	// decisions are all decisions so far.
 	decisions []Decision
 }
@@ -228,12 +233,19 @@
 	h.scheduler = scheduler
 	h.batch, h.settled = nil, SettledOffset{}
 	clear(h.unanswered)
-	scheduler.SetConfig(&platform.OperatorConfig{Version: 1, Routes: []platform.Route{{Queue: testQueue}}})
+	scheduler.SetConfig(h.config())
 	for _, f := range h.workers {
 		h.register(f)
 	}
 }
 
+// config returns the current configuration.
+func (h *harness) config() *platform.OperatorConfig {
+	return &platform.OperatorConfig{
+		Version: 1 + h.configChanges, Routes: []platform.Route{{Queue: testQueue}}, HasAccounts: h.accounts != nil, Accounts: h.accounts,
+	}
+}
+
 // register passes the current registry entry of a worker to the scheduler.
 func (h *harness) register(f *fakeWorker) {
 	i := slices.Index(h.workers, f)
--- a/core/scheduler/plan.go
+++ b/core/scheduler/plan.go
@@ -17,6 +17,7 @@
 // them to a later one.
 func (s *Scheduler) plan(now fleet.Instant, nowUnixMS int64) {
 	clear(s.freeShares)
+	s.accountWaits.sweep(now)
 	s.bestEffort.startRound(now)
 	demands := s.demands(now, nowUnixMS)
 	if len(demands) == 0 {
@@ -30,11 +31,15 @@
 		Interferes: s.hasInterferenceWith,
 		Remaining:  func(w *fleet.Worker, r *fleet.Attempt) (time.Duration, bool) { return remainingTime(w, r, now) },
 	}
+	if s.accounts.isEnabled() {
+		rules.AccountRoom, rules.AccountIdle = s.accountRoom, s.isAccountIdle
+	}
 	placed := map[job.StepID]int{}
 	for _, p := range s.planner.Plan(demands, s.fleet.All(), rules) {
 		s.place(p, now)
 		placed[p.Task.StepID]++
 	}
+	s.recordAccountWaits(demands, now)
 	for _, d := range demands {
 		if len(d.Waiting) > 0 && len(d.Waiting) == placed[d.ID] && s.ledger.Entry(d.ID.Job).WaitingCount(d.ID.Occurrence, d.ID.Step) > 0 {
 			s.needsPlan = true // There may be capacity for the rest of the step.
@@ -142,7 +147,7 @@
 		}
 		d := dispatch.Demand{
 			ID: job.StepID{Job: e.Job.ID, Occurrence: k, Step: i}, Step: step,
-			Service: s.service(e.Job.Queue), Priority: queue.Priority,
+			Service: s.service(e.Job.Queue), Priority: queue.Priority, Account: e.Job.Account,
 			Deadline: since + objective, NoValueAfter: since + noValueFactor*objective,
 			Remaining: remaining, CoreSeconds: work, TotalWork: e.Job.CoreSeconds(), MeanWork: s.throughput.meanWork(e.Job.Queue.Route),
 		}
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/basilferry/basilferry/core/account"
 	"github.com/basilferry/basilferry/core/dispatch"
 	"github.com/basilferry/basilferry/core/domain"
 	"github.com/basilferry/basilferry/core/fleet"
@@ -95,6 +96,10 @@
 	routes    map[string]*platform.Route
 	evacuated map[domain.FailureDomain]bool
 
+	accounts accountTerms
+	// accountWaits are the jobs that wait for the limit of their account.
+	accountWaits accountWaits
+
 	heartbeats map[domain.WorkerID]*heartbeat
 	commands   []*Command
 	// stops are the attempts whose stop command has to be sent or repeated.
@@ -181,8 +186,11 @@
 // those that were released without a completion, Expired those that ended with the
 // worker's lease, Moved the stragglers that were stopped, Restarts the ended
 // incarnations of workers, and Held how often the store refused the state of a job.
+// AccountWaits counts how often a job started to wait for the limit of its account, and
+// AccountReleased the placements that were not sent because a limit was lowered.
 type Counters struct {
 	Placed, Started, Refused, Unresolved, Lost, Done, Failed, Stopped, Expired, Heartbeats, Throttled, Moved, Restarts, Held int64
+	AccountWaits, AccountReleased                                                                                            int64
 }
 
 // pendingStop is a stop command that has to be sent or repeated.
@@ -221,6 +229,8 @@
 		storedBounds: leaseBounds{suspended: map[domain.WorkerID]bool{}},
 		held:         map[job.ID]*heldJob{},
 		stepEndedAt:  map[job.ID]fleet.Instant{},
+		accounts:     accountTerms{last: map[string]account.Account{}},
+		accountWaits: accountWaits{lastSeen: map[job.ID]fleet.Instant{}},
 		lastStoreAck: claimed,
 		lastRenewal:  claimed,
 	}
@@ -411,6 +421,7 @@
 		return
 	}
 	s.config = c
+	s.accounts.setConfig(c)
 	s.routes = make(map[string]*platform.Route, len(c.Routes))
 	for i := range c.Routes {
 		s.routes[c.Routes[i].Queue.Route] = &c.Routes[i]
--- a/core/scheduler/store.go
+++ b/core/scheduler/store.go
@@ -110,6 +110,7 @@
 			hb.next = now
 		}
 	}
+	s.releaseOverLimit(b.starts, now)
 	for _, start := range b.starts {
 		if b.bounds != nil && b.LeaseBounds == nil {
 			s.releaseAttempt(start.worker, start.attempt, "the store refuses the lease bounds", now)
