--- a/node/dispatcher/config.go
+++ b/node/dispatcher/config.go
@@ -72,6 +72,8 @@
 	Count(name string, n int64)
 	// Gauge sets the named gauge.
 	Gauge(name string, value float64)
+	// AccountGauge sets the named gauge of a client account and a resource.
+	AccountGauge(name, account, resource string, value float64)
 	// Observe records the latency of the named call.
 	Observe(name string, d time.Duration)
 	// ObserveStage records the time of a stage of a job of the named queue.
--- a/node/dispatcher/execute.go
+++ b/node/dispatcher/execute.go
@@ -123,6 +123,8 @@
 		{"run_moved", now.Moved - before.Moved},
 		{"worker_restarts", now.Restarts - before.Restarts},
 		{"job_held", now.Held - before.Held},
+		{"account_wait", now.AccountWaits - before.AccountWaits},
+		{"account_released", now.AccountReleased - before.AccountReleased},
 	} {
 		if c.n != 0 {
 			m.Count(c.name, c.n)
--- a/node/dispatcher/load.go
+++ b/node/dispatcher/load.go
@@ -50,6 +50,7 @@
 	m.Gauge("tasks_serving_over_target", float64(l.ServingOverTarget))
 	m.Gauge("fill_pace_percent", float64(l.SpeedPercent))
 	m.Gauge("cores_free", l.FreeCores)
+	t.reportAccounts(now)
 	t.clearHolds(false)
 	m.Gauge("jobs_held", float64(t.jobScheduler.HeldCount()))
 	m.Gauge("workers_usable", float64(l.UsableWorkers))
--- a/node/dispatcher/takeover_test.go
+++ b/node/dispatcher/takeover_test.go
@@ -27,6 +27,7 @@
 
 func (noMetrics) Count(string, int64)                        {}
 func (noMetrics) Gauge(string, float64)                      {}
+func (noMetrics) AccountGauge(_, _, _ string, _ float64)     {}
 func (noMetrics) Observe(string, time.Duration)              {}
 func (noMetrics) ObserveStage(string, string, time.Duration) {}
 func (noMetrics) SetHeld(string, int)                        {}
--- a/node/dispatcher/term.go
+++ b/node/dispatcher/term.go
@@ -72,6 +72,10 @@
 	tombstones []platform.KeyedRecord
 	// reportedHolds are the held jobs that a metric names.
 	reportedHolds map[job.ID]bool
+	// reportedAccounts are the accounts that metrics name, and lastAccountLog is when the
+	// accounts were last logged; 0 if they were not in this term.
+	reportedAccounts map[string]bool
+	lastAccountLog   time.Duration
 	// statuses holds the status records that are not stored yet.
 	statuses statusQueue
 }
@@ -150,6 +154,7 @@
 	d.cfg.Logger.Info("ownership term ended", "token", d.term.token, "reason", reason, "after", d.cfg.Clock.Now()-d.term.since)
 	d.term.cancel()
 	d.term.clearHolds(true)
+	d.term.clearAccounts(nil)
 	d.term = nil
 	d.cfg.OnOwnershipChange(false)
 }
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -37,6 +37,11 @@
 // Gauge sets the named gauge.
 func (m *metrics) Gauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
 
+// AccountGauge sets the named gauge of a client account and a resource.
+func (m *metrics) AccountGauge(name, account, resource string, value float64) {
+	m.scope.Tagged(map[string]string{"account": account, "resource": resource}).Gauge(name).Update(value)
+}
+
 // Observe records the latency of the named call.
 func (m *metrics) Observe(name string, d time.Duration) {
 	m.scope.Tagged(map[string]string{"call": name}).Histogram("latency", latencyBuckets).RecordDuration(d)
