--- a/core/scheduler/accountreport.go
+++ b/core/scheduler/accountreport.go
@@ -1,10 +1,6 @@
 package scheduler
 
-import (
-	"slices"
-
-	"github.com/basilferry/basilferry/core/domain"
-)
+import "github.com/basilferry/basilferry/core/domain"
 
 const (
 	// maxReportedAccounts is the number of accounts that are reported by name. Each is a
@@ -29,36 +25,40 @@
 }
 
 // AccountReports returns the use of the first accounts in the order of the configuration.
-// All others, with those that are gone and still have attempts, follow as OtherAccounts if
+// All others, with those that are gone and still have attempts or waiting jobs, follow as OtherAccounts if
 // there are any. The result is empty without accounts.
 func (s *Scheduler) AccountReports() []AccountReport {
 	if !s.accounts.isEnabled() {
 		return nil
 	}
-	totalWeight := 0.0
-	for _, name := range s.accounts.order {
+	totalWeight, position := 0.0, make(map[string]int, len(s.accounts.order))
+	for i, name := range s.accounts.order {
+		position[name] = i
 		totalWeight += s.accounts.last[name].Weight
 	}
 	capacity, waiting := s.registeredCapacity(), s.waitingByAccount()
 	report := func(name string) AccountReport {
 		a, use := s.accounts.last[name], s.fleet.AccountUse(name)
 		r := AccountReport{Name: name, Use: use, Limit: a.Limit, Share: dominantShare(use, capacity), WaitingJobs: waiting[name]}
-		if slices.Contains(s.accounts.order, name) && totalWeight > 0 {
+		if _, configured := position[name]; configured && totalWeight > 0 {
 			r.FairShare = a.Weight / totalWeight
 		}
 		return r
 	}
 	var out []AccountReport
-	shown := s.accounts.order[:min(maxReportedAccounts, len(s.accounts.order))]
-	for _, name := range shown {
+	for _, name := range s.accounts.order[:min(maxReportedAccounts, len(s.accounts.order))] {
 		out = append(out, report(name))
 	}
 	rest, count := AccountReport{Name: OtherAccounts}, 0
 	for name := range s.accounts.last {
-		if slices.Contains(shown, name) {
+		i, configured := position[name]
+		if configured && i < maxReportedAccounts {
 			continue
 		}
 		r := report(name)
+		if !configured && r.Use == (domain.Resources{}) && r.WaitingJobs == 0 {
+			continue
+		}
 		rest.Use, rest.Limit = rest.Use.Add(r.Use), addLimits(rest.Limit, r.Limit, count == 0)
 		rest.FairShare += r.FairShare
 		rest.WaitingJobs += r.WaitingJobs
