--- a/core/dispatch/order.go
+++ b/core/dispatch/order.go
@@ -27,9 +27,10 @@
 	Deadline, NoValueAfter time.Duration
 	// Remaining is the estimated duration of the longest chain of unfinished
 	// steps of the occurrence, and CoreSeconds the estimated CPU time that its
-	// unfinished tasks need.
-	Remaining   time.Duration
-	CoreSeconds float64
+	// unfinished tasks need. Executing is the part of CoreSeconds in tasks that have
+	// been placed.
+	Remaining              time.Duration
+	CoreSeconds, Executing float64
 	// TotalWork is the work of the whole occurrence, and MeanWork its mean over
 	// the queue's jobs, in core-seconds.
 	TotalWork, MeanWork float64
@@ -41,9 +42,13 @@
 	// short work. Otherwise steady short work near full load would keep it waiting for ever.
 	// Tasks that fit on no worker claim some.
 	Overdue bool
-	// deferred is set by DeferJobs for jobs that wait so that others finish on
-	// time.
+	// deferred is set by Prepare for jobs that wait so that others finish on time.
 	deferred bool
+	// share is how the tasks relate to the share of their account. shareUsed is the part of
+	// the share that the account uses when the demand begins; it is set for
+	// crossesShare only.
+	share     shareClass
+	shareUsed float64
 	// Tickets maps the id of each worker that the policy service allows to the
 	// ticket for it. It is nil if the queue has no policy service.
 	Tickets map[string]string
@@ -74,9 +79,35 @@
 	return valueless
 }
 
-// SortDemands sorts demands by tier, then overdue work first, then by the queue's
-// priority, then short work before long-running work, then by the latest time at
-// which the work must start. Demands of a later tier come later but are never dropped.
+// IsDeferred reports whether Prepare has deferred the job so that others finish on time.
+func (d *Demand) IsDeferred() bool { return d.deferred }
+
+// IsBeyondShare reports whether the tasks exceed the share of their account.
+func (d *Demand) IsBeyondShare() bool { return d.share == beyondShare }
+
+// Prepare returns the demands in the order in which they are to be placed. It determines
+// which jobs are deferred and which tasks are beyond the share of their account. A demand of
+// which only some tasks are within the share is divided.
+//
+// The shares come first, because work beyond them is deferred first.
+func Prepare(demands []Demand, load Load, now time.Duration) []Demand {
+	for i := range demands {
+		demands[i].deferred, demands[i].share, demands[i].shareUsed = false, withinShare, 0
+	}
+	if len(load.Accounts) > 0 {
+		SortDemands(demands, now)
+		demands = markBeyondShares(demands, load)
+	}
+	deferJobs(demands, load, now)
+	SortDemands(demands, now)
+	return demands
+}
+
+// SortDemands sorts demands without value last and, of the others, first those within the
+// share of their account, then those that cross it, of the account that uses least of its
+// share first, then those beyond it. It then sorts by tier, then overdue work first,
+// then by the queue's priority, then short work before long-running work, then by the
+// latest time at which the work must start. No demand is dropped.
 //
 // Short work comes first because it uses its capacity for about a second, so a
 // long-running task waits only briefly for it. The other way round, the short
@@ -85,6 +116,9 @@
 func SortDemands(demands []Demand, now time.Duration) {
 	slices.SortStableFunc(demands, func(a, b Demand) int {
 		return cmp.Or(
+			cmp.Compare(valueRank(&a, now), valueRank(&b, now)),
+			cmp.Compare(a.share, b.share),
+			cmp.Compare(a.shareUsed, b.shareUsed),
 			cmp.Compare(a.tier(now), b.tier(now)),
 			cmp.Compare(overdueRank(a), overdueRank(b)),
 			cmp.Compare(a.Priority, b.Priority),
@@ -94,6 +128,13 @@
 	})
 }
 
+func valueRank(d *Demand, now time.Duration) int {
+	if d.tier(now) == valueless {
+		return 1
+	}
+	return 0
+}
+
 func overdueRank(d Demand) int {
 	if d.Overdue {
 		return 0
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -129,9 +129,7 @@
 		if !p.rules.Usable(w) {
 			continue
 		}
-		free := w.FreeCapacity()
-		unused := int64((1 - servingCPUUse) * float64(w.ServingCPU))
-		p.candidates = append(p.candidates, candidate{worker: w, free: free, unusedCPUMilli: free.CPUMilli + unused - w.BestEffortCPU})
+		p.candidates = append(p.candidates, candidate{worker: w, free: w.FreeCapacity(), unusedCPUMilli: UnusedCPUMilli(w)})
 	}
 }
 
--- a/core/dispatch/plan_test.go
+++ b/core/dispatch/plan_test.go
@@ -293,16 +293,15 @@
 	SortDemands(first, now)
 	assert.Equal(t, finishedOnTime(first, rate), 1)
 	chosen := burst()
-	DeferJobs(chosen, Throughput{BestEffortRate: rate, Slowdown: 1}, now)
-	SortDemands(chosen, now)
+	chosen = Prepare(chosen, Load{Pools: map[Pool]PoolLoad{{Service: "desk", BestEffort: true}: {Rate: rate, Slowdown: 1}}}, now)
 	assert.Assert(t, finishedOnTime(chosen, rate) >= 10)
 	assert.Equal(t, len(chosen), 16)
 }
 
 // Jobs that can all be on time. Guards against deferring any of them.
-func TestDeferJobsLeavesFeasibleJobsAlone(t *testing.T) {
+func TestPrepareLeavesFeasibleJobsAlone(t *testing.T) {
 	demands := []Demand{bestEffortJob("a", 100, 10*time.Second), bestEffortJob("b", 100, 10*time.Second)}
-	DeferJobs(demands, Throughput{BestEffortRate: 50, Slowdown: 1}, now)
+	demands = Prepare(demands, Load{Pools: map[Pool]PoolLoad{{Service: "desk", BestEffort: true}: {Rate: 50, Slowdown: 1}}}, now)
 	for _, d := range demands {
 		assert.Assert(t, !d.deferred)
 	}
--- a/core/dispatch/ranking.go
+++ b/core/dispatch/ranking.go
@@ -42,6 +42,19 @@
 	r.siftDown(0)
 }
 
+// add adds a candidate.
+func (r *ranking) add(c rated) {
+	*r = append(*r, c)
+	for i := len(*r) - 1; i > 0; {
+		parent := (i - 1) / 2
+		if !(*r)[i].before((*r)[parent]) {
+			return
+		}
+		(*r)[i], (*r)[parent] = (*r)[parent], (*r)[i]
+		i = parent
+	}
+}
+
 func (r ranking) siftDown(i int) {
 	for {
 		child := 2*i + 1
--- a/core/scheduler/expire.go
+++ b/core/scheduler/expire.go
@@ -29,6 +29,7 @@
 		s.closed = s.closed[1:]
 		s.ledger.Drop(first.id)
 		delete(s.accepted, first.id)
+		delete(s.wasDeferred, first.id)
 		delete(s.finished, first.id)
 		s.dropHold(first.id)
 		out = append(out, first.id)
--- a/core/scheduler/heartbeat.go
+++ b/core/scheduler/heartbeat.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/basilferry/basilferry/core/dispatch"
 	"github.com/basilferry/basilferry/core/fleet"
 	"github.com/basilferry/basilferry/core/job"
 	"github.com/basilferry/basilferry/core/ledger"
@@ -352,8 +353,8 @@
 	}
 }
 
-// updateHealth updates the health of the worker, and the throughput of best-effort
-// work, with a completion.
+// updateHealth updates the health of the worker, and the throughput of its pool, with a
+// completion.
 func (s *Scheduler) updateHealth(w *fleet.Worker, r *fleet.Attempt, kind platform.CompletionKind, now fleet.Instant) {
 	if r.Step == nil || r.StopWanted {
 		return
@@ -361,8 +362,8 @@
 	switch kind {
 	case platform.CompletionDone:
 		w.Health.RecordDone(now-r.StartedAt, r.Step.Estimate)
-		if r.Step.Fills {
-			s.throughput.addFinishedTask(r.Step, now-r.StartedAt, now)
+		if !r.Step.LongRunning {
+			s.throughput.addFinishedTask(dispatch.Pool{Service: w.Service, BestEffort: r.Step.Fills}, r.Step, now-r.StartedAt, now)
 		}
 	case platform.CompletionFailed:
 		if pause := w.Health.RecordFailure(); pause > 0 {
@@ -375,6 +376,7 @@
 // removeAttempt removes an attempt from its worker.
 func (s *Scheduler) removeAttempt(w *fleet.Worker, r *fleet.Attempt) {
 	w.Remove(r)
+	s.accounts.add(w, r, -1)
 	delete(s.stops, r)
 }
 
--- a/core/scheduler/plan.go
+++ b/core/scheduler/plan.go
@@ -22,8 +22,8 @@
 	if len(demands) == 0 {
 		return
 	}
-	dispatch.DeferJobs(demands, s.throughput.snapshot(now), now)
-	dispatch.SortDemands(demands, now)
+	demands = dispatch.Prepare(demands, s.roundLoad(demands, now), now)
+	s.countDeferred(demands)
 	rules := dispatch.Rules{
 		Usable:     func(w *fleet.Worker) bool { return s.isUsable(w, now) },
 		Headroom:   func(w *fleet.Worker) dispatch.Headroom { return s.workerHeadroom(w, now) },
@@ -35,8 +35,8 @@
 		s.place(p, now)
 		placed[p.Task.StepID]++
 	}
-	for _, d := range demands {
-		if len(d.Waiting) > 0 && len(d.Waiting) == placed[d.ID] && s.ledger.Entry(d.ID.Job).WaitingCount(d.ID.Occurrence, d.ID.Step) > 0 {
+	for id, waiting := range waitingByStep(demands) {
+		if waiting > 0 && waiting == placed[id] && s.ledger.Entry(id.Job).WaitingCount(id.Occurrence, id.Step) > 0 {
 			s.needsPlan = true // There may be capacity for the rest of the step.
 		}
 	}
@@ -75,6 +75,7 @@
 		Account: e.Job.Account, PlacedAt: now, SpeedPercent: fullSpeedPercent, SpeedKnown: true,
 	}
 	p.Worker.Add(r)
+	s.accounts.add(p.Worker, r, 1)
 	s.unsentStarts = append(s.unsentStarts, unsentStart{worker: p.Worker, attempt: r, ticket: p.Ticket})
 	s.Counters.Placed++
 	s.recordDecision(Decision{
@@ -97,6 +98,7 @@
 // demands returns the steps with tasks that may start now.
 func (s *Scheduler) demands(now fleet.Instant, nowUnixMS int64) []dispatch.Demand {
 	s.nextDueUnixMS = 0
+	clear(s.executing)
 	var out []dispatch.Demand
 	for _, e := range s.ledger.OpenJobs() {
 		if s.held[e.Job.ID] != nil {
@@ -128,6 +130,7 @@
 	objective := e.Job.LatencyObjective(queue)
 	since := s.accepted[e.Job.ID]
 	remaining, work := s.remaining(e, k)
+	executing := s.addExecuting(e, k)
 	for i := range e.Job.Steps {
 		step := &e.Job.Steps[i]
 		waiting := e.WaitingCount(k, i)
@@ -142,7 +145,7 @@
 		}
 		d := dispatch.Demand{
 			ID: job.StepID{Job: e.Job.ID, Occurrence: k, Step: i}, Step: step,
-			Service: s.service(e.Job.Queue), Priority: queue.Priority,
+			Service: s.service(e.Job.Queue), Priority: queue.Priority, Account: e.Job.Account, Executing: executing[step.Fills],
 			Deadline: since + objective, NoValueAfter: since + noValueFactor*objective,
 			Remaining: remaining, CoreSeconds: work, TotalWork: e.Job.CoreSeconds(), MeanWork: s.throughput.meanWork(e.Job.Queue.Route),
 		}
--- /dev/null
+++ b/core/scheduler/poolload.go
@@ -0,0 +1,225 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/basilferry/basilferry/core/dispatch"
+	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/fleet"
+	"github.com/basilferry/basilferry/core/job"
+	"github.com/basilferry/basilferry/core/ledger"
+	"github.com/basilferry/basilferry/core/platform"
+)
+
+// recountInterval is how often the use of the accounts by pool is counted anew from all
+// attempts, which corrects what changes besides placements and ends, such as the service of
+// a worker. The count takes too long for each round.
+const recountInterval = 200 * time.Millisecond
+
+// accountPools holds what each account uses of each pool, and the weights of the accounts.
+// fleet.AccountUse has only the sum over all pools, in which the CPU that long-running tasks
+// reserve and the CPU that best-effort tasks use beside them cannot be told apart.
+type accountPools struct {
+	use map[string]map[dispatch.Pool]dispatch.AccountUse
+	// countedAt is when the use was last counted; 0 for never.
+	countedAt fleet.Instant
+	// weights holds the weights of all accounts that this owner has seen. It includes those
+	// that have been removed, because they may still have jobs.
+	weights map[string]float64
+	// config is the configuration that the weights were last read from.
+	config *platform.OperatorConfig
+}
+
+func newAccountPools() accountPools {
+	return accountPools{use: map[string]map[dispatch.Pool]dispatch.AccountUse{}, weights: map[string]float64{}}
+}
+
+// areEnabled reports whether accounts are enabled. Without them nothing is counted.
+func (a *accountPools) areEnabled() bool { return a.config != nil && a.config.HasAccounts }
+
+// setConfig reads the weights of a configuration.
+func (a *accountPools) setConfig(c *platform.OperatorConfig) {
+	if a.config == c {
+		return
+	}
+	a.config = c
+	seen := map[string]bool{}
+	for _, account := range c.Accounts {
+		if !seen[account.Name] {
+			seen[account.Name] = true
+			a.weights[account.Name] = account.Weight
+		}
+	}
+}
+
+// weight returns the weight of an account. It is 1 for one that was removed before this
+// owner has read a configuration.
+func (a *accountPools) weight(name string) float64 {
+	if weight, ok := a.weights[name]; ok {
+		return weight
+	}
+	return 1
+}
+
+// count counts the use anew if the last count is too old.
+func (a *accountPools) count(workers []*fleet.Worker, now fleet.Instant) {
+	if a.countedAt > 0 && now-a.countedAt < recountInterval {
+		return
+	}
+	a.countedAt = now
+	clear(a.use)
+	for _, w := range workers {
+		for _, r := range w.Attempts {
+			a.add(w, r, 1)
+		}
+	}
+}
+
+// add adds sign times the need of an attempt to the use of its account.
+func (a *accountPools) add(w *fleet.Worker, r *fleet.Attempt, sign int64) {
+	if r.Account == "" || r.Step == nil || !a.areEnabled() {
+		return
+	}
+	if a.use[r.Account] == nil {
+		a.use[r.Account] = map[dispatch.Pool]dispatch.AccountUse{}
+	}
+	pool := dispatch.Pool{Service: w.Service, BestEffort: r.Step.Fills}
+	use, need := a.use[r.Account][pool], r.Step.Need
+	if sign < 0 {
+		need = domain.Resources{}.Sub(need)
+	}
+	use.Total = use.Total.Add(need)
+	if r.Step.LongRunning {
+		use.LongRunning = use.LongRunning.Add(need)
+	}
+	a.use[r.Account][pool] = use
+}
+
+// load returns the accounts with use, and those of the demands.
+func (a *accountPools) load(demands []dispatch.Demand) map[string]dispatch.AccountLoad {
+	out := make(map[string]dispatch.AccountLoad, len(a.use))
+	for name, use := range a.use {
+		out[name] = dispatch.AccountLoad{Weight: a.weight(name), Use: use}
+	}
+	for i := range demands {
+		if name := demands[i].Account; name != "" && out[name].Weight == 0 {
+			out[name] = dispatch.AccountLoad{Weight: a.weight(name)}
+		}
+	}
+	return out
+}
+
+// roundLoad returns the load at the start of a planning round.
+func (s *Scheduler) roundLoad(demands []dispatch.Demand, now fleet.Instant) dispatch.Load {
+	load := dispatch.Load{Pools: map[dispatch.Pool]dispatch.PoolLoad{}}
+	s.accounts.setConfig(s.config)
+	if s.accounts.areEnabled() {
+		s.accounts.count(s.fleet.All(), now)
+		load.Accounts = s.accounts.load(demands)
+	}
+	for service, free := range s.freeByService(now) {
+		for _, bestEffort := range []bool{false, true} {
+			pool := dispatch.Pool{Service: service, BestEffort: bestEffort}
+			p := s.throughput.snapshot(pool, now)
+			p.Executing, p.Capacity = s.executing[pool], free.reserved
+			if bestEffort {
+				p.Capacity.CPUMilli = free.unusedCPUMilli
+			} else {
+				p.Rate = float64(free.endingCPUMilli) / milliPerCore / p.Slowdown
+			}
+			for _, account := range load.Accounts {
+				p.Capacity = p.Capacity.Add(account.Use[pool].Total)
+			}
+			load.Pools[pool] = p
+		}
+	}
+	return load
+}
+
+// serviceCapacity is the capacity of the usable workers of a service.
+type serviceCapacity struct {
+	// reserved is what no attempt reserves, and unusedCPUMilli the CPU that more
+	// best-effort tasks could use.
+	reserved       domain.Resources
+	unusedCPUMilli int64
+	// endingCPUMilli is the CPU that long-running tasks do not reserve. Tasks that end by
+	// themselves use it, or it is free.
+	endingCPUMilli int64
+}
+
+// freeByService adds up the usable workers by service.
+func (s *Scheduler) freeByService(now fleet.Instant) map[string]*serviceCapacity {
+	out := map[string]*serviceCapacity{}
+	for _, w := range s.fleet.All() {
+		if !s.isUsable(w, now) {
+			continue
+		}
+		c := out[w.Service]
+		if c == nil {
+			c = &serviceCapacity{}
+			out[w.Service] = c
+		}
+		c.reserved = c.reserved.Add(atLeastZero(w.FreeCapacity()))
+		c.unusedCPUMilli += max(0, dispatch.UnusedCPUMilli(w))
+		c.endingCPUMilli += max(0, w.Capacity.CPUMilli-w.LongRunningUse.CPUMilli)
+	}
+	return out
+}
+
+// atLeastZero returns the resources with 0 in place of negative amounts.
+func atLeastZero(r domain.Resources) domain.Resources {
+	return domain.Resources{
+		CPUMilli: max(0, r.CPUMilli), MemoryMiB: max(0, r.MemoryMiB), Accelerators: max(0, r.Accelerators),
+		Slots: max(0, r.Slots), Connections: max(0, r.Connections),
+	}
+}
+
+// addExecuting adds the work of the placed tasks of an occurrence to the pools. It returns
+// that work, in core-seconds, for regular and for best-effort tasks.
+func (s *Scheduler) addExecuting(e *ledger.Entry, k int) (work map[bool]float64) {
+	occurrence := e.Occurrences[k]
+	if occurrence == nil || e.PlacedCount() == 0 {
+		return nil
+	}
+	work = map[bool]float64{}
+	for i := range e.Job.Steps {
+		step, placed := &e.Job.Steps[i], occurrence.Steps[i].Placed
+		if placed > 0 && !step.LongRunning {
+			work[step.Fills] += step.CoreSeconds() * float64(placed) / float64(step.Count)
+		}
+	}
+	for bestEffort, amount := range work {
+		s.executing[dispatch.Pool{Service: s.service(e.Job.Queue), BestEffort: bestEffort}] += amount
+	}
+	return work
+}
+
+// countDeferred counts the jobs that are deferred for the first time, by queue.
+func (s *Scheduler) countDeferred(demands []dispatch.Demand) {
+	for i := range demands {
+		id := demands[i].ID.Job
+		if !demands[i].IsDeferred() || s.wasDeferred[id] {
+			continue
+		}
+		s.wasDeferred[id] = true
+		s.newlyDeferred[s.ledger.Entry(id).Job.Queue.Route]++
+	}
+}
+
+// TakeDeferred returns and removes how many jobs of each queue were deferred for the first
+// time since the last call.
+func (s *Scheduler) TakeDeferred() map[string]int64 {
+	out := s.newlyDeferred
+	s.newlyDeferred = map[string]int64{}
+	return out
+}
+
+// waitingByStep returns how many tasks of each step the demands have. A step has two demands
+// if the share of its account ends within it.
+func waitingByStep(demands []dispatch.Demand) map[job.StepID]int {
+	out := make(map[job.StepID]int, len(demands))
+	for i := range demands {
+		out[demands[i].ID] += len(demands[i].Waiting)
+	}
+	return out
+}
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -90,6 +90,14 @@
 	sharing      *sharing.Model
 	throughput   *throughput
 	policyAdvice policyAdvice
+	accounts     accountPools
+	// executing is the work of the placed tasks of each pool in the current planning
+	// round; see dispatch.PoolLoad.
+	executing map[dispatch.Pool]float64
+	// wasDeferred are the open jobs that have been deferred, and newlyDeferred the numbers
+	// of them by queue that the driver has not taken yet.
+	wasDeferred   map[job.ID]bool
+	newlyDeferred map[string]int64
 
 	config    *platform.OperatorConfig
 	routes    map[string]*platform.Route
@@ -210,6 +218,9 @@
 		sharing:      sharing.NewModel(),
 		throughput:   newThroughput(now),
 		policyAdvice: policyAdvice{steps: map[job.StepID]*stepAdvice{}},
+		accounts:     newAccountPools(),
+		executing:    map[dispatch.Pool]float64{},
+		wasDeferred:  map[job.ID]bool{}, newlyDeferred: map[string]int64{},
 		evacuated:    map[domain.FailureDomain]bool{},
 		heartbeats:   map[domain.WorkerID]*heartbeat{},
 		stops:        map[*fleet.Attempt]*pendingStop{},
--- a/core/scheduler/store.go
+++ b/core/scheduler/store.go
@@ -127,6 +127,7 @@
 		if e.IsClosed() && e.PlacedCount() == 0 && s.ledger.Entry(id) == e && !s.ledger.IsChanged(id) {
 			s.ledger.Drop(id)
 			delete(s.accepted, id)
+			delete(s.wasDeferred, id)
 			s.finished[id] = e.State()
 		}
 	}
--- a/core/scheduler/throughput.go
+++ b/core/scheduler/throughput.go
@@ -19,19 +19,24 @@
 	slowdownWeight = 0.05
 )
 
-// throughput measures how fast best-effort work is done and how much work the jobs
+// throughput measures how fast the work of each pool is done and how much work the jobs
 // of each queue contain.
 type throughput struct {
+	pools map[dispatch.Pool]*poolThroughput
+	// since is when the measurement began.
+	since       fleet.Instant
+	workByRoute map[string]*workTotal
+}
+
+// poolThroughput is the throughput of one pool.
+type poolThroughput struct {
 	// finishedTasks are the best-effort tasks that finished within rateWindow,
-	// oldest first.
+	// oldest first. The rate of other pools follows from their capacity.
 	finishedTasks []finishedTask
 	// work is the total work of finishedTasks, in core-seconds.
 	work float64
-	// since is when the measurement began.
-	since fleet.Instant
 	// slowdown is the moving average of actual over estimated duration.
-	slowdown    float64
-	workByRoute map[string]*workTotal
+	slowdown float64
 }
 
 // finishedTask is the work, in core-seconds, of one task and when it finished.
@@ -47,7 +52,7 @@
 }
 
 func newThroughput(now fleet.Instant) *throughput {
-	return &throughput{since: now, slowdown: 1, workByRoute: map[string]*workTotal{}}
+	return &throughput{since: now, pools: map[dispatch.Pool]*poolThroughput{}, workByRoute: map[string]*workTotal{}}
 }
 
 // accepted records the work of an accepted job.
@@ -70,34 +75,49 @@
 	return q.total / float64(q.count)
 }
 
-// addFinishedTask records a best-effort task that is done, with its actual duration.
-func (t *throughput) addFinishedTask(step *job.Step, duration time.Duration, now fleet.Instant) {
-	work := step.CoreSeconds() / float64(step.Count)
-	t.finishedTasks = append(t.finishedTasks, finishedTask{at: now, work: work})
-	t.work += work
+// addFinishedTask records a task of a pool that is done, with its actual duration.
+func (t *throughput) addFinishedTask(pool dispatch.Pool, step *job.Step, duration time.Duration, now fleet.Instant) {
+	p := t.pools[pool]
+	if p == nil {
+		p = &poolThroughput{slowdown: 1}
+		t.pools[pool] = p
+	}
 	if step.Estimate > 0 {
-		t.slowdown += slowdownWeight * (float64(duration)/float64(step.Estimate) - t.slowdown)
+		p.slowdown += slowdownWeight * (float64(duration)/float64(step.Estimate) - p.slowdown)
+	}
+	if !pool.BestEffort {
+		return
 	}
-	t.dropOld(now)
+	work := step.CoreSeconds() / float64(step.Count)
+	p.finishedTasks = append(p.finishedTasks, finishedTask{at: now, work: work})
+	p.work += work
+	p.dropOld(now)
 }
 
 // dropOld drops the tasks that finished before the window.
-func (t *throughput) dropOld(now fleet.Instant) {
+func (p *poolThroughput) dropOld(now fleet.Instant) {
 	old := 0
-	for old < len(t.finishedTasks) && now-t.finishedTasks[old].at > rateWindow {
-		t.work -= t.finishedTasks[old].work
+	for old < len(p.finishedTasks) && now-p.finishedTasks[old].at > rateWindow {
+		p.work -= p.finishedTasks[old].work
 		old++
 	}
-	t.finishedTasks = t.finishedTasks[old:]
+	p.finishedTasks = p.finishedTasks[old:]
 }
 
-// snapshot returns the current throughput. It returns the zero value until there
-// are enough samples.
-func (t *throughput) snapshot(now fleet.Instant) dispatch.Throughput {
-	t.dropOld(now)
-	span := min(rateWindow, now-t.since)
-	if span < minRateWindow || len(t.finishedTasks) == 0 {
-		return dispatch.Throughput{}
+// minSlowdown is the least slowdown that the rate of a pool is computed with.
+const minSlowdown = 0.1
+
+// snapshot returns the slowdown of a pool and the rate at which its tasks have finished.
+// The rate is 0 until there are enough samples.
+func (t *throughput) snapshot(pool dispatch.Pool, now fleet.Instant) dispatch.PoolLoad {
+	p := t.pools[pool]
+	if p == nil {
+		return dispatch.PoolLoad{Slowdown: 1}
+	}
+	p.dropOld(now)
+	out := dispatch.PoolLoad{Slowdown: max(minSlowdown, p.slowdown)}
+	if span := min(rateWindow, now-t.since); span >= minRateWindow && len(p.finishedTasks) > 0 {
+		out.Rate = p.work / span.Seconds()
 	}
-	return dispatch.Throughput{BestEffortRate: t.work / span.Seconds(), Slowdown: t.slowdown}
+	return out
 }
