--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -289,3 +289,27 @@
 	}
 	assert.DeepEqual(t, placed, map[job.ID]int{"large": 8, "small": 2})
 }
+
+// Two jobs of which only one can finish on time. Guards against deferring the one whose delay
+// costs more, and against a started job that loses its place to a slightly smaller new one.
+func TestJobThatCostsLeastIsDeferred(t *testing.T) {
+	for name, change := range map[string]func(kept, deferred *Demand){
+		"lower priority, though smaller": func(_, d *Demand) { d.Priority, d.CoreSeconds = 1, 50 },
+		"more work":                      func(_, d *Demand) { d.CoreSeconds = 80 },
+		"not started, though smaller":    func(k, d *Demand) { k.TotalWork, d.CoreSeconds, d.TotalWork = 70, 55, 55 },
+		"beyond the share":               func(_, d *Demand) { d.share, d.CoreSeconds = beyondShare, 50 },
+	} {
+		for _, bestEffort := range []bool{false, true} {
+			pool := Pool{Service: "desk", BestEffort: bestEffort}
+			var demands []Demand
+			for i := range 2 {
+				d := demand(fmt.Sprint(i), job.Step{Count: 1, Need: cpu(1), Fills: bestEffort}, 1)
+				d.Deadline, d.CoreSeconds, d.TotalWork, d.MeanWork = now+10*time.Second, 60, 60, 60
+				demands = append(demands, d)
+			}
+			change(&demands[0], &demands[1])
+			deferJobs(demands, Load{Pools: map[Pool]PoolLoad{pool: {Rate: 10, Slowdown: 1}}}, now)
+			assert.Check(t, !demands[0].IsDeferred() && demands[1].IsDeferred(), "%s, best-effort %v", name, bestEffort)
+		}
+	}
+}
