--- a/core/dispatch/load.go
+++ b/core/dispatch/load.go
@@ -41,7 +41,10 @@
 type AccountLoad struct {
 	// Weight is the relative size of the account's share. It is positive.
 	Weight float64
-	Use    map[Pool]AccountUse
+	// Limit is what the account may use over all pools; a resource of 0 has no limit. What
+	// it waits for beyond that does not reduce the shares of others.
+	Limit domain.Resources
+	Use   map[Pool]AccountUse
 }
 
 // AccountUse is what the attempts of an account use of one pool, with the CPU of best-effort
--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -261,7 +261,7 @@
 	other := ends
 	other.ID.Job, other.Account = "other", "b"
 	load := Load{
-		Pools:    map[Pool]PoolLoad{{Service: "desk"}: {Capacity: domain.Resources{CPUMilli: 6000}}},
+		Pools:    map[Pool]PoolLoad{{Service: "desk"}: {Capacity: cpu(6)}},
 		Accounts: map[string]AccountLoad{"a": {Weight: 2}, "b": {Weight: 1}},
 	}
 	within, beyond := map[job.ID]int{}, map[job.ID]int{}
@@ -283,7 +283,7 @@
 		demand("large", job.Step{Count: 20, Need: cpu(1)}, 20), demand("small", job.Step{Count: 2, Need: cpu(1)}, 2)
 	impossible.Account, large.Account, small.Account = "a", "b", "c"
 	load := Load{
-		Pools:    map[Pool]PoolLoad{{Service: "desk"}: {Capacity: domain.Resources{CPUMilli: 10000}}},
+		Pools:    map[Pool]PoolLoad{{Service: "desk"}: {Capacity: cpu(10)}},
 		Accounts: map[string]AccountLoad{"a": {Weight: 1}, "b": {Weight: 1}, "c": {Weight: 1}},
 	}
 	placed := map[job.ID]int{}
@@ -294,6 +294,27 @@
 	assert.DeepEqual(t, placed, map[job.ID]int{"large": 8, "small": 2})
 }
 
+// One account waits at its limit. Guards against shares that keep capacity for work that may
+// not start, so that others are beyond their shares too early.
+func TestWorkAboveALimitHasNoShare(t *testing.T) {
+	limited, other := demand("limited", job.Step{Count: 20, Need: cpu(1)}, 20), demand("other", job.Step{Count: 20, Need: cpu(1)}, 20)
+	limited.Account, other.Account = "a", "b"
+	pool := Pool{Service: "desk"}
+	load := Load{
+		Pools: map[Pool]PoolLoad{pool: {Capacity: cpu(10)}},
+		Accounts: map[string]AccountLoad{
+			"a": {Weight: 1, Limit: cpu(2), Use: map[Pool]AccountUse{pool: {Total: cpu(2)}}}, "b": {Weight: 1},
+		},
+	}
+	within := 0
+	for _, d := range Prepare([]Demand{limited, other}, load, now) {
+		if d.Account == "b" && !d.IsBeyondShare() {
+			within += len(d.Waiting)
+		}
+	}
+	assert.Equal(t, within, 8)
+}
+
 // Two jobs of which only one can finish on time. Guards against deferring the one whose delay
 // costs more, and against a started job that loses its place to a slightly smaller new one.
 func TestJobThatCostsLeastIsDeferred(t *testing.T) {
--- a/core/dispatch/shares.go
+++ b/core/dispatch/shares.go
@@ -53,6 +53,8 @@
 	// use is what the account uses, and demand that and what its waiting tasks need.
 	// committed is the part of use that does not end by itself.
 	use, demand, committed amounts
+	// limit is what the account may use; a resource of 0 has no limit.
+	limit amounts
 	// size is the dominant share of demand, and level the dominant share that the account
 	// may have per unit of its weight. The level is infinite if there is capacity for its
 	// demand.
@@ -108,17 +110,25 @@
 	for _, name := range slices.Sorted(maps.Keys(load.Accounts)) {
 		account := load.Accounts[name]
 		use := account.Use[pool]
-		a := &accountShare{weight: account.Weight, use: amountsOf(use.Total), demand: amountsOf(use.Total), committed: amountsOf(use.LongRunning)}
+		a := &accountShare{
+			weight: account.Weight, limit: amountsOf(account.Limit),
+			use: amountsOf(use.Total), demand: amountsOf(use.Total), committed: amountsOf(use.LongRunning),
+		}
 		p.accounts[name], p.order = a, append(p.order, a)
 	}
 	pools[pool] = p
 	return p
 }
 
-// addNeed adds what the waiting tasks of a demand need.
+// addNeed adds what the waiting tasks of a demand need, up to the limit of the account.
 func (p *poolShares) addNeed(d *Demand) {
 	a := p.accounts[d.Account]
 	a.demand = a.demand.plus(amountsOf(d.Step.Need), float64(len(d.Waiting)))
+	for i := range a.demand {
+		if a.limit[i] > 0 {
+			a.demand[i] = min(a.demand[i], max(a.use[i], a.limit[i]))
+		}
+	}
 }
 
 // levelSteps is the number of bisections of a level. It makes the error of the level less
--- a/core/scheduler/poolload.go
+++ b/core/scheduler/poolload.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/basilferry/basilferry/core/account"
 	"github.com/basilferry/basilferry/core/dispatch"
 	"github.com/basilferry/basilferry/core/domain"
 	"github.com/basilferry/basilferry/core/fleet"
@@ -16,28 +17,28 @@
 // a worker. A count of 7,000 attempts takes 1.4 ms, which is too long for each round.
 const recountInterval = time.Second
 
-// accountPools holds what each account uses of each pool, and the weights of the accounts.
+// accountPools holds what each account uses of each pool, and the accounts.
 // fleet.AccountUse has only the sum over all pools, in which the CPU that long-running tasks
 // reserve and the CPU that best-effort tasks use beside them cannot be told apart.
 type accountPools struct {
 	use map[string]map[dispatch.Pool]dispatch.AccountUse
 	// countedAt is when the use was last counted; 0 for never.
 	countedAt fleet.Instant
-	// weights holds the weights of all accounts that this owner has seen. It includes those
-	// that have been removed, because they may still have jobs.
-	weights map[string]float64
-	// config is the configuration that the weights were last read from.
+	// accounts holds all accounts that this owner has seen. It includes those that have been
+	// removed, because they may still have jobs.
+	accounts map[string]account.Account
+	// config is the configuration that the accounts were last read from.
 	config *platform.OperatorConfig
 }
 
 func newAccountPools() accountPools {
-	return accountPools{use: map[string]map[dispatch.Pool]dispatch.AccountUse{}, weights: map[string]float64{}}
+	return accountPools{use: map[string]map[dispatch.Pool]dispatch.AccountUse{}, accounts: map[string]account.Account{}}
 }
 
 // areEnabled reports whether accounts are enabled. Without them nothing is counted.
 func (a *accountPools) areEnabled() bool { return a.config != nil && a.config.HasAccounts }
 
-// setConfig reads the weights of a configuration. The use is then counted anew, because it is
+// setConfig reads the accounts of a configuration. The use is then counted anew, because it is
 // not kept while accounts are disabled.
 func (a *accountPools) setConfig(c *platform.OperatorConfig) {
 	if a.config == c {
@@ -48,18 +49,19 @@
 	for _, account := range c.Accounts {
 		if !seen[account.Name] {
 			seen[account.Name] = true
-			a.weights[account.Name] = account.Weight
+			a.accounts[account.Name] = account
 		}
 	}
 }
 
-// weight returns the weight of an account. It is 1 for one that was removed before this
-// owner has read a configuration.
-func (a *accountPools) weight(name string) float64 {
-	if weight, ok := a.weights[name]; ok {
-		return weight
+// accountLoad returns the load of an account. The weight is 1, without a limit, for one that
+// was removed before this owner has read a configuration.
+func (a *accountPools) accountLoad(name string) dispatch.AccountLoad {
+	out := dispatch.AccountLoad{Weight: 1, Use: a.use[name]}
+	if account, ok := a.accounts[name]; ok {
+		out.Weight, out.Limit = account.Weight, account.Limit
 	}
-	return 1
+	return out
 }
 
 // count counts the use anew if the last count is too old.
@@ -99,12 +101,12 @@
 // load returns the accounts with use, and those of the demands.
 func (a *accountPools) load(demands []dispatch.Demand) map[string]dispatch.AccountLoad {
 	out := make(map[string]dispatch.AccountLoad, len(a.use))
-	for name, use := range a.use {
-		out[name] = dispatch.AccountLoad{Weight: a.weight(name), Use: use}
+	for name := range a.use {
+		out[name] = a.accountLoad(name)
 	}
 	for i := range demands {
 		if name := demands[i].Account; name != "" && out[name].Weight == 0 {
-			out[name] = dispatch.AccountLoad{Weight: a.weight(name)}
+			out[name] = a.accountLoad(name)
 		}
 	}
 	return out
