--- a/core/scheduler/heartbeat.go
+++ b/core/scheduler/heartbeat.go
@@ -376,7 +376,7 @@
 // removeAttempt removes an attempt from its worker.
 func (s *Scheduler) removeAttempt(w *fleet.Worker, r *fleet.Attempt) {
 	w.Remove(r)
-	s.accounts.add(w, r, -1)
+	s.poolUse.add(w, r, -1)
 	delete(s.stops, r)
 }
 
--- a/core/scheduler/plan.go
+++ b/core/scheduler/plan.go
@@ -17,6 +17,7 @@
 // them to a later one.
 func (s *Scheduler) plan(now fleet.Instant, nowUnixMS int64) {
 	clear(s.freeShares)
+	s.accountWaits.sweep(now)
 	s.bestEffort.startRound(now)
 	demands := s.demands(now, nowUnixMS)
 	if len(demands) == 0 {
@@ -30,11 +31,15 @@
 		Interferes: s.hasInterferenceWith,
 		Remaining:  func(w *fleet.Worker, r *fleet.Attempt) (time.Duration, bool) { return remainingTime(w, r, now) },
 	}
+	if s.accounts.isEnabled() {
+		rules.AccountRoom, rules.AccountIdle = s.accountRoom, s.isAccountIdle
+	}
 	placed := map[job.StepID]int{}
 	for _, p := range s.planner.Plan(demands, s.fleet.All(), rules) {
 		s.place(p, now)
 		placed[p.Task.StepID]++
 	}
+	s.recordAccountWaits(demands, now)
 	for id, waiting := range waitingByStep(demands) {
 		if waiting > 0 && waiting == placed[id] && s.ledger.Entry(id.Job).WaitingCount(id.Occurrence, id.Step) > 0 {
 			s.needsPlan = true // There may be capacity for the rest of the step.
@@ -75,7 +80,7 @@
 		Account: e.Job.Account, PlacedAt: now, SpeedPercent: fullSpeedPercent, SpeedKnown: true,
 	}
 	p.Worker.Add(r)
-	s.accounts.add(p.Worker, r, 1)
+	s.poolUse.add(p.Worker, r, 1)
 	s.unsentStarts = append(s.unsentStarts, unsentStart{worker: p.Worker, attempt: r, ticket: p.Ticket})
 	s.Counters.Placed++
 	s.recordDecision(Decision{
--- a/core/scheduler/poolload.go
+++ b/core/scheduler/poolload.go
@@ -3,13 +3,11 @@
 import (
 	"time"
 
-	"github.com/basilferry/basilferry/core/account"
 	"github.com/basilferry/basilferry/core/dispatch"
 	"github.com/basilferry/basilferry/core/domain"
 	"github.com/basilferry/basilferry/core/fleet"
 	"github.com/basilferry/basilferry/core/job"
 	"github.com/basilferry/basilferry/core/ledger"
-	"github.com/basilferry/basilferry/core/platform"
 )
 
 // recountInterval is how often the use of the accounts by pool is counted anew from all
@@ -17,60 +15,35 @@
 // a worker. A count of 7,000 attempts takes 1.4 ms, which is too long for each round.
 const recountInterval = time.Second
 
-// accountPools holds what each account uses of each pool, and the accounts.
-// fleet.AccountUse has only the sum over all pools, in which the CPU that long-running tasks
-// reserve and the CPU that best-effort tasks use beside them cannot be told apart.
-type accountPools struct {
-	use map[string]map[dispatch.Pool]dispatch.AccountUse
+// poolUse holds what each account uses of each pool. fleet.AccountUse has only the sum over
+// all pools, in which the CPU that long-running tasks reserve and the CPU that best-effort
+// tasks use beside them cannot be told apart.
+type poolUse struct {
+	byAccount map[string]map[dispatch.Pool]dispatch.AccountUse
 	// countedAt is when the use was last counted; 0 for never.
 	countedAt fleet.Instant
-	// accounts holds all accounts that this owner has seen. It includes those that have been
-	// removed, because they may still have jobs.
-	accounts map[string]account.Account
-	// config is the configuration that the accounts were last read from.
-	config *platform.OperatorConfig
+	// isEnabled is true while accounts are enabled. Without them nothing is counted.
+	isEnabled bool
 }
 
-func newAccountPools() accountPools {
-	return accountPools{use: map[string]map[dispatch.Pool]dispatch.AccountUse{}, accounts: map[string]account.Account{}}
+func newPoolUse() poolUse {
+	return poolUse{byAccount: map[string]map[dispatch.Pool]dispatch.AccountUse{}}
 }
 
-// areEnabled reports whether accounts are enabled. Without them nothing is counted.
-func (a *accountPools) areEnabled() bool { return a.config != nil && a.config.HasAccounts }
-
-// setConfig reads the accounts of a configuration. The use is then counted anew, because it is
-// not kept while accounts are disabled.
-func (a *accountPools) setConfig(c *platform.OperatorConfig) {
-	if a.config == c {
-		return
-	}
-	a.config, a.countedAt = c, 0
-	seen := map[string]bool{}
-	for _, account := range c.Accounts {
-		if !seen[account.Name] {
-			seen[account.Name] = true
-			a.accounts[account.Name] = account
-		}
-	}
-}
-
-// accountLoad returns the load of an account. The weight is 1, without a limit, for one that
-// was removed before this owner has read a configuration.
-func (a *accountPools) accountLoad(name string) dispatch.AccountLoad {
-	out := dispatch.AccountLoad{Weight: 1, Use: a.use[name]}
-	if account, ok := a.accounts[name]; ok {
-		out.Weight, out.Limit = account.Weight, account.Limit
+// setEnabled enables or disables the count.
+func (a *poolUse) setEnabled(enabled bool) {
+	if a.isEnabled != enabled {
+		a.isEnabled, a.countedAt = enabled, 0
 	}
-	return out
 }
 
 // count counts the use anew if the last count is too old.
-func (a *accountPools) count(workers []*fleet.Worker, now fleet.Instant) {
+func (a *poolUse) count(workers []*fleet.Worker, now fleet.Instant) {
 	if a.countedAt > 0 && now-a.countedAt < recountInterval {
 		return
 	}
 	a.countedAt = now
-	clear(a.use)
+	clear(a.byAccount)
 	for _, w := range workers {
 		for _, r := range w.Attempts {
 			a.add(w, r, 1)
@@ -79,15 +52,15 @@
 }
 
 // add adds sign times the need of an attempt to the use of its account.
-func (a *accountPools) add(w *fleet.Worker, r *fleet.Attempt, sign int64) {
-	if r.Account == "" || r.Step == nil || !a.areEnabled() {
+func (a *poolUse) add(w *fleet.Worker, r *fleet.Attempt, sign int64) {
+	if r.Account == "" || r.Step == nil || !a.isEnabled {
 		return
 	}
-	if a.use[r.Account] == nil {
-		a.use[r.Account] = map[dispatch.Pool]dispatch.AccountUse{}
+	if a.byAccount[r.Account] == nil {
+		a.byAccount[r.Account] = map[dispatch.Pool]dispatch.AccountUse{}
 	}
 	pool := dispatch.Pool{Service: w.Service, BestEffort: r.Step.Fills}
-	use, need := a.use[r.Account][pool], r.Step.Need
+	use, need := a.byAccount[r.Account][pool], r.Step.Need
 	if sign < 0 {
 		need = domain.Resources{}.Sub(need)
 	}
@@ -95,30 +68,42 @@
 	if r.Step.LongRunning {
 		use.LongRunning = use.LongRunning.Add(need)
 	}
-	a.use[r.Account][pool] = use
+	a.byAccount[r.Account][pool] = use
 }
 
-// load returns the accounts with use, and those of the demands.
-func (a *accountPools) load(demands []dispatch.Demand) map[string]dispatch.AccountLoad {
-	out := make(map[string]dispatch.AccountLoad, len(a.use))
-	for name := range a.use {
-		out[name] = a.accountLoad(name)
+// accountLoads returns the load of the accounts with use, and of those of the demands.
+func (s *Scheduler) accountLoads(demands []dispatch.Demand) map[string]dispatch.AccountLoad {
+	out := make(map[string]dispatch.AccountLoad, len(s.poolUse.byAccount))
+	for name := range s.poolUse.byAccount {
+		out[name] = s.accountLoad(name)
 	}
 	for i := range demands {
 		if name := demands[i].Account; name != "" && out[name].Weight == 0 {
-			out[name] = a.accountLoad(name)
+			out[name] = s.accountLoad(name)
 		}
 	}
 	return out
 }
 
+// accountLoad returns the load of an account. The weight is 1, without a limit, for one that
+// was removed before this owner has read a configuration.
+func (s *Scheduler) accountLoad(name string) dispatch.AccountLoad {
+	out := dispatch.AccountLoad{Weight: 1, Use: s.poolUse.byAccount[name]}
+	a := s.accounts.last[name]
+	out.Limit = a.Limit
+	if a.Weight > 0 {
+		out.Weight = a.Weight
+	}
+	return out
+}
+
 // roundLoad returns the load at the start of a planning round.
 func (s *Scheduler) roundLoad(demands []dispatch.Demand, now fleet.Instant) dispatch.Load {
 	load := dispatch.Load{Pools: map[dispatch.Pool]dispatch.PoolLoad{}}
-	s.accounts.setConfig(s.config)
-	if s.accounts.areEnabled() {
-		s.accounts.count(s.fleet.All(), now)
-		load.Accounts = s.accounts.load(demands)
+	s.poolUse.setEnabled(s.config.HasAccounts)
+	if s.poolUse.isEnabled {
+		s.poolUse.count(s.fleet.All(), now)
+		load.Accounts = s.accountLoads(demands)
 	}
 	for service, free := range s.freeByService(now) {
 		for _, bestEffort := range []bool{false, true} {
--- a/core/scheduler/poolload_test.go
+++ b/core/scheduler/poolload_test.go
@@ -116,10 +116,10 @@
 		started, ok := r.startedAt[fmt.Sprintf("%s.0.0.0", id)]
 		assert.Check(t, ok && started-r.acceptedAt[id] <= longestWait, "%s: %v", id, started-r.acceptedAt[id])
 	}
-	counted := newAccountPools()
-	counted.setConfig(r.scheduler.config)
+	counted := newPoolUse()
+	counted.setEnabled(true)
 	counted.count(r.scheduler.fleet.All(), r.now)
-	for name, use := range counted.use {
-		assert.DeepEqual(t, r.scheduler.accounts.use[name], use)
+	for name, use := range counted.byAccount {
+		assert.DeepEqual(t, r.scheduler.poolUse.byAccount[name], use)
 	}
 }
