--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -91,6 +91,14 @@
 	sharing      *sharing.Model
 	throughput   *throughput
 	policyAdvice policyAdvice
+	poolUse      poolUse
+	// executing is the work of the placed tasks of each pool in the current planning
+	// round; see dispatch.PoolLoad.
+	executing map[dispatch.Pool]float64
+	// wasDeferred are the open jobs that have been deferred, and newlyDeferred the numbers
+	// of them by queue that the driver has not taken yet.
+	wasDeferred   map[job.ID]bool
+	newlyDeferred map[string]int64
 
 	config    *platform.OperatorConfig
 	routes    map[string]*platform.Route
@@ -218,6 +226,9 @@
 		sharing:      sharing.NewModel(),
 		throughput:   newThroughput(now),
 		policyAdvice: policyAdvice{steps: map[job.StepID]*stepAdvice{}},
+		poolUse:      newPoolUse(),
+		executing:    map[dispatch.Pool]float64{},
+		wasDeferred:  map[job.ID]bool{}, newlyDeferred: map[string]int64{},
 		evacuated:    map[domain.FailureDomain]bool{},
 		heartbeats:   map[domain.WorkerID]*heartbeat{},
 		stops:        map[*fleet.Attempt]*pendingStop{},
