--- a/core/dispatch/overload.go
+++ b/core/dispatch/overload.go
@@ -91,13 +91,18 @@
 const minWork = 0.1
 
 // valuePerWork returns the value of finishing the job on time per core-second
-// that is left. The value of a job has a fixed part and a part that grows with
-// its work. A job with the mean work of its queue has a value of 1.
-func (d *Demand) valuePerWork() float64 {
+// that is left.
+func (d *Demand) valuePerWork() float64 { return ValuePerWork(d.TotalWork, d.MeanWork, d.CoreSeconds) }
+
+// ValuePerWork returns the value of finishing a job on time per core-second that is
+// left. The value of a job has a fixed part and a part that grows with its work. A job
+// with the mean work of its queue has a value of 1. All work is in core-seconds; a mean
+// of 0 is not known.
+func ValuePerWork(total, mean, remaining float64) float64 {
 	const fixed = 0.3
 	value := fixed
-	if d.MeanWork > 0 {
-		value += (1 - fixed) * d.TotalWork / d.MeanWork
+	if mean > 0 {
+		value += (1 - fixed) * total / mean
 	}
-	return value / max(minWork, d.CoreSeconds)
+	return value / max(minWork, remaining)
 }
--- a/core/jobview/keys.go
+++ b/core/jobview/keys.go
@@ -38,6 +38,9 @@
 	// KindLeaseBounds: the workers that get no lease from the owner, and how long
 	// their last leases can still be valid.
 	KindLeaseBounds Kind = 'b'
+	// KindLoad: the owner's backlog (package backlog), from which the nodes decide whether
+	// they refuse new jobs.
+	KindLoad Kind = 'w'
 )
 
 // Key returns the key of a job's record.
@@ -74,6 +77,9 @@
 // LeaseBoundsKey is the key of the records of the workers that get no lease.
 const LeaseBoundsKey = string(KindLeaseBounds)
 
+// LoadKey is the key of the records of the owner's backlog.
+const LoadKey = string(KindLoad)
+
 // ParseKey splits a key into kind and job id; ok is false if the key is not one
 // of this package.
 func ParseKey(key string) (kind Kind, id job.ID, ok bool) {
@@ -82,7 +88,7 @@
 	}
 	kind, id = Kind(key[0]), job.ID(key[1:])
 	switch kind {
-	case KindOwner, KindOwnerShare, KindSettled, KindInterferenceModel, KindLeaseBounds:
+	case KindOwner, KindOwnerShare, KindSettled, KindInterferenceModel, KindLeaseBounds, KindLoad:
 		return kind, "", id == ""
 	case KindStatePart:
 		id, _, ok = parsePart(key[1:])
--- a/core/jobview/view.go
+++ b/core/jobview/view.go
@@ -84,6 +84,10 @@
 	pending map[string]int
 	// interferenceModel is the newest record of the interference model.
 	interferenceModel []byte
+	// load is the newest record of the owner's backlog that was read as it was written; nil
+	// if there is none. loadOffset is the offset of the newest one that was read at all.
+	load       []byte
+	loadOffset int64
 	// reload is the number of reloads of the acceptance records that have started.
 	// reloading is true while one is in progress.
 	reload    int
@@ -92,7 +96,7 @@
 
 // New returns an empty read model.
 func New() *View {
-	return &View{jobs: map[job.ID]*entry{}, pending: map[string]int{}}
+	return &View{jobs: map[job.ID]*entry{}, pending: map[string]int{}, loadOffset: -1}
 }
 
 // StartReload announces that the newest record of each key follows, because records were
@@ -144,6 +148,10 @@
 		v.interferenceModel = r.Value
 		return nil
 	}
+	if kind == KindLoad {
+		v.applyLoad(r)
+		return nil
+	}
 	if len(r.Value) == 0 {
 		v.drop(kind, id, r.Key)
 		return nil
@@ -167,6 +175,26 @@
 	return err
 }
 
+// applyLoad keeps the newest record of the backlog. One that is read in a reload can be of
+// any age, and one that is read again is older than at its first reading.
+func (v *View) applyLoad(r platform.KeyedRecord) {
+	if r.Offset <= v.loadOffset {
+		return
+	}
+	v.load, v.loadOffset = nil, r.Offset
+	if !v.reloading {
+		v.load = bytes.Clone(r.Value)
+	}
+}
+
+// Load returns the newest record of the owner's backlog and its offset. The record is nil if
+// there is none, or if its age is not known.
+func (v *View) Load() (record []byte, offset int64) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.load, v.loadOffset
+}
+
 // adjustPendingCount adds a job to the number of pending jobs of its queue, or
 // subtracts it.
 func (v *View) adjustPendingCount(queue string, pending bool) {
--- a/core/scheduler/heartbeat.go
+++ b/core/scheduler/heartbeat.go
@@ -360,6 +360,7 @@
 	switch kind {
 	case platform.CompletionDone:
 		w.Health.RecordDone(now-r.StartedAt, r.Step.Estimate)
+		s.backlog.addFinishedTask(w.Service, r.Step, now-r.StartedAt, now)
 		if r.Step.Fills {
 			s.throughput.addFinishedTask(r.Step, now-r.StartedAt, now)
 		}
--- a/core/scheduler/plan.go
+++ b/core/scheduler/plan.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/basilferry/basilferry/core/backlog"
 	"github.com/basilferry/basilferry/core/dispatch"
 	"github.com/basilferry/basilferry/core/fleet"
 	"github.com/basilferry/basilferry/core/job"
@@ -11,7 +12,7 @@
 
 // noValueFactor is the multiple of a job's latency objective after which finishing the
 // job has no value.
-const noValueFactor = 3
+const noValueFactor = backlog.NoValueFactor
 
 // plan places waiting tasks. A round that is too early for best-effort tasks leaves
 // them to a later one.
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -89,6 +89,7 @@
 	planner      dispatch.Planner
 	sharing      *sharing.Model
 	throughput   *throughput
+	backlog      *backlogMeter
 	policyAdvice policyAdvice
 
 	config    *platform.OperatorConfig
@@ -209,6 +210,7 @@
 		fleet:        fleet.New(),
 		sharing:      sharing.NewModel(),
 		throughput:   newThroughput(now),
+		backlog:      newBacklogMeter(now),
 		policyAdvice: policyAdvice{steps: map[job.StepID]*stepAdvice{}},
 		evacuated:    map[domain.FailureDomain]bool{},
 		heartbeats:   map[domain.WorkerID]*heartbeat{},
