--- a/core/jobview/view_test.go
+++ b/core/jobview/view_test.go
@@ -336,3 +336,25 @@
 		assert.Equal(t, v.PendingCount("checks"), 0, c.name)
 	}
 }
+
+// A node may start long after the owner has written its backlog, and may read a record twice.
+// Guards against a record that seems to be as new as its reading, and against records of
+// earlier owners that are kept.
+func TestOnlyABacklogReadAsItWasWrittenIsKept(t *testing.T) {
+	v := New()
+	load := func(offset int64) platform.KeyedRecord {
+		return platform.KeyedRecord{Key: LoadKey, Value: []byte{byte(offset)}, Offset: offset}
+	}
+	v.StartReload()
+	assert.NilError(t, v.Apply(load(4)))
+	v.FinishReload()
+	assert.NilError(t, v.Apply(load(4)))
+	record, _ := v.Load()
+	assert.Assert(t, record == nil)
+	assert.NilError(t, v.Apply(load(6)))
+	assert.NilError(t, v.Apply(load(5)))
+	record, offset := v.Load()
+	assert.DeepEqual(t, record, []byte{6})
+	assert.Equal(t, offset, int64(6))
+	assert.Equal(t, v.Len(), 0)
+}
--- a/node/dispatcher/config.go
+++ b/node/dispatcher/config.go
@@ -6,6 +6,7 @@
 	"math"
 	"time"
 
+	"github.com/basilferry/basilferry/core/backlog"
 	"github.com/basilferry/basilferry/core/domain"
 	"github.com/basilferry/basilferry/core/jobview"
 	"github.com/basilferry/basilferry/core/ownership"
@@ -79,6 +80,8 @@
 	// SetHeld sets the size in bytes of the records that the store refuses for a job; 0
 	// once they are stored.
 	SetHeld(job string, bytes int)
+	// SetBacklog sets the gauges of the outstanding work of a pool.
+	SetBacklog(p backlog.Pool)
 }
 
 const (
--- a/node/dispatcher/takeover_test.go
+++ b/node/dispatcher/takeover_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/basilferry/basilferry/core/backlog"
 	"github.com/basilferry/basilferry/core/domain"
 	"github.com/basilferry/basilferry/core/job"
 	"github.com/basilferry/basilferry/core/jobview"
@@ -30,6 +31,7 @@
 func (noMetrics) Observe(string, time.Duration)              {}
 func (noMetrics) ObserveStage(string, string, time.Duration) {}
 func (noMetrics) SetHeld(string, int)                        {}
+func (noMetrics) SetBacklog(backlog.Pool)                    {}
 
 // takeover is a dispatcher that becomes the owner after another node. Its decision
 // goroutine does not run, and its followers read when the test says so.
--- a/node/dispatcher/term.go
+++ b/node/dispatcher/term.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/basilferry/basilferry/core/backlog"
 	"github.com/basilferry/basilferry/core/job"
 	"github.com/basilferry/basilferry/core/jobview"
 	"github.com/basilferry/basilferry/core/ownership"
@@ -51,7 +52,11 @@
 	// shareStored is true once the CPU share of this owner has been appended.
 	shareStored bool
 	// settled finds the settled offset, which is stored with the renewals.
-	settled        scheduler.SettledOffset
+	settled scheduler.SettledOffset
+	// backlog decides when the backlog is stored, and backlogPools are the pools for which a
+	// gauge is set.
+	backlog        backlogRecord
+	backlogPools   map[backlog.PoolID]bool
 	lastAppend     time.Duration
 	lastLoadReport time.Duration
 	// reportedCounters are the scheduler's counters as of the last update of the
@@ -87,6 +92,7 @@
 		states:   storelog.NewOwnerWriter(p.Store, p.States, token),
 		pulses:   storelog.NewOwnerWriter(p.Store, p.Pulse, token),
 		statuses: newStatusQueue(), reportedHolds: map[job.ID]bool{},
+		backlogPools: map[backlog.PoolID]bool{},
 	}
 	d.term = t
 	if d.cfg.FollowStates != nil {
@@ -390,6 +396,7 @@
 	}
 	if t.dueRecord == ownership.KindRenewal && t.jobScheduler != nil {
 		records = append(records, t.settledRecord(now)...)
+		records = append(records, t.backlogRecord(now)...)
 		records = append(records, t.expiredJobTombstones(now)...)
 	}
 	return records
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/basilferry/basilferry/core/backlog"
 	"github.com/basilferry/basilferry/node/telemetry"
 )
 
@@ -47,6 +48,20 @@
 	m.scope.Tagged(map[string]string{"job": job}).Gauge("job_held_bytes").Update(float64(bytes))
 }
 
+// SetBacklog sets the outstanding work of a pool, the time that the pool needs for it, and
+// the rate at which it is served; the last two are 0 while the rate is not known.
+func (m *metrics) SetBacklog(p backlog.Pool) {
+	scope := m.scope.Tagged(map[string]string{"service": p.ID.Service, "kind": p.ID.Kind()})
+	scope.Gauge("backlog_core_seconds").Update(p.Work.Total())
+	scope.Gauge("backlog_seconds").Update(p.Drain().Seconds())
+	scope.Gauge("backlog_rate").Update(p.Rate)
+}
+
+// CountTurnedAway counts a job of the named queue that was refused because of the backlog.
+func (m *metrics) CountTurnedAway(queue string) {
+	m.scope.Tagged(map[string]string{"queue": queue}).Counter("turned_away").Inc(1)
+}
+
 // ObserveStage records the time of a stage of a job of the named queue.
 func (m *metrics) ObserveStage(stage, queue string, d time.Duration) {
 	m.scope.Tagged(map[string]string{"stage": stage, "queue": queue}).Histogram("stage", latencyBuckets).RecordDuration(d)
--- a/node/entry/node.go
+++ b/node/entry/node.go
@@ -204,7 +204,7 @@
 	n.intake = intake.New(intake.Config{
 		Limits: n.storeLimits(), Routes: p.Routes, View: p.View, Requests: n.requests, Required: n.requiredFollowers(), Newest: n.newestStates, Committer: n.committer,
 		OnCommit: func(r platform.KeyedRecord) { n.dispatcher.ApplyRequest(r) }, Clock: p.Clock,
-		Logger: decisionlog.Component(p.Logger, "intake"),
+		Logger: decisionlog.Component(p.Logger, "intake"), OnTurnedAway: p.Metrics.CountTurnedAway,
 	})
 	return n
 }
@@ -299,6 +299,7 @@
 
 func (n *Node) applyRequest(r platform.KeyedRecord) {
 	n.applyToView(r)
+	n.intake.ObserveRequest(r)
 	n.dispatcher.ApplyRequest(r)
 }
 
--- a/node/intake/intake.go
+++ b/node/intake/intake.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
+	"github.com/basilferry/basilferry/core/backlog"
 	"github.com/basilferry/basilferry/core/domain"
 	"github.com/basilferry/basilferry/core/job"
 	"github.com/basilferry/basilferry/core/jobview"
@@ -48,12 +50,19 @@
 	Limits platform.StoreLimits
 	// OnCommit is called with each record that this node has committed.
 	OnCommit func(platform.KeyedRecord)
-	Clock    *steady.Clock
-	Logger   *slog.Logger
+	// OnTurnedAway is called with the queue of each job that is refused because of the
+	// backlog. It may be nil.
+	OnTurnedAway func(queue string)
+	Clock        *steady.Clock
+	Logger       *slog.Logger
 }
 
 // Intake handles the client requests of one node.
-type Intake struct{ cfg Config }
+type Intake struct {
+	cfg Config
+	// backlog is the newest known backlog of the owner; nil if there is none.
+	backlog atomic.Pointer[readBacklog]
+}
 
 // New returns an intake.
 func New(cfg Config) *Intake { return &Intake{cfg: cfg} }
@@ -88,10 +97,13 @@
 		in.logRequest("submit", j.ID, "already accepted", nil)
 		return nil
 	}
-	if err := in.checkStoreReachable(); err != nil {
+	if err := in.checkStoreReachable(j.ID); err != nil {
 		in.logRequest("refuse", j.ID, "store unreachable", err)
 		return err
 	}
+	if err := in.checkBacklog(j); err != nil {
+		return err
+	}
 	record, err := in.acceptanceRecord(j)
 	if err != nil {
 		in.logRequest("refuse", j.ID, "too large", err)
@@ -144,14 +156,14 @@
 
 // checkStoreReachable returns an error immediately if the last complete read was
 // too long ago.
-func (in *Intake) checkStoreReachable() error {
+func (in *Intake) checkStoreReachable(id job.ID) error {
 	lastRead, ok := in.cfg.Requests.LastRead()
 	if ok && in.cfg.Clock.Now()-lastRead < storeUnreachableAfter {
 		return nil
 	}
 	return &domain.Error{
 		Kind: domain.KindNotRun, Message: "the store cannot be reached from this node",
-		Remedy: "send the request again, if possible to another node", RetryAfter: retryAfterOutage,
+		Remedy: "send the request again, if possible to another node", RetryAfter: backlog.RetryAfterUnreachable(id),
 	}
 }
 
