--- a/core/backlog/record.go
+++ b/core/backlog/record.go
@@ -153,7 +153,8 @@
 			return nil, err
 		}
 		out.Pools = append(out.Pools, Pool{
-			ID: PoolID{Service: p.Service, BestEffort: p.BestEffort}, Rate: fromUnits(p.Rate, ratioUnit), Slowdown: fromUnits(p.Slowdown, ratioUnit), Work: work,
+			ID: PoolID{Service: p.Service, BestEffort: p.BestEffort}, Work: work,
+			Rate: fromUnits(p.Rate, ratioUnit), Slowdown: fromUnits(p.Slowdown, ratioUnit),
 		})
 	}
 	for _, a := range stored.Accounts {
--- a/core/scheduler/backlog.go
+++ b/core/scheduler/backlog.go
@@ -64,7 +64,8 @@
 	// running is the CPU demand of the running tasks, and free the CPU that more tasks of
 	// the pool could certainly use, both in cores.
 	running, free float64
-	// waiting has the accounts of which tasks wait that could start now.
+	// waiting has the accounts of which tasks wait that could start now on any worker with
+	// room.
 	waiting map[string]bool
 }
 
@@ -98,7 +99,9 @@
 		use: map[string]float64{}, limits: s.accountLimits(), routes: map[string]bool{},
 	}
 	for _, e := range s.ledger.OpenJobs() {
-		b.addJob(e)
+		if s.held[e.Job.ID] == nil {
+			b.addJob(e)
+		}
 	}
 	b.addFree()
 	return b.summary()
@@ -176,11 +179,16 @@
 		own.Add(cell)
 		b.accounts[e.Job.Account] = own
 	}
-	if waiting > 0 && !step.Gang && e.DependenciesDone(k, i) {
+	if waiting > 0 && !b.isConstrained(e, step) && e.DependenciesDone(k, i) {
 		p.waiting[e.Job.Account] = true
 	}
 }
 
+// isConstrained reports whether tasks of the step may wait although the pool has room.
+func (b *summaryBuilder) isConstrained(e *ledger.Entry, step *job.Step) bool {
+	return step.Gang || step.RequiredLabel != "" || step.MaxPerWorker > 0 || b.s.queue(e.Job.Queue).Advice
+}
+
 func (b *summaryBuilder) pool(id backlog.PoolID) *poolWork {
 	if b.pools[id] == nil {
 		b.pools[id] = &poolWork{waiting: map[string]bool{}}
--- a/node/intake/admission.go
+++ b/node/intake/admission.go
@@ -67,21 +67,28 @@
 	if !v.Refuse {
 		return nil
 	}
-	err := &domain.Error{
-		Kind:    domain.KindNotRun,
-		Message: fmt.Sprintf("the job is expected to finish in %.1f s, which is too late for its objective of %.1f s", v.Finish.Seconds(), v.Objective.Seconds()),
-		Remedy:  fmt.Sprintf("send the request again in %.0f s", v.RetryAfter.Seconds()), RetryAfter: v.RetryAfter,
+	in.logRefusal(j, v, age)
+	if in.cfg.OnTurnedAway != nil {
+		in.cfg.OnTurnedAway(j.Queue.Route)
 	}
+	return &domain.Error{
+		Kind: domain.KindNotRun,
+		Message: fmt.Sprintf("the job is expected to finish in %.1f s, which is too late for its objective of %.1f s",
+			v.Finish.Seconds(), v.Objective.Seconds()),
+		Remedy: fmt.Sprintf("send the request again in %.0f s", v.RetryAfter.Seconds()), RetryAfter: v.RetryAfter,
+	}
+}
+
+// logRefusal logs a refusal with the parts of the estimate. Work is in core-seconds, and the
+// rate in core-seconds per second.
+func (in *Intake) logRefusal(j *job.Job, v backlog.Verdict, age time.Duration) {
 	in.cfg.Logger.Info("refuse",
 		slog.String("job", string(j.ID)), slog.String("reason", "backlog"), slog.String("queue", j.Queue.Route), slog.String("account", j.Account),
-		slog.Int64("finish_ms", v.Finish.Milliseconds()), slog.Int64("limit_ms", v.Limit.Milliseconds()), slog.Int64("objective_ms", v.Objective.Milliseconds()),
-		slog.String("bound", v.Bound.String()), slog.Float64("before", v.Bound.Before), slog.Float64("before_certain", v.Bound.Certain),
+		slog.Int64("finish_ms", v.Finish.Milliseconds()), slog.Int64("limit_ms", v.Limit.Milliseconds()),
+		slog.Int64("objective_ms", v.Objective.Milliseconds()), slog.String("bound", v.Bound.String()),
+		slog.Float64("before", v.Bound.Before), slog.Float64("before_certain", v.Bound.Certain),
 		slog.Float64("own", v.Bound.Own), slog.Float64("rate", v.Bound.Rate),
 		slog.Int64("chain_ms", v.Chain.Milliseconds()), slog.Int("priority", j.Queue.Priority), slog.Int("value_class", v.Class),
 		slog.Int64("retry_after_s", int64(v.RetryAfter/time.Second)), slog.Int64("backlog_age_ms", age.Milliseconds()),
 		slog.Int64("config", in.cfg.Routes.Version()))
-	if in.cfg.OnTurnedAway != nil {
-		in.cfg.OnTurnedAway(j.Queue.Route)
-	}
-	return err
 }
