--- a/core/backlog/summary.go
+++ b/core/backlog/summary.go
@@ -139,14 +139,15 @@
 	Queues   []Queue
 }
 
-// IsEmpty reports whether no work is outstanding.
-func (s *Summary) IsEmpty() bool {
+// CanRefuse reports whether the summary can lead to a refusal: work is outstanding in a pool
+// whose rate is known, or under the limit of an account.
+func (s *Summary) CanRefuse() bool {
 	for i := range s.Pools {
-		if s.Pools[i].Work.Total() > 0 {
-			return false
+		if s.Pools[i].Drain() > 0 {
+			return true
 		}
 	}
-	return true
+	return len(s.Accounts) > 0
 }
 
 // Pool returns a pool; nil if the summary does not have it.
@@ -209,9 +210,9 @@
 // DiffersNoticeably reports whether a decision can differ between the two summaries: the
 // time that a pool needs for the work of a priority and all higher ones differs by more
 // than noticeableShare and noticeableTime, or a rate or a slowdown has become known or
-// unknown, or work has begun or ceased to be outstanding.
+// unknown, or the summary can lead to refusals only now or no longer.
 func (s *Summary) DiffersNoticeably(other *Summary) bool {
-	if s.IsEmpty() != other.IsEmpty() || len(s.Pools) != len(other.Pools) || len(s.Accounts) != len(other.Accounts) {
+	if s.CanRefuse() != other.CanRefuse() || len(s.Pools) != len(other.Pools) || len(s.Accounts) != len(other.Accounts) {
 		return true
 	}
 	for i := range s.Pools {
--- a/core/scheduler/backlog.go
+++ b/core/scheduler/backlog.go
@@ -225,12 +225,12 @@
 		out.Queues = append(out.Queues, backlog.Queue{Route: route, MeanWork: b.s.throughput.meanWork(route)})
 	}
 	slices.SortFunc(out.Queues, func(x, y backlog.Queue) int { return cmp.Compare(x.Route, y.Route) })
-	out.Accounts = b.longestAccounts(drain)
+	out.Accounts = b.longestAccounts(max(drain, minBacklogTime))
 	return out
 }
 
-// longestAccounts returns the accounts whose own work takes longest under their limit, and
-// longer than that of the pools.
+// longestAccounts returns the accounts whose own work takes longest under their limit, longer
+// than that of the pools and than minBacklogTime.
 func (b *summaryBuilder) longestAccounts(drain time.Duration) []backlog.Account {
 	var out []backlog.Account
 	need := func(a backlog.Account) float64 { return a.Work.Total() / a.Rate }
--- a/core/scheduler/backlog_test.go
+++ b/core/scheduler/backlog_test.go
@@ -50,7 +50,7 @@
 	r.load.interval = time.Hour
 	r.nextJob = r.now + time.Hour
 	r.advance(loadEnds + 20*time.Second)
-	assert.Assert(t, r.scheduler.Backlog(r.now, r.now.Milliseconds()).IsEmpty())
+	assert.Equal(t, len(r.scheduler.Backlog(r.now, r.now.Milliseconds()).Pools), 0)
 }
 
 // The tasks of an account wait for the account's limit while half of the workers are free.
--- a/node/dispatcher/backlog.go
+++ b/node/dispatcher/backlog.go
@@ -23,10 +23,11 @@
 }
 
 // isDue reports whether a summary has to be stored: it differs noticeably from the stored
-// one, or that one is old. Of several empty summaries only the first is stored.
+// one, or that one is old. Of several summaries that can refuse nothing, as those without work,
+// only the first is stored.
 func (b *backlogRecord) isDue(s *backlog.Summary, now time.Duration) bool {
 	switch {
-	case s.IsEmpty() && (b.stored == nil || b.stored.IsEmpty()):
+	case !s.CanRefuse() && (b.stored == nil || !b.stored.CanRefuse()):
 		return false
 	case b.stored == nil || s.DiffersNoticeably(b.stored):
 		return true
