--- a/core/scheduler/poolload.go
+++ b/core/scheduler/poolload.go
@@ -108,7 +108,7 @@
 	for service, free := range s.freeByService(now) {
 		for _, bestEffort := range []bool{false, true} {
 			pool := dispatch.Pool{Service: service, BestEffort: bestEffort}
-			p := s.throughput.snapshot(pool, now)
+			p, _ := s.throughput.snapshot(pool, now)
 			p.Executing, p.Capacity = s.executing[pool], free.reserved
 			if bestEffort {
 				p.Capacity.CPUMilli = free.unusedCPUMilli
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -90,6 +90,7 @@
 	planner      dispatch.Planner
 	sharing      *sharing.Model
 	throughput   *throughput
+	backlog      backlogMeter
 	policyAdvice policyAdvice
 	poolUse      poolUse
 	// executing is the work of the placed tasks of each pool in the current planning
@@ -225,6 +226,7 @@
 		fleet:        fleet.New(),
 		sharing:      sharing.NewModel(),
 		throughput:   newThroughput(now),
+		backlog:      backlogMeter{},
 		policyAdvice: policyAdvice{steps: map[job.StepID]*stepAdvice{}},
 		poolUse:      newPoolUse(),
 		executing:    map[dispatch.Pool]float64{},
--- a/core/scheduler/throughput.go
+++ b/core/scheduler/throughput.go
@@ -30,8 +30,7 @@
 
 // poolThroughput is the throughput of one pool.
 type poolThroughput struct {
-	// finishedTasks are the best-effort tasks that finished within rateWindow,
-	// oldest first. The rate of other pools follows from their capacity.
+	// finishedTasks are the tasks that finished within rateWindow, oldest first.
 	finishedTasks []finishedTask
 	// work is the total work of finishedTasks, in core-seconds.
 	work float64
@@ -85,9 +84,6 @@
 	if step.Estimate > 0 {
 		p.slowdown += slowdownWeight * (float64(duration)/float64(step.Estimate) - p.slowdown)
 	}
-	if !pool.BestEffort {
-		return
-	}
 	work := step.CoreSeconds() / float64(step.Count)
 	p.finishedTasks = append(p.finishedTasks, finishedTask{at: now, work: work})
 	p.work += work
@@ -107,17 +103,17 @@
 // minSlowdown is the least slowdown that the rate of a pool is computed with.
 const minSlowdown = 0.1
 
-// snapshot returns the slowdown of a pool and the rate at which its tasks have finished.
-// The rate is 0 until there are enough samples.
-func (t *throughput) snapshot(pool dispatch.Pool, now fleet.Instant) dispatch.PoolLoad {
+// snapshot returns the slowdown of a pool, the rate at which its tasks have finished, and from
+// how many tasks it is measured. The rate is 0 until it has been measured for long enough.
+func (t *throughput) snapshot(pool dispatch.Pool, now fleet.Instant) (out dispatch.PoolLoad, samples int) {
 	p := t.pools[pool]
 	if p == nil {
-		return dispatch.PoolLoad{Slowdown: 1}
+		return dispatch.PoolLoad{Slowdown: 1}, 0
 	}
 	p.dropOld(now)
-	out := dispatch.PoolLoad{Slowdown: max(minSlowdown, p.slowdown)}
+	out = dispatch.PoolLoad{Slowdown: max(minSlowdown, p.slowdown)}
 	if span := min(rateWindow, now-t.since); span >= minRateWindow && len(p.finishedTasks) > 0 {
 		out.Rate = p.work / span.Seconds()
 	}
-	return out
+	return out, len(p.finishedTasks)
 }
