--- a/core/fleet/worker.go
+++ b/core/fleet/worker.go
@@ -84,6 +84,10 @@
 	// platform.Running.
 	ProgressPercent int
 	Observed        int64
+	// UsedCPUSum and UsedCPUCount sum up the CPU use that the reports have shown for a
+	// best-effort attempt, in millicores.
+	UsedCPUSum   float64
+	UsedCPUCount int
 	// FirstProgressAt and FirstProgressPercent are the time and value of the
 	// first progress that was reported. ProgressChangedAt is when the progress
 	// last changed.
--- a/core/job/job.go
+++ b/core/job/job.go
@@ -145,6 +145,12 @@
 // CriticalPath returns the estimated duration of the longest chain of dependent
 // steps.
 func (j *Job) CriticalPath() time.Duration {
+	return j.CriticalPathOf(func(step int) time.Duration { return j.Steps[step].Estimate })
+}
+
+// CriticalPathOf returns the duration of the longest chain of dependent steps for the
+// given duration of the tasks of each step.
+func (j *Job) CriticalPathOf(taskDuration func(step int) time.Duration) time.Duration {
 	finishTimes := make([]time.Duration, len(j.Steps))
 	longest := time.Duration(0)
 	for i, s := range j.Steps {
@@ -152,7 +158,7 @@
 		for _, d := range s.DependsOn {
 			start = max(start, finishTimes[d])
 		}
-		finishTimes[i] = start + s.Estimate
+		finishTimes[i] = start + taskDuration(i)
 		longest = max(longest, finishTimes[i])
 	}
 	return longest
--- /dev/null
+++ b/core/scheduler/durations.go
@@ -0,0 +1,98 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/basilferry/basilferry/core/duration"
+	"github.com/basilferry/basilferry/core/fleet"
+	"github.com/basilferry/basilferry/core/job"
+	"github.com/basilferry/basilferry/core/platform"
+)
+
+// predictedDuration returns how long a task of the step takes at full speed, as far as it
+// is known.
+func (s *Scheduler) predictedDuration(j *job.Job, step int) time.Duration {
+	return s.durations.Predict(j.Queue.Route, duration.StepKey{Job: j.ID, Step: step}, j.Steps[step].Estimate)
+}
+
+// predictedWork returns the CPU time of one task of the step, in core-seconds.
+func (s *Scheduler) predictedWork(j *job.Job, step int) float64 {
+	return s.predictedDuration(j, step).Seconds() * float64(j.Steps[step].Need.CPUMilli) / 1000
+}
+
+// predictedObjective returns the latency objective of a job for the predicted durations.
+func (s *Scheduler) predictedObjective(j *job.Job, q job.Queue) time.Duration {
+	path := j.CriticalPathOf(func(step int) time.Duration { return s.predictedDuration(j, step) })
+	return time.Duration(q.Stretch*float64(path)) + q.Objective
+}
+
+// predictedTotalWork returns the CPU time of one occurrence of the job, in core-seconds.
+func (s *Scheduler) predictedTotalWork(j *job.Job) float64 {
+	total := 0.0
+	for i, step := range j.Steps {
+		total += s.predictedWork(j, i) * float64(step.Count)
+	}
+	return total
+}
+
+// measuresDuration reports whether the time since the start of an attempt shows how long
+// its task takes: another owner's attempt began earlier, and a later attempt may have
+// resumed from a checkpoint.
+func measuresDuration(r *fleet.Attempt) bool {
+	return r.Step != nil && r.Attempt == 1 && r.Sends > 0 && r.Phase == fleet.AttemptStarted
+}
+
+// observeUse adds the CPU use of a running best-effort attempt, which shows its speed.
+func observeUse(r *fleet.Attempt, running platform.Running) {
+	if r.Step != nil && r.Step.Fills && running.Observed > 0 {
+		r.UsedCPUSum += float64(running.Observed)
+		r.UsedCPUCount++
+	}
+}
+
+// speedOf returns the share of full speed at which an attempt has run so far.
+func (s *Scheduler) speedOf(r *fleet.Attempt) float64 {
+	switch {
+	case !r.Step.Fills:
+		return 1
+	case r.UsedCPUCount == 0:
+		return 1 / max(1, s.throughput.slowdown)
+	}
+	used := r.UsedCPUSum / float64(r.UsedCPUCount)
+	return min(1, max(minMeasuredSpeed, used/float64(max(1, r.Step.Need.CPUMilli))))
+}
+
+// minMeasuredSpeed is the lowest speed that is believed: the reported CPU use is a rough
+// figure of half a second.
+const minMeasuredSpeed = 0.1
+
+// nominalTime returns how long the attempt would have taken at full speed for what it has
+// done until now.
+func (s *Scheduler) nominalTime(r *fleet.Attempt, now fleet.Instant) time.Duration {
+	return time.Duration(float64(now-r.StartedAt) * s.speedOf(r))
+}
+
+// observeProgress lets the duration of a step follow the progress of its running tasks.
+func (s *Scheduler) observeProgress(r *fleet.Attempt) {
+	if measuresDuration(r) && !r.Step.LongRunning {
+		took := s.nominalTime(r, r.ProgressChangedAt)
+		s.durations.RecordProgress(duration.StepKey{Job: r.ID.Job, Step: r.ID.Step}, r.ProgressPercent, took)
+	}
+}
+
+// observeDone lets the durations of a step and of its queue follow a task that is done.
+func (s *Scheduler) observeDone(r *fleet.Attempt, now fleet.Instant) {
+	e := s.ledger.Entry(r.ID.Job)
+	if e == nil || !measuresDuration(r) {
+		return
+	}
+	key := duration.StepKey{Job: r.ID.Job, Step: r.ID.Step}
+	s.durations.RecordDone(e.Job.Queue.Route, key, r.Step.Estimate, s.nominalTime(r, now))
+}
+
+// forgetDurations drops what is known about the durations of a removed job.
+func (s *Scheduler) forgetDurations(id job.ID) {
+	if e := s.ledger.Entry(id); e != nil {
+		s.durations.Forget(id, len(e.Job.Steps))
+	}
+}
--- a/core/scheduler/heartbeat.go
+++ b/core/scheduler/heartbeat.go
@@ -236,6 +236,8 @@
 	}
 	recordProgress(r, running.ProgressPercent, now)
 	r.Observed = running.Observed
+	observeUse(r, running)
+	s.observeProgress(r)
 	s.ledger.Checkpoint(id, r.Attempt, running.Checkpoint)
 }
 
@@ -361,8 +363,9 @@
 	case platform.CompletionDone:
 		w.Health.RecordDone(now-r.StartedAt, r.Step.Estimate)
 		if r.Step.Fills {
-			s.throughput.addFinishedTask(r.Step, now-r.StartedAt, now)
+			s.throughput.addFinishedTask(r.Step, now-r.StartedAt, s.nominalTime(r, now), now)
 		}
+		s.observeDone(r, now)
 	case platform.CompletionFailed:
 		if pause := w.Health.RecordFailure(); pause > 0 {
 			w.AvoidUntil = now + pause
--- a/core/scheduler/plan.go
+++ b/core/scheduler/plan.go
@@ -124,7 +124,7 @@
 // occurrenceDemands appends the demands of occurrence k of a job to out.
 func (s *Scheduler) occurrenceDemands(out []dispatch.Demand, e *ledger.Entry, k int, now fleet.Instant) []dispatch.Demand {
 	queue := s.queue(e.Job.Queue)
-	objective := e.Job.LatencyObjective(queue)
+	objective := s.predictedObjective(e.Job, queue)
 	since := s.accepted[e.Job.ID]
 	remaining, work := s.remaining(e, k)
 	for i := range e.Job.Steps {
@@ -143,7 +143,7 @@
 			ID: job.StepID{Job: e.Job.ID, Occurrence: k, Step: i}, Step: step,
 			Service: s.service(e.Job.Queue), Priority: queue.Priority,
 			Deadline: since + objective, NoValueAfter: since + noValueFactor*objective,
-			Remaining: remaining, CoreSeconds: work, TotalWork: e.Job.CoreSeconds(), MeanWork: s.throughput.meanWork(e.Job.Queue.Route),
+			Remaining: remaining, CoreSeconds: work, TotalWork: s.predictedTotalWork(e.Job), MeanWork: s.throughput.meanWork(e.Job.Queue.Route),
 		}
 		d.Waiting = s.waitingTasks(e, k, i)
 		d.Starving = mayStarve(step) && s.isStarving(e, d.Service, now)
@@ -253,8 +253,8 @@
 		}
 		finishTimes[i] = start
 		if done < step.Count {
-			finishTimes[i] += step.Estimate
-			work += step.CoreSeconds() * float64(step.Count-done) / float64(step.Count)
+			finishTimes[i] += s.predictedDuration(e.Job, i)
+			work += s.predictedWork(e.Job, i) * float64(step.Count-done)
 		}
 		chain = max(chain, finishTimes[i])
 	}
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -5,6 +5,7 @@
 
 	"github.com/basilferry/basilferry/core/dispatch"
 	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/duration"
 	"github.com/basilferry/basilferry/core/fleet"
 	"github.com/basilferry/basilferry/core/job"
 	"github.com/basilferry/basilferry/core/ledger"
@@ -89,6 +90,7 @@
 	planner      dispatch.Planner
 	sharing      *sharing.Model
 	throughput   *throughput
+	durations    *duration.Predictor
 	policyAdvice policyAdvice
 
 	config    *platform.OperatorConfig
@@ -209,6 +211,7 @@
 		fleet:        fleet.New(),
 		sharing:      sharing.NewModel(),
 		throughput:   newThroughput(now),
+		durations:    duration.New(),
 		policyAdvice: policyAdvice{steps: map[job.StepID]*stepAdvice{}},
 		evacuated:    map[domain.FailureDomain]bool{},
 		heartbeats:   map[domain.WorkerID]*heartbeat{},
@@ -303,7 +306,7 @@
 	s.ledger = jobs
 	for _, e := range jobs.OpenJobs() {
 		s.accepted[e.Job.ID] = now - timeSinceSubmission(e.Job, nowUnixMS)
-		s.throughput.accepted(e.Job)
+		s.throughput.accepted(e.Job, s.predictedTotalWork(e.Job))
 	}
 	jobs.ForEach(func(e *ledger.Entry) {
 		e.ForEachPlaced(func(id job.TaskID, t ledger.Task) {
@@ -359,7 +362,7 @@
 	}
 	s.ledger.Accept(j)
 	s.accepted[j.ID] = now
-	s.throughput.accepted(j)
+	s.throughput.accepted(j, s.predictedTotalWork(j))
 	s.needsPlan = true
 }
 
--- a/core/scheduler/throughput.go
+++ b/core/scheduler/throughput.go
@@ -51,13 +51,13 @@
 }
 
 // accepted records the work of an accepted job.
-func (t *throughput) accepted(j *job.Job) {
+func (t *throughput) accepted(j *job.Job, work float64) {
 	q := t.workByRoute[j.Queue.Route]
 	if q == nil {
 		q = &workTotal{}
 		t.workByRoute[j.Queue.Route] = q
 	}
-	q.total += j.CoreSeconds()
+	q.total += work
 	q.count++
 }
 
@@ -71,12 +71,12 @@
 }
 
 // addFinishedTask records a best-effort task that is done, with its actual duration.
-func (t *throughput) addFinishedTask(step *job.Step, duration time.Duration, now fleet.Instant) {
-	work := step.CoreSeconds() / float64(step.Count)
+func (t *throughput) addFinishedTask(step *job.Step, duration, nominal time.Duration, now fleet.Instant) {
+	work := nominal.Seconds() * float64(step.Need.CPUMilli) / 1000
 	t.finishedTasks = append(t.finishedTasks, finishedTask{at: now, work: work})
 	t.work += work
-	if step.Estimate > 0 {
-		t.slowdown += slowdownWeight * (float64(duration)/float64(step.Estimate) - t.slowdown)
+	if nominal > 0 {
+		t.slowdown += slowdownWeight * (float64(duration)/float64(nominal) - t.slowdown)
 	}
 	t.dropOld(now)
 }
