--- a/core/dispatch/plan_test.go
+++ b/core/dispatch/plan_test.go
@@ -47,7 +47,9 @@
 func (h fixedHeadroom) Interference(step *job.Step) float64 { return h.interference }
 
 func demand(id string, step job.Step, waiting int) Demand {
-	d := Demand{ID: job.StepID{Job: job.ID(id)}, Step: &step, Service: "desk", Deadline: now + time.Minute, NoValueAfter: now + 3*time.Minute}
+	d := Demand{ID: job.StepID{Job: job.ID(id)}, Step: &step, Service: "desk", TaskDuration: step.Estimate,
+		Deadline: now + time.Minute, NoValueAfter: now + 3*time.Minute,
+	}
 	for i := range waiting {
 		d.Waiting = append(d.Waiting, i)
 	}
@@ -293,16 +295,15 @@
 	SortDemands(first, now)
 	assert.Equal(t, finishedOnTime(first, rate), 1)
 	chosen := burst()
-	DeferJobs(chosen, Throughput{BestEffortRate: rate, Slowdown: 1}, now)
-	SortDemands(chosen, now)
+	chosen = Prepare(chosen, Load{Pools: map[Pool]PoolLoad{{Service: "desk", BestEffort: true}: {Rate: rate, Slowdown: 1}}}, now)
 	assert.Assert(t, finishedOnTime(chosen, rate) >= 10)
 	assert.Equal(t, len(chosen), 16)
 }
 
 // Jobs that can all be on time. Guards against deferring any of them.
-func TestDeferJobsLeavesFeasibleJobsAlone(t *testing.T) {
+func TestPrepareLeavesFeasibleJobsAlone(t *testing.T) {
 	demands := []Demand{bestEffortJob("a", 100, 10*time.Second), bestEffortJob("b", 100, 10*time.Second)}
-	DeferJobs(demands, Throughput{BestEffortRate: 50, Slowdown: 1}, now)
+	demands = Prepare(demands, Load{Pools: map[Pool]PoolLoad{{Service: "desk", BestEffort: true}: {Rate: 50, Slowdown: 1}}}, now)
 	for _, d := range demands {
 		assert.Assert(t, !d.deferred)
 	}
--- a/core/scheduler/durations.go
+++ b/core/scheduler/durations.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/basilferry/basilferry/core/dispatch"
 	"github.com/basilferry/basilferry/core/duration"
 	"github.com/basilferry/basilferry/core/fleet"
 	"github.com/basilferry/basilferry/core/job"
@@ -17,7 +18,7 @@
 
 // predictedWork returns the CPU time of one task of the step, in core-seconds.
 func (s *Scheduler) predictedWork(j *job.Job, step int) float64 {
-	return s.predictedDuration(j, step).Seconds() * float64(j.Steps[step].Need.CPUMilli) / 1000
+	return s.predictedDuration(j, step).Seconds() * float64(j.Steps[step].Need.CPUMilli) / milliPerCore
 }
 
 // predictedObjective returns the latency objective of a job for the predicted durations.
@@ -51,12 +52,12 @@
 }
 
 // speedOf returns the share of full speed at which an attempt has run so far.
-func (s *Scheduler) speedOf(r *fleet.Attempt) float64 {
+func (s *Scheduler) speedOf(w *fleet.Worker, r *fleet.Attempt) float64 {
 	switch {
 	case !r.Step.Fills:
 		return 1
 	case r.UsedCPUCount == 0:
-		return 1 / max(1, s.throughput.slowdown)
+		return 1 / max(1, s.throughput.slowdown(dispatch.Pool{Service: w.Service, BestEffort: true}))
 	}
 	used := r.UsedCPUSum / float64(r.UsedCPUCount)
 	return min(1, max(minMeasuredSpeed, used/float64(max(1, r.Step.Need.CPUMilli))))
@@ -68,26 +69,26 @@
 
 // nominalTime returns how long the attempt would have taken at full speed for what it has
 // done until now.
-func (s *Scheduler) nominalTime(r *fleet.Attempt, now fleet.Instant) time.Duration {
-	return time.Duration(float64(now-r.StartedAt) * s.speedOf(r))
+func (s *Scheduler) nominalTime(w *fleet.Worker, r *fleet.Attempt, now fleet.Instant) time.Duration {
+	return time.Duration(float64(now-r.StartedAt) * s.speedOf(w, r))
 }
 
 // observeProgress lets the duration of a step follow the progress of its running tasks.
-func (s *Scheduler) observeProgress(r *fleet.Attempt) {
+func (s *Scheduler) observeProgress(w *fleet.Worker, r *fleet.Attempt) {
 	if measuresDuration(r) && !r.Step.LongRunning {
-		took := s.nominalTime(r, r.ProgressChangedAt)
+		took := s.nominalTime(w, r, r.ProgressChangedAt)
 		s.durations.RecordProgress(duration.StepKey{Job: r.ID.Job, Step: r.ID.Step}, r.ProgressPercent, took)
 	}
 }
 
 // observeDone lets the durations of a step and of its queue follow a task that is done.
-func (s *Scheduler) observeDone(r *fleet.Attempt, now fleet.Instant) {
+func (s *Scheduler) observeDone(w *fleet.Worker, r *fleet.Attempt, now fleet.Instant) {
 	e := s.ledger.Entry(r.ID.Job)
 	if e == nil || !measuresDuration(r) {
 		return
 	}
 	key := duration.StepKey{Job: r.ID.Job, Step: r.ID.Step}
-	s.durations.RecordDone(e.Job.Queue.Route, key, r.Step.Estimate, s.nominalTime(r, now))
+	s.durations.RecordDone(e.Job.Queue.Route, key, r.Step.Estimate, s.nominalTime(w, r, now))
 }
 
 // forgetDurations drops what is known about the durations of a removed job.
--- a/core/scheduler/heartbeat.go
+++ b/core/scheduler/heartbeat.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/basilferry/basilferry/core/dispatch"
 	"github.com/basilferry/basilferry/core/fleet"
 	"github.com/basilferry/basilferry/core/job"
 	"github.com/basilferry/basilferry/core/ledger"
@@ -237,7 +238,7 @@
 	recordProgress(r, running.ProgressPercent, now)
 	r.Observed = running.Observed
 	observeUse(r, running)
-	s.observeProgress(r)
+	s.observeProgress(w, r)
 	s.ledger.Checkpoint(id, r.Attempt, running.Checkpoint)
 }
 
@@ -251,7 +252,8 @@
 		ID: id, Attempt: running.Attempt, Phase: fleet.AttemptStarted, StartedAt: now, AttemptStatus: fleet.AttemptStatus{Listed: true},
 	}
 	if e := s.ledger.Entry(id.Job); e != nil && id.Step < len(e.Job.Steps) {
-		r.Need = e.Job.Steps[id.Step].ReservedCapacity()
+		step := &e.Job.Steps[id.Step]
+		r.Need, r.FullNeed, r.Account = step.ReservedCapacity(), step.Need, e.Job.Account
 	}
 	w.Add(r)
 	s.requestStop(w, r, "no placement matches the attempt", now)
@@ -353,8 +355,8 @@
 	}
 }
 
-// updateHealth updates the health of the worker, and the throughput of best-effort
-// work, with a completion.
+// updateHealth updates the health of the worker, and the throughput of its pool, with a
+// completion.
 func (s *Scheduler) updateHealth(w *fleet.Worker, r *fleet.Attempt, kind platform.CompletionKind, now fleet.Instant) {
 	if r.Step == nil || r.StopWanted {
 		return
@@ -362,10 +364,11 @@
 	switch kind {
 	case platform.CompletionDone:
 		w.Health.RecordDone(now-r.StartedAt, r.Step.Estimate)
-		if r.Step.Fills {
-			s.throughput.addFinishedTask(r.Step, now-r.StartedAt, s.nominalTime(r, now), now)
+		if !r.Step.LongRunning {
+			pool := dispatch.Pool{Service: w.Service, BestEffort: r.Step.Fills}
+			s.throughput.addFinishedTask(pool, r.Step, now-r.StartedAt, s.nominalTime(w, r, now), now)
 		}
-		s.observeDone(r, now)
+		s.observeDone(w, r, now)
 	case platform.CompletionFailed:
 		if pause := w.Health.RecordFailure(); pause > 0 {
 			w.AvoidUntil = now + pause
@@ -377,6 +380,7 @@
 // removeAttempt removes an attempt from its worker.
 func (s *Scheduler) removeAttempt(w *fleet.Worker, r *fleet.Attempt) {
 	w.Remove(r)
+	s.accounts.add(w, r, -1)
 	delete(s.stops, r)
 }
 
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -92,6 +92,14 @@
 	throughput   *throughput
 	durations    *duration.Predictor
 	policyAdvice policyAdvice
+	accounts     accountPools
+	// executing is the work of the placed tasks of each pool in the current planning
+	// round; see dispatch.PoolLoad.
+	executing map[dispatch.Pool]float64
+	// wasDeferred are the open jobs that have been deferred, and newlyDeferred the numbers
+	// of them by queue that the driver has not taken yet.
+	wasDeferred   map[job.ID]bool
+	newlyDeferred map[string]int64
 
 	config    *platform.OperatorConfig
 	routes    map[string]*platform.Route
@@ -213,6 +221,9 @@
 		throughput:   newThroughput(now),
 		durations:    duration.New(),
 		policyAdvice: policyAdvice{steps: map[job.StepID]*stepAdvice{}},
+		accounts:     newAccountPools(),
+		executing:    map[dispatch.Pool]float64{},
+		wasDeferred:  map[job.ID]bool{}, newlyDeferred: map[string]int64{},
 		evacuated:    map[domain.FailureDomain]bool{},
 		heartbeats:   map[domain.WorkerID]*heartbeat{},
 		stops:        map[*fleet.Attempt]*pendingStop{},
@@ -314,7 +325,7 @@
 			step := &e.Job.Steps[id.Step]
 			w.Add(&fleet.Attempt{
 				ID: id, Attempt: t.Attempt, Phase: fleet.AttemptInherited, Step: step, Need: step.ReservedCapacity(),
-				PlacedAt: now, StartedAt: now,
+				Account: e.Job.Account, PlacedAt: now, StartedAt: now,
 			})
 			w.UnresponsiveSince = now
 		})
