--- a/core/backlog/estimate.go
+++ b/core/backlog/estimate.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/basilferry/basilferry/core/dispatch"
+	"github.com/basilferry/basilferry/core/duration"
 	"github.com/basilferry/basilferry/core/job"
 )
 
@@ -90,25 +91,22 @@
 // A nil summary refuses nothing, and neither does a pool whose rate is not known. Long-running
 // jobs, jobs with due times and jobs without an objective are not refused.
 func Estimate(j *job.Job, queue job.Queue, summary *Summary) Verdict {
-	objective := j.LatencyObjective(queue)
-	if summary == nil || objective <= 0 || j.HasLongRunningStep() || j.Repeat.Count > 0 {
+	if summary == nil || j.LatencyObjective(queue) <= 0 || j.HasLongRunningStep() || j.Repeat.Count > 0 {
 		return Verdict{}
 	}
-	work := j.CoreSeconds()
+	own, path := predict(j, summary.correction(queue.Route))
+	work := own[false] + own[true]
+	objective := multiply(path, queue.Stretch) + queue.Objective
 	v := Verdict{
 		Objective: objective, Limit: multiply(objective, NoValueFactor*safetyFactor),
-		Slack: max(objective-j.CriticalPath(), multiply(objective, minSlackShare)),
+		Slack: max(objective-path, multiply(objective, minSlackShare)),
 	}
 	if mean := summary.meanWork(queue.Route); mean > 0 {
 		// Without a mean, the job counts as one of the most valuable class.
 		v.Class = ClassOf(dispatch.ValuePerWork(work, mean, work))
 	}
-	own := map[bool]float64{}
-	for _, step := range j.Steps {
-		own[step.Fills] += step.CoreSeconds()
-	}
 	pools := summary.poolsOf(queue.Service, own)
-	v.Chain = multiply(j.CriticalPath(), maxSlowdown(pools))
+	v.Chain = multiply(path, maxSlowdown(pools))
 	for _, p := range pools {
 		v.add(Bound{Pool: p.ID, Own: own[p.ID.BestEffort], Rate: p.Rate}, p.Work, queue)
 	}
@@ -122,6 +120,17 @@
 	return v
 }
 
+// predict returns the work of a job's regular and of its best-effort tasks, in core-seconds,
+// and its critical path, for corrected estimates.
+func predict(j *job.Job, c duration.Correction) (work map[bool]float64, path time.Duration) {
+	work = map[bool]float64{}
+	for _, step := range j.Steps {
+		step.Estimate = c.Apply(step.Estimate)
+		work[step.Fills] += step.CoreSeconds()
+	}
+	return work, j.CriticalPathOf(func(step int) time.Duration { return c.Apply(j.Steps[step].Estimate) })
+}
+
 // poolsOf returns the pools of the service for the kinds of tasks that a job has.
 func (s *Summary) poolsOf(service string, kinds map[bool]float64) []*Pool {
 	var out []*Pool
--- a/core/backlog/estimate_test.go
+++ b/core/backlog/estimate_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/duration"
 	"github.com/basilferry/basilferry/core/job"
 )
 
@@ -31,7 +32,7 @@
 			{ID: PoolID{Service: "desk"}, Rate: 10, Slowdown: 1, Work: cells},
 			{ID: PoolID{Service: "desk", BestEffort: true}, Rate: 10, Slowdown: 1, Work: cells},
 		},
-		Queues: []Queue{{Route: "checks", MeanWork: 10}, {Route: "nightly", MeanWork: 10}},
+		Queues: []Queue{{Route: "checks", MeanWork: 10, Correction: duration.Identity}, {Route: "nightly", MeanWork: 10, Correction: duration.Identity}},
 	}
 }
 
--- a/core/backlog/record.go
+++ b/core/backlog/record.go
@@ -7,6 +7,8 @@
 	"slices"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/basilferry/basilferry/core/duration"
 )
 
 const (
@@ -53,6 +55,8 @@
 	_        struct{} `cbor:",toarray"`
 	Route    string
 	MeanWork uint64
+	// Intercept and Slope are those of the correction of estimates, in hundredths.
+	Intercept, Slope int64
 }
 
 // cellNumbers is the number of integers of a stored cell: priority, class, and the work that
@@ -88,7 +92,10 @@
 		out.Accounts = append(out.Accounts, storedAccount{Name: a.Name, Rate: toUnits(a.Rate, ratioUnit), Work: a.Work.stored()})
 	}
 	for _, q := range s.Queues {
-		out.Queues = append(out.Queues, storedQueue{Route: q.Route, MeanWork: toUnits(q.MeanWork, ratioUnit)})
+		out.Queues = append(out.Queues, storedQueue{
+			Route: q.Route, MeanWork: toUnits(q.MeanWork, ratioUnit),
+			Intercept: int64(math.Round(ratioUnit * q.Correction.Intercept)), Slope: int64(math.Round(ratioUnit * q.Correction.Slope)),
+		})
 	}
 	slices.SortStableFunc(out.Pools, func(a, b storedPool) int { return cmp.Compare(totalUnits(b.Work), totalUnits(a.Work)) })
 	slices.SortStableFunc(out.Queues, func(a, b storedQueue) int { return cmp.Compare(b.MeanWork, a.MeanWork) })
@@ -165,11 +172,21 @@
 		out.Accounts = append(out.Accounts, Account{Name: a.Name, Rate: fromUnits(a.Rate, ratioUnit), Work: work})
 	}
 	for _, q := range stored.Queues {
-		out.Queues = append(out.Queues, Queue{Route: q.Route, MeanWork: fromUnits(q.MeanWork, ratioUnit)})
+		out.Queues = append(out.Queues, Queue{Route: q.Route, MeanWork: fromUnits(q.MeanWork, ratioUnit), Correction: q.correction()})
 	}
 	return out, nil
 }
 
+// maxIntercept bounds a decoded intercept: a factor of about 20,000.
+const maxIntercept = 10.0
+
+func (q storedQueue) correction() duration.Correction {
+	return duration.Correction{
+		Intercept: min(maxIntercept, max(-maxIntercept, float64(q.Intercept)/ratioUnit)),
+		Slope:     min(1, max(0, float64(q.Slope)/ratioUnit)),
+	}
+}
+
 func decodeHistogram(numbers []uint64) (Histogram, error) {
 	if len(numbers)%cellNumbers != 0 || len(numbers) > maxElements*cellNumbers {
 		return nil, fmt.Errorf("decode backlog: a histogram has %d numbers", len(numbers))
--- a/core/backlog/record_test.go
+++ b/core/backlog/record_test.go
@@ -5,12 +5,15 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/basilferry/basilferry/core/duration"
 )
 
 // Guards against a decoded summary that leads to other decisions than the encoded one.
 func TestRecordRoundTrip(t *testing.T) {
 	s := desk(Cell{Priority: 2, Class: 3, Work: 12.5, OnTime: 4.5}, onTime(0, 1, 400))
 	s.Accounts = []Account{{Name: "laboratory", Rate: 2.25, Work: Histogram{onTime(0, 1, 20)}}}
+	s.Queues[1].Correction = duration.Correction{Intercept: -0.47, Slope: 0.23}
 	record, err := s.Encode()
 	assert.NilError(t, err)
 	got, err := Decode(record)
--- a/core/backlog/summary.go
+++ b/core/backlog/summary.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/basilferry/basilferry/core/duration"
 )
 
 // Classes is the number of classes of value per unit of work; see ClassOf.
@@ -129,6 +131,8 @@
 	Route string
 	// MeanWork is the mean work of its jobs, in core-seconds.
 	MeanWork float64
+	// Correction turns the clients' estimates into predicted durations.
+	Correction duration.Correction
 }
 
 // Summary is a compact description of the owner's backlog. The zero value describes an
@@ -187,6 +191,16 @@
 	return 0
 }
 
+// correction returns the correction of a queue's estimates; none if it is not known.
+func (s *Summary) correction(route string) duration.Correction {
+	for _, q := range s.Queues {
+		if q.Route == route {
+			return q.Correction
+		}
+	}
+	return duration.Identity
+}
+
 // maxDrain bounds a computed duration, so that it does not overflow.
 const maxDrain = 24 * time.Hour
 
--- a/core/dispatch/order.go
+++ b/core/dispatch/order.go
@@ -34,6 +34,8 @@
 	// been placed.
 	Remaining              time.Duration
 	CoreSeconds, Executing float64
+	// TaskDuration is the estimated duration of one task of the step.
+	TaskDuration time.Duration
 	// TotalWork is the work of the whole occurrence, and MeanWork its mean over
 	// the queue's jobs, in core-seconds.
 	TotalWork, MeanWork float64
--- a/core/dispatch/overload.go
+++ b/core/dispatch/overload.go
@@ -98,7 +98,7 @@
 // task. In a full pool, tasks begin at the pool's rate as others end, and the last one then
 // takes its own duration. In a pool that is partly free, some begin immediately.
 func (p PoolLoad) turnover(d *Demand) time.Duration {
-	return min(p.queueTime(p.Executing), time.Duration(float64(d.Step.Estimate)*p.Slowdown))
+	return min(p.queueTime(p.Executing), time.Duration(float64(d.TaskDuration)*p.Slowdown))
 }
 
 // chainTime returns how long the remaining steps of a job take without waiting.
--- a/core/dispatch/plan_test.go
+++ b/core/dispatch/plan_test.go
@@ -47,7 +47,9 @@
 func (h fixedHeadroom) Interference(step *job.Step) float64 { return h.interference }
 
 func demand(id string, step job.Step, waiting int) Demand {
-	d := Demand{ID: job.StepID{Job: job.ID(id)}, Step: &step, Service: "desk", Deadline: now + time.Minute, NoValueAfter: now + 3*time.Minute}
+	d := Demand{ID: job.StepID{Job: job.ID(id)}, Step: &step, Service: "desk", TaskDuration: step.Estimate,
+		Deadline: now + time.Minute, NoValueAfter: now + 3*time.Minute,
+	}
 	for i := range waiting {
 		d.Waiting = append(d.Waiting, i)
 	}
--- a/core/scheduler/backlog.go
+++ b/core/scheduler/backlog.go
@@ -111,7 +111,7 @@
 // is omitted: it runs when no other work can use the capacity.
 func (b *summaryBuilder) addJob(e *ledger.Entry) {
 	queue := b.s.queue(e.Job.Queue)
-	objective := e.Job.LatencyObjective(queue)
+	objective := b.s.predictedObjective(e.Job, queue)
 	for k := range e.Occurrences {
 		if e.Job.DueUnixMS(k) > b.nowUnixMS {
 			return
@@ -120,7 +120,7 @@
 			continue
 		}
 		chain, work := b.s.remaining(e, k)
-		value := dispatch.ValuePerWork(e.Job.CoreSeconds(), b.s.throughput.meanWork(e.Job.Queue.Route), work)
+		value := dispatch.ValuePerWork(b.s.predictedTotalWork(e.Job), b.s.throughput.meanWork(e.Job.Queue.Route), work)
 		late := b.now+chain > b.s.accepted[e.Job.ID]+objective
 		hasValue := b.now+chain <= b.s.accepted[e.Job.ID]+noValueFactor*objective
 		for i := range e.Job.Steps {
@@ -152,7 +152,7 @@
 	if !hasValue {
 		return
 	}
-	perTask := step.CoreSeconds() / float64(step.Count)
+	perTask := b.s.predictedWork(e.Job, i)
 	cell.OnTime = perTask * runningShare * float64(running)
 	cell.Work = cell.OnTime + perTask*float64(waiting)
 	if !late {
@@ -207,7 +207,9 @@
 	}
 	slices.SortFunc(out.Pools, func(x, y backlog.Pool) int { return cmp.Compare(x.ID.String(), y.ID.String()) })
 	for route := range b.routes {
-		out.Queues = append(out.Queues, backlog.Queue{Route: route, MeanWork: b.s.throughput.meanWork(route)})
+		out.Queues = append(out.Queues, backlog.Queue{
+			Route: route, MeanWork: b.s.throughput.meanWork(route), Correction: b.s.durations.Correction(route),
+		})
 	}
 	slices.SortFunc(out.Queues, func(x, y backlog.Queue) int { return cmp.Compare(x.Route, y.Route) })
 	out.Accounts = b.longestAccounts(max(drain, minBacklogTime))
--- a/core/scheduler/plan.go
+++ b/core/scheduler/plan.go
@@ -133,7 +133,7 @@
 // occurrenceDemands appends the demands of occurrence k of a job to out.
 func (s *Scheduler) occurrenceDemands(out []dispatch.Demand, e *ledger.Entry, k int, now fleet.Instant) []dispatch.Demand {
 	queue := s.queue(e.Job.Queue)
-	objective := e.Job.LatencyObjective(queue)
+	objective := s.predictedObjective(e.Job, queue)
 	since := s.accepted[e.Job.ID]
 	remaining, work := s.remaining(e, k)
 	executing := s.addExecuting(e, k)
@@ -153,7 +153,7 @@
 			ID: job.StepID{Job: e.Job.ID, Occurrence: k, Step: i}, Step: step,
 			Service: s.service(e.Job.Queue), Priority: queue.Priority, Account: e.Job.Account, Executing: executing[step.Fills],
 			Deadline: since + objective, NoValueAfter: since + noValueFactor*objective,
-			Remaining: remaining, CoreSeconds: work, TotalWork: e.Job.CoreSeconds(), MeanWork: s.throughput.meanWork(e.Job.Queue.Route),
+			Remaining: remaining, CoreSeconds: work, TaskDuration: s.predictedDuration(e.Job, i), TotalWork: s.predictedTotalWork(e.Job), MeanWork: s.throughput.meanWork(e.Job.Queue.Route),
 		}
 		d.Waiting = s.waitingTasks(e, k, i)
 		d.Starving = mayStarve(step) && s.isStarving(e, d.Service, now)
@@ -263,8 +263,8 @@
 		}
 		finishTimes[i] = start
 		if done < step.Count {
-			finishTimes[i] += step.Estimate
-			work += step.CoreSeconds() * float64(step.Count-done) / float64(step.Count)
+			finishTimes[i] += s.predictedDuration(e.Job, i)
+			work += s.predictedWork(e.Job, i) * float64(step.Count-done)
 		}
 		chain = max(chain, finishTimes[i])
 	}
--- a/core/scheduler/poolload.go
+++ b/core/scheduler/poolload.go
@@ -173,7 +173,7 @@
 	for i := range e.Job.Steps {
 		step, placed := &e.Job.Steps[i], occurrence.Steps[i].Placed
 		if placed > 0 && !step.LongRunning {
-			work[step.Fills] += step.CoreSeconds() * float64(placed) / float64(step.Count)
+			work[step.Fills] += s.predictedWork(e.Job, i) * float64(placed)
 		}
 	}
 	for bestEffort, amount := range work {
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -6,6 +6,7 @@
 	"github.com/basilferry/basilferry/core/account"
 	"github.com/basilferry/basilferry/core/dispatch"
 	"github.com/basilferry/basilferry/core/domain"
+	"github.com/basilferry/basilferry/core/duration"
 	"github.com/basilferry/basilferry/core/fleet"
 	"github.com/basilferry/basilferry/core/job"
 	"github.com/basilferry/basilferry/core/ledger"
@@ -91,6 +92,7 @@
 	sharing      *sharing.Model
 	throughput   *throughput
 	backlog      backlogMeter
+	durations    *duration.Predictor
 	policyAdvice policyAdvice
 	poolUse      poolUse
 	// executing is the work of the placed tasks of each pool in the current planning
@@ -227,6 +229,7 @@
 		sharing:      sharing.NewModel(),
 		throughput:   newThroughput(now),
 		backlog:      backlogMeter{},
+		durations:    duration.New(),
 		policyAdvice: policyAdvice{steps: map[job.StepID]*stepAdvice{}},
 		poolUse:      newPoolUse(),
 		executing:    map[dispatch.Pool]float64{},
@@ -326,7 +329,7 @@
 	s.ledger = jobs
 	for _, e := range jobs.OpenJobs() {
 		s.accepted[e.Job.ID] = now - timeSinceSubmission(e.Job, nowUnixMS)
-		s.throughput.accepted(e.Job)
+		s.throughput.accepted(e.Job, s.predictedTotalWork(e.Job))
 	}
 	jobs.ForEach(func(e *ledger.Entry) {
 		e.ForEachPlaced(func(id job.TaskID, t ledger.Task) {
@@ -382,7 +385,7 @@
 	}
 	s.ledger.Accept(j)
 	s.accepted[j.ID] = now
-	s.throughput.accepted(j)
+	s.throughput.accepted(j, s.predictedTotalWork(j))
 	s.needsPlan = true
 }
 
--- a/core/scheduler/throughput.go
+++ b/core/scheduler/throughput.go
@@ -34,7 +34,7 @@
 	finishedTasks []finishedTask
 	// work is the total work of finishedTasks, in core-seconds.
 	work float64
-	// slowdown is the moving average of actual over estimated duration.
+	// slowdown is the moving average of actual duration over that at full speed.
 	slowdown float64
 }
 
@@ -55,13 +55,13 @@
 }
 
 // accepted records the work of an accepted job.
-func (t *throughput) accepted(j *job.Job) {
+func (t *throughput) accepted(j *job.Job, work float64) {
 	q := t.workByRoute[j.Queue.Route]
 	if q == nil {
 		q = &workTotal{}
 		t.workByRoute[j.Queue.Route] = q
 	}
-	q.total += j.CoreSeconds()
+	q.total += work
 	q.count++
 }
 
@@ -74,17 +74,18 @@
 	return q.total / float64(q.count)
 }
 
-// addFinishedTask records a task of a pool that is done, with its actual duration.
-func (t *throughput) addFinishedTask(pool dispatch.Pool, step *job.Step, duration time.Duration, now fleet.Instant) {
+// addFinishedTask records a task of a pool that is done, with its actual duration and that at
+// full speed.
+func (t *throughput) addFinishedTask(pool dispatch.Pool, step *job.Step, duration, nominal time.Duration, now fleet.Instant) {
 	p := t.pools[pool]
 	if p == nil {
 		p = &poolThroughput{slowdown: 1}
 		t.pools[pool] = p
 	}
-	if step.Estimate > 0 {
-		p.slowdown += slowdownWeight * (float64(duration)/float64(step.Estimate) - p.slowdown)
+	if nominal > 0 {
+		p.slowdown += slowdownWeight * (float64(duration)/float64(nominal) - p.slowdown)
 	}
-	work := step.CoreSeconds() / float64(step.Count)
+	work := nominal.Seconds() * float64(step.Need.CPUMilli) / milliPerCore
 	p.finishedTasks = append(p.finishedTasks, finishedTask{at: now, work: work})
 	p.work += work
 	p.dropOld(now)
@@ -100,6 +101,14 @@
 	p.finishedTasks = p.finishedTasks[old:]
 }
 
+// slowdown returns the slowdown of a pool; 1 if it is unknown.
+func (t *throughput) slowdown(pool dispatch.Pool) float64 {
+	if p := t.pools[pool]; p != nil {
+		return p.slowdown
+	}
+	return 1
+}
+
 // minSlowdown is the least slowdown that the rate of a pool is computed with.
 const minSlowdown = 0.1
 
