--- a/core/dispatch/accounts_test.go
+++ b/core/dispatch/accounts_test.go
@@ -54,8 +54,9 @@
 		waits  []bool
 	}{
 		"single tasks": {
-			room: map[string]int64{"a": 5}, demands: []Demand{ofAccount("a", demand("1", step(4, 2), 4)), ofAccount("b", demand("2", step(4, 2), 4))},
-			placed: []int{2, 4}, waits: []bool{true, false},
+			room:    map[string]int64{"a": 5},
+			demands: []Demand{ofAccount("a", demand("1", step(4, 2), 4)), ofAccount("b", demand("2", step(4, 2), 4))},
+			placed:  []int{2, 4}, waits: []bool{true, false},
 		},
 		"one count for all demands": {
 			room:    map[string]int64{"a": 5},
@@ -63,8 +64,9 @@
 			placed:  []int{2, 0, 1}, waits: []bool{false, true, true},
 		},
 		"skipped demand is no failed need": { // L7: the same need of another account and of none.
-			room: map[string]int64{"a": 0}, demands: []Demand{ofAccount("a", demand("1", step(1, 1), 1)), ofAccount("b", demand("2", step(1, 1), 1)), demand("3", step(1, 1), 1)},
-			placed: []int{0, 1, 1}, waits: []bool{true, false, false},
+			room:    map[string]int64{"a": 0},
+			demands: []Demand{ofAccount("a", demand("1", step(1, 1), 1)), ofAccount("b", demand("2", step(1, 1), 1)), demand("3", step(1, 1), 1)},
+			placed:  []int{0, 1, 1}, waits: []bool{true, false, false},
 		},
 		"best-effort tasks count with their CPU": {
 			room: map[string]int64{"a": 5}, demands: []Demand{ofAccount("a", demand("1", bestEffort, 5))},
@@ -83,23 +85,27 @@
 			placed: []int{0}, waits: []bool{true},
 		},
 		"gang that fits nowhere gives its room back": {
-			room: map[string]int64{"a": 60}, demands: []Demand{ofAccount("a", demand("1", job.Step{Count: 30, Need: cpu(2), Gang: true}, 30)), ofAccount("a", demand("2", step(3, 2), 3))},
-			placed: []int{0, 3}, waits: []bool{false, false},
+			room:    map[string]int64{"a": 60},
+			demands: []Demand{ofAccount("a", demand("1", job.Step{Count: 30, Need: cpu(2), Gang: true}, 30)), ofAccount("a", demand("2", step(3, 2), 3))},
+			placed:  []int{0, 3}, waits: []bool{false, false},
 		},
 		"starving task": {
 			room: map[string]int64{"a": 1}, demands: []Demand{starving}, placed: []int{0}, waits: []bool{true},
 		},
 		"task larger than the limit of an idle account": {
-			room: map[string]int64{"a": 1}, idle: []string{"a"}, demands: []Demand{ofAccount("a", demand("1", step(2, 2), 2)), ofAccount("a", demand("2", step(1, 1), 1))},
-			placed: []int{1, 0}, waits: []bool{true, true},
+			room: map[string]int64{"a": 1}, idle: []string{"a"},
+			demands: []Demand{ofAccount("a", demand("1", step(2, 2), 2)), ofAccount("a", demand("2", step(1, 1), 1))},
+			placed:  []int{1, 0}, waits: []bool{true, true},
 		},
 		"task larger than the limit of an account with attempts": {
-			room: map[string]int64{"a": 1}, demands: []Demand{ofAccount("a", demand("1", step(1, 2), 1)), ofAccount("a", demand("2", step(1, 1), 1))},
-			placed: []int{0, 1}, waits: []bool{true, false},
+			room:    map[string]int64{"a": 1},
+			demands: []Demand{ofAccount("a", demand("1", step(1, 2), 1)), ofAccount("a", demand("2", step(1, 1), 1))},
+			placed:  []int{0, 1}, waits: []bool{true, false},
 		},
 		"resource that is not needed": {
-			room: map[string]int64{"a": -3}, demands: []Demand{ofAccount("a", demand("1", memoryOnly, 2)), ofAccount("a", demand("2", step(1, 1), 1))},
-			placed: []int{2, 0}, waits: []bool{false, true},
+			room:    map[string]int64{"a": -3},
+			demands: []Demand{ofAccount("a", demand("1", memoryOnly, 2)), ofAccount("a", demand("2", step(1, 1), 1))},
+			placed:  []int{2, 0}, waits: []bool{false, true},
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/core/scheduler/accountreport.go
+++ b/core/scheduler/accountreport.go
@@ -80,7 +80,8 @@
 		return sum + limit
 	}
 	return domain.Resources{
-		CPUMilli: add(sum.CPUMilli, limit.CPUMilli), MemoryMiB: add(sum.MemoryMiB, limit.MemoryMiB), Accelerators: add(sum.Accelerators, limit.Accelerators),
+		CPUMilli: add(sum.CPUMilli, limit.CPUMilli), MemoryMiB: add(sum.MemoryMiB, limit.MemoryMiB),
+		Accelerators: add(sum.Accelerators, limit.Accelerators),
 	}
 }
 
