--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -338,3 +338,21 @@
 		}
 	}
 }
+
+// Guards against work that has lost its value, within the share of a small account, and that
+// waits for as long as another account sends new work beyond its share.
+func TestWorkWithoutValueWithinAShareWaitsABoundedTime(t *testing.T) {
+	pool := Pool{Service: "desk"}
+	load := Load{
+		Pools: map[Pool]PoolLoad{pool: {Capacity: cpu(10)}},
+		Accounts: map[string]AccountLoad{
+			"small": {Weight: 1}, "flood": {Weight: 1, Use: map[Pool]AccountUse{pool: {Total: cpu(10)}}},
+		},
+	}
+	for since, first := range map[time.Duration]job.ID{13 * time.Second: "new", 19 * time.Second: "old"} {
+		old, flood := demand("old", job.Step{Count: 1, Need: cpu(1)}, 1), demand("new", job.Step{Count: 20, Need: cpu(1)}, 20)
+		old.Account, flood.Account = "small", "flood"
+		old.Deadline, old.NoValueAfter = now-since+3*time.Second, now-since+9*time.Second
+		assert.Equal(t, Prepare([]Demand{old, flood}, load, now)[0].ID.Job, first, "%s after the submission", since)
+	}
+}
--- a/core/dispatch/order.go
+++ b/core/dispatch/order.go
@@ -55,7 +55,9 @@
 	// share is how the tasks relate to the share of their account. shareUsed is the part of
 	// the share that the account uses when the demand begins; it is set for
 	// crossesShare only.
-	share     shareClass
+	share shareClass
+	// counted is true if the demand counts against the share of its account.
+	counted   bool
 	shareUsed float64
 	// Tickets maps the id of each worker that the policy service allows to the
 	// ticket for it. It is nil if the queue has no policy service.
@@ -105,6 +107,7 @@
 	for i := range demands {
 		d := &demands[i]
 		d.deferred, d.share, d.shareUsed, d.expected = false, withinShare, 0, d.Remaining
+		d.counted = hasShare(d, load)
 		if slowdown := load.Pools[d.pool()].Slowdown; slowdown > 0 {
 			d.expected = time.Duration(min(1, slowdown) * float64(d.Remaining))
 		}
@@ -143,11 +146,14 @@
 	})
 }
 
+// valueRank is 1 for work without value. Work within the share of an account loses that
+// place after maxValuelessWait: otherwise it would wait for as long as other accounts send
+// work beyond their shares.
 func valueRank(d *Demand, now time.Duration) int {
-	if d.tier(now) == valueless {
-		return 1
+	if d.tier(now) != valueless || d.counted && d.share == withinShare && now >= d.NoValueAfter+d.maxValuelessWait() {
+		return 0
 	}
-	return 0
+	return 1
 }
 
 func overdueRank(d Demand) int {
@@ -163,3 +169,7 @@
 	}
 	return 0
 }
+
+// maxValuelessWait is how long work within a share may wait after its value is lost before it
+// comes before work beyond shares: as long again as it has had any value.
+func (d *Demand) maxValuelessWait() time.Duration { return 3 * (d.NoValueAfter - d.Deadline) / 2 }
