--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -18,6 +18,9 @@
 	Incarnation uint64
 	// OwnerTimeout is how long after its last record the owner is replaced.
 	OwnerTimeout time.Duration
+	// OutageGrace is how long after an outage of the store an owner has to renew its claim
+	// before it is replaced; 0 for OwnerTimeout. See RestartOwnerTimeout.
+	OutageGrace time.Duration
 	// ClaimDelay delays the claims of this node, so that better suited nodes
 	// claim first.
 	ClaimDelay time.Duration
@@ -85,6 +88,9 @@
 	evacuated bool
 	// ownerSeenAt is when a record of the owner was last read.
 	ownerSeenAt Instant
+	// afterOutage is true from the end of an outage of the store until a record of the owner
+	// is read.
+	afterOutage bool
 	// renewedAt is when this owner last renewed its claim.
 	renewedAt Instant
 	// claimFailedAt is when the last claim failed. The log must be read again
@@ -159,7 +165,8 @@
 			o.transition(otherClaimed)
 		}
 		if r.Token >= o.token {
-			o.token, o.owner, o.vacant, o.ownerSeenAt = r.Token, r, o.isPreviousIncarnation(r), now
+			o.token, o.owner, o.vacant = r.Token, r, o.isPreviousIncarnation(r)
+			o.ObserveOwnerRecord(now)
 		}
 	case KindRelease:
 		if r.Token >= o.token {
@@ -179,7 +186,8 @@
 	if token <= o.token {
 		return
 	}
-	o.owner, o.token, o.vacant, o.ownerSeenAt = r, token, o.isPreviousIncarnation(r), now
+	o.owner, o.token, o.vacant = r, token, o.isPreviousIncarnation(r)
+	o.ObserveOwnerRecord(now)
 	if o.IsOwn(r) {
 		o.renewedAt = now
 		o.transition(selfClaimed)
@@ -190,7 +198,7 @@
 
 // ObserveOwnerRecord records that a record that only the owner writes was read
 // or, by the owner itself, appended.
-func (o *Ownership) ObserveOwnerRecord(now Instant) { o.ownerSeenAt = now }
+func (o *Ownership) ObserveOwnerRecord(now Instant) { o.ownerSeenAt, o.afterOutage = now, false }
 
 // ObserveClaimFailure records that a claim that NextAction returned was not made
 // or could not be appended.
@@ -202,7 +210,7 @@
 // ObserveReplacement records that the store refused the epoch of this owner, so
 // another node is the owner.
 func (o *Ownership) ObserveReplacement(now Instant) {
-	o.ownerSeenAt = now
+	o.ObserveOwnerRecord(now)
 	o.transition(otherClaimed)
 }
 
@@ -258,7 +266,14 @@
 	if o.vacant {
 		return sinceOwnerSeen >= o.claimDelay()
 	}
-	return sinceOwnerSeen >= o.settings.OwnerTimeout+o.claimDelay()
+	return sinceOwnerSeen >= o.ownerTimeout()+o.claimDelay()
+}
+
+func (o *Ownership) ownerTimeout() Instant {
+	if o.afterOutage && o.settings.OutageGrace > 0 {
+		return o.settings.OutageGrace
+	}
+	return o.settings.OwnerTimeout
 }
 
 func (o *Ownership) claimDelay() time.Duration {
@@ -275,7 +290,15 @@
 // ObserveOwnerShare records the CPU share of an owner.
 func (o *Ownership) ObserveOwnerShare(share float64) { o.ownerShare = share }
 
-// RestartOwnerTimeout starts the owner's timeout anew. It is called when the
-// log can be read again after an outage, during which the owner may have been
-// unable to append renewals.
-func (o *Ownership) RestartOwnerTimeout(now Instant) { o.ownerSeenAt = now }
+// RestartOwnerTimeout starts the owner's timeout anew. It is called when the log can be read
+// again after an outage of the given length, during which the owner may have been unable to
+// append renewals.
+//
+// After an outage of more than OwnerTimeout in which no record of the owner was read, the
+// owner has OutageGrace: it starts nothing until the store has acknowledged a new renewal,
+// and a claim fails if the log has one that this node has not read. An owner that was lost
+// during the outage is then replaced before the leases end that it has given until then.
+func (o *Ownership) RestartOwnerTimeout(now Instant, outage time.Duration) {
+	o.afterOutage = min(outage, now-o.ownerSeenAt) > o.settings.OwnerTimeout
+	o.ownerSeenAt = now
+}
