--- a/cli/command/golden_test.go
+++ b/cli/command/golden_test.go
@@ -52,6 +52,10 @@
 	{name: "config-show", line: "config show"},
 	{name: "config-history", line: "config history"},
 	{name: "burn", line: "burn"},
+	{name: "accounts", line: "accounts testdata/owner.log"},
+	{name: "accounts-job", line: "accounts --job 41d5497142bc9833 testdata/owner.log"},
+	{name: "accounts-none", line: "accounts testdata/good.json"},
+	{name: "accounts-unknown-job", line: "accounts --job ffffffffffffffff testdata/owner.log"},
 	{name: "capacity", line: "capacity", adapt: omitOneDomain},
 }
 
--- a/cli/command/run.go
+++ b/cli/command/run.go
@@ -81,6 +81,7 @@
 		e.capacity(),
 		e.standin(),
 		e.trace(),
+		e.accounts(),
 		e.version(),
 	}
 }
