--- a/cli/command/config.go
+++ b/cli/command/config.go
@@ -13,6 +13,7 @@
 	"github.com/basilferry/basilferry/core/domain"
 	"github.com/basilferry/basilferry/node/httpapi"
 	"github.com/basilferry/basilferry/node/settings"
+	"github.com/basilferry/basilferry/platform"
 )
 
 // defaultHistoryLimit is the default number of decisions that config history
@@ -23,9 +24,13 @@
 	limit := &cli.IntFlag{Name: "limit", Usage: "maximum number of decisions, newest first", Value: defaultHistoryLimit}
 	return &cli.Command{
 		Name:  "config",
-		Usage: "check a settings file, show the configuration in force and its history",
+		Usage: "check a settings file or an operator configuration, show the configuration in force and its history",
 		Commands: []*cli.Command{
-			{Name: "check", Usage: "list all problems of a settings file", ArgsUsage: "FILE", Action: action(1, e.runConfigCheck)},
+			{
+				Name: "check", Usage: "list all problems of a settings file, or of an operator configuration of the platform", ArgsUsage: "FILE",
+				Flags:  []cli.Flag{&cli.StringFlag{Name: "against", Usage: "operator configuration in force, in a `FILE`; also list the differences from it"}},
+				Action: action(1, e.runConfigCheck),
+			},
 			{Name: "show", Usage: "show the configuration in force", Action: clientAction(0, e.runConfigShow)},
 			{Name: "history", Usage: "list the decisions on the latest changes", Flags: []cli.Flag{limit}, Action: clientAction(0, e.runConfigHistory)},
 		},
@@ -45,6 +50,9 @@
 	if err != nil {
 		return usageError("the settings file cannot be read: "+err.Error(), "give a readable file, or - for standard input")
 	}
+	if c.IsSet("against") || platform.IsOperatorConfig(data) {
+		return e.checkOperatorConfig(c, data)
+	}
 	problems := append([]settings.Problem{}, settings.Check(data)...)
 	report := checkReport{File: file, Valid: len(problems) == 0, Problems: problems}
 	if err := e.show(c, report, report.write); err != nil || report.Valid {
--- a/cli/command/golden_test.go
+++ b/cli/command/golden_test.go
@@ -49,6 +49,8 @@
 	{name: "nodes", line: "nodes"},
 	{name: "config-check", line: "config check testdata/good.json"},
 	{name: "config-check-problems", line: "config check testdata/bad.json"},
+	{name: "config-check-operator", line: "config check testdata/operator.json"},
+	{name: "config-check-operator-problems", line: "config check --against testdata/operator.json testdata/operator-problems.json"},
 	{name: "config-show", line: "config show"},
 	{name: "config-history", line: "config history"},
 	{name: "burn", line: "burn"},
--- a/core/platform/operator.go
+++ b/core/platform/operator.go
@@ -32,6 +32,9 @@
 	Host  string
 	// PathPrefix ends with a slash.
 	PathPrefix string
+	// Timeout is how long the platform lets a request take; 0 if it is not given. Only the
+	// check of a configuration uses it.
+	Timeout time.Duration
 	// Public is true if requests need no API key. Their jobs belong to no account.
 	Public bool
 }
