--- a/cli/command/accounts.go
+++ b/cli/command/accounts.go
@@ -9,6 +9,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -17,34 +18,40 @@
 	"github.com/basilferry/basilferry/core/domain"
 )
 
-// accountUseMessage is the message of the log lines in which the owner states the use of one
-// account.
-const accountUseMessage = "account use"
+const (
+	// accountUseMessage is the message of the log lines in which the owner states the use of
+	// one account.
+	accountUseMessage = "account use"
+	// accountWaitMessage is that of the decision that a job waits for the limit of its account.
+	accountWaitMessage = "wait for account"
+)
 
 func (e *Env) accounts() *cli.Command {
 	return &cli.Command{
 		Name:      "accounts",
 		Usage:     "show the latest use, limit and share of each account from the owner's log, and why a job waits",
 		ArgsUsage: "FILE",
-		Flags:     []cli.Flag{&cli.StringFlag{Name: "job", Usage: "`ID` of a job; show its account and its decisions only"}},
+		Flags:     []cli.Flag{&cli.StringFlag{Name: "job", Usage: "`ID` of a job; also show its decisions, which say why it waits"}},
 		Action:    action(1, e.runAccounts),
 	}
 }
 
 // accountUse is the content of one log line about an account. Its resources are in
-// thousandths of a core, MiB and accelerators; a limit of 0 means no limit.
+// thousandths of a core, MiB and accelerators; a limit of 0 means no limit. Share is the
+// largest share that the account uses of a resource of all workers, FairShare what its weight
+// entitles it to, and JobsWaiting the number of jobs that wait for the limit.
 type accountUse struct {
 	At                time.Time `json:"time"`
 	Account           string    `json:"account"`
 	CPUMilli          int64     `json:"cpu_milli"`
 	MemoryMiB         int64     `json:"memory_mib"`
 	Accelerators      int64     `json:"accelerators"`
-	LimitCPUMilli     int64     `json:"limit_cpu_milli"`
-	LimitMemoryMiB    int64     `json:"limit_memory_mib"`
-	LimitAccelerators int64     `json:"limit_accelerators"`
-	Weight            float64   `json:"weight"`
+	CPUMilliLimit     int64     `json:"cpu_milli_limit"`
+	MemoryMiBLimit    int64     `json:"memory_mib_limit"`
+	AcceleratorsLimit int64     `json:"accelerators_limit"`
 	Share             float64   `json:"share"`
-	WaitingJobs       int64     `json:"waiting_jobs"`
+	FairShare         float64   `json:"fair_share"`
+	JobsWaiting       int64     `json:"jobs_waiting"`
 }
 
 // accountsReport is the result of the accounts command. Job and Decisions are empty without a
@@ -97,7 +104,8 @@
 	return slices.SortedFunc(maps.Values(latest), func(a, b accountUse) int { return cmp.Compare(a.Account, b.Account) })
 }
 
-// selectJob reduces the report to the job's decisions and its account, if a decision names it.
+// selectJob adds the job's decisions, and reduces the report to the account whose limit the job
+// has waited for, if there is one.
 func (r *accountsReport) selectJob(log []byte) error {
 	lines, err := readTraceLines(bytes.NewReader(log), r.Job)
 	if err != nil {
@@ -110,23 +118,26 @@
 		}
 	}
 	slices.SortStableFunc(lines, func(a, b traceLine) int { return a.at.Compare(b.at) })
-	account := ""
 	for _, l := range lines {
 		r.Decisions = append(r.Decisions, l.text)
-		account = cmp.Or(l.account, account)
 	}
-	if account != "" {
-		r.Accounts = slices.DeleteFunc(r.Accounts, func(use accountUse) bool { return use.Account != account })
+	waitedFor := func(use accountUse) bool {
+		return slices.ContainsFunc(lines, func(l traceLine) bool {
+			return l.message == accountWaitMessage && strings.HasPrefix(l.reason, "account "+use.Account+" is at its limit")
+		})
+	}
+	if i := slices.IndexFunc(r.Accounts, waitedFor); i >= 0 {
+		r.Accounts = r.Accounts[i : i+1]
 	}
 	return nil
 }
 
 func (r accountsReport) write(w io.Writer) error {
-	table := output.Table{Header: []string{"ACCOUNT", "CPU MILLI", "MEMORY MIB", "ACCELERATORS", "WEIGHT", "SHARE", "WAITING JOBS", "TIME"}}
+	table := output.Table{Header: []string{"ACCOUNT", "CPU MILLI", "MEMORY MIB", "ACCELERATORS", "SHARE", "FAIR SHARE", "JOBS WAITING", "TIME"}}
 	for _, use := range r.Accounts {
-		table.Add(use.Account, formatLimited(use.CPUMilli, use.LimitCPUMilli), formatLimited(use.MemoryMiB, use.LimitMemoryMiB),
-			formatLimited(use.Accelerators, use.LimitAccelerators), formatDecimal(use.Weight), fmt.Sprintf("%.3f", use.Share),
-			formatNumber(use.WaitingJobs), formatTime(use.At))
+		table.Add(use.Account, formatLimited(use.CPUMilli, use.CPUMilliLimit), formatLimited(use.MemoryMiB, use.MemoryMiBLimit),
+			formatLimited(use.Accelerators, use.AcceleratorsLimit), fmt.Sprintf("%.3f", use.Share), fmt.Sprintf("%.3f", use.FairShare),
+			formatNumber(use.JobsWaiting), formatTime(use.At))
 	}
 	if err := table.Write(w); err != nil || r.Job == "" {
 		return err
--- a/cli/command/trace.go
+++ b/cli/command/trace.go
@@ -35,9 +35,9 @@
 type traceLine struct {
 	at   time.Time
 	text string
-	// message, task, account and attempt are those of a decision; empty and 0 in other lines.
-	message, task, account string
-	attempt                int
+	// message, task, reason and attempt are those of a decision; empty and 0 in other lines.
+	message, task, reason string
+	attempt               int
 }
 
 func (e *Env) runTrace(_ context.Context, c *cli.Command) error {
@@ -119,7 +119,7 @@
 	}
 	line := traceLine{at: at, message: fmt.Sprint(fields["msg"])}
 	line.task, _ = fields["task"].(string)
-	line.account, _ = fields["account"].(string)
+	line.reason, _ = fields["reason"].(string)
 	if attempt, ok := fields["run"].(float64); ok {
 		line.attempt = int(attempt)
 	}
