--- a/core/dispatch/overload.go
+++ b/core/dispatch/overload.go
@@ -98,7 +98,7 @@
 // task. In a full pool, tasks begin at the pool's rate as others end, and the last one then
 // takes its own duration. In a pool that is partly free, some begin immediately.
 func (p PoolLoad) turnover(d *Demand) time.Duration {
-	return min(p.queueTime(p.Executing), time.Duration(float64(d.Step.Estimate)*p.Slowdown))
+	return min(p.queueTime(p.Executing), time.Duration(float64(d.TaskDuration)*p.Slowdown))
 }
 
 // chainTime returns how long the remaining steps of a job take without waiting.
@@ -144,16 +144,24 @@
 )
 
 // valuePerWork returns the value of finishing the job on time per core-second that has not
-// begun. The value of a job has a fixed part and a part that grows with its work. A job with
-// the mean work of its queue has a value of 1.
+// begun.
 func (d *Demand) valuePerWork() float64 {
-	const fixed = 0.3
-	value := fixed
-	if d.MeanWork > 0 {
-		value += (1 - fixed) * d.TotalWork / d.MeanWork
-	}
+	value := ValuePerWork(d.TotalWork, d.MeanWork, d.workToBegin())
 	if d.Executing > 0 || d.CoreSeconds < d.TotalWork {
 		value *= startedFactor
 	}
-	return value / max(minWork, d.workToBegin())
+	return value
+}
+
+// ValuePerWork returns the value of finishing a job on time per core-second that is
+// left. The value of a job has a fixed part and a part that grows with its work. A job
+// with the mean work of its queue has a value of 1. All work is in core-seconds; a mean
+// of 0 is not known.
+func ValuePerWork(total, mean, remaining float64) float64 {
+	const fixed = 0.3
+	value := fixed
+	if mean > 0 {
+		value += (1 - fixed) * total / mean
+	}
+	return value / max(minWork, remaining)
 }
--- a/core/scheduler/heartbeat.go
+++ b/core/scheduler/heartbeat.go
@@ -237,6 +237,8 @@
 	}
 	recordProgress(r, running.ProgressPercent, now)
 	r.Observed = running.Observed
+	observeUse(r, running)
+	s.observeProgress(w, r)
 	s.ledger.Checkpoint(id, r.Attempt, running.Checkpoint)
 }
 
@@ -363,8 +365,10 @@
 	case platform.CompletionDone:
 		w.Health.RecordDone(now-r.StartedAt, r.Step.Estimate)
 		if !r.Step.LongRunning {
-			s.throughput.addFinishedTask(dispatch.Pool{Service: w.Service, BestEffort: r.Step.Fills}, r.Step, now-r.StartedAt, now)
+			pool := dispatch.Pool{Service: w.Service, BestEffort: r.Step.Fills}
+			s.throughput.addFinishedTask(pool, r.Step, now-r.StartedAt, s.nominalTime(w, r, now), now)
 		}
+		s.observeDone(w, r, now)
 	case platform.CompletionFailed:
 		if pause := w.Health.RecordFailure(); pause > 0 {
 			w.AvoidUntil = now + pause
--- a/core/scheduler/poolload.go
+++ b/core/scheduler/poolload.go
@@ -108,7 +108,7 @@
 	for service, free := range s.freeByService(now) {
 		for _, bestEffort := range []bool{false, true} {
 			pool := dispatch.Pool{Service: service, BestEffort: bestEffort}
-			p := s.throughput.snapshot(pool, now)
+			p, _ := s.throughput.snapshot(pool, now)
 			p.Executing, p.Capacity = s.executing[pool], free.reserved
 			if bestEffort {
 				p.Capacity.CPUMilli = free.unusedCPUMilli
@@ -173,7 +173,7 @@
 	for i := range e.Job.Steps {
 		step, placed := &e.Job.Steps[i], occurrence.Steps[i].Placed
 		if placed > 0 && !step.LongRunning {
-			work[step.Fills] += step.CoreSeconds() * float64(placed) / float64(step.Count)
+			work[step.Fills] += s.predictedWork(e.Job, i) * float64(placed)
 		}
 	}
 	for bestEffort, amount := range work {
