--- a/cli/command/golden_test.go
+++ b/cli/command/golden_test.go
@@ -49,9 +49,15 @@
 	{name: "nodes", line: "nodes"},
 	{name: "config-check", line: "config check testdata/good.json"},
 	{name: "config-check-problems", line: "config check testdata/bad.json"},
+	{name: "config-check-operator", line: "config check testdata/operator.json"},
+	{name: "config-check-operator-problems", line: "config check --against testdata/operator.json testdata/operator-problems.json"},
 	{name: "config-show", line: "config show"},
 	{name: "config-history", line: "config history"},
 	{name: "burn", line: "burn"},
+	{name: "accounts", line: "accounts testdata/owner.log"},
+	{name: "accounts-job", line: "accounts --job 41d5497142bc9833 testdata/owner.log"},
+	{name: "accounts-none", line: "accounts testdata/good.json"},
+	{name: "accounts-unknown-job", line: "accounts --job ffffffffffffffff testdata/owner.log"},
 	{name: "capacity", line: "capacity", adapt: omitOneDomain},
 }
 
