--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -88,9 +88,10 @@
 	evacuated bool
 	// ownerSeenAt is when a record of the owner was last read.
 	ownerSeenAt Instant
-	// afterOutage is true from the end of an outage of the store until a record of the owner
-	// is read.
-	afterOutage bool
+	// afterOutage is true from the end of an outage of the store, outageEndedAt, until a record
+	// is read that the owner has certainly appended after it.
+	afterOutage   bool
+	outageEndedAt Instant
 	// renewedAt is when this owner last renewed its claim.
 	renewedAt Instant
 	// claimFailedAt is when the last claim failed. The log must be read again
@@ -198,7 +199,12 @@
 
 // ObserveOwnerRecord records that a record that only the owner writes was read
 // or, by the owner itself, appended.
-func (o *Ownership) ObserveOwnerRecord(now Instant) { o.ownerSeenAt, o.afterOutage = now, false }
+func (o *Ownership) ObserveOwnerRecord(now Instant) {
+	o.ownerSeenAt = now
+	if now-o.outageEndedAt > lateReadTime {
+		o.afterOutage = false
+	}
+}
 
 // ObserveClaimFailure records that a claim that NextAction returned was not made
 // or could not be appended.
@@ -290,15 +296,19 @@
 // ObserveOwnerShare records the CPU share of an owner.
 func (o *Ownership) ObserveOwnerShare(share float64) { o.ownerShare = share }
 
+// lateReadTime is how long after an outage of the store records are read that the owner has
+// appended before it: the followers pause up to 0.3 s between two reads.
+const lateReadTime = 500 * time.Millisecond
+
 // RestartOwnerTimeout starts the owner's timeout anew. It is called when the log can be read
 // again after an outage of the given length, during which the owner may have been unable to
 // append renewals.
 //
-// After an outage of more than OwnerTimeout in which no record of the owner was read, the
-// owner has OutageGrace: it starts nothing until the store has acknowledged a new renewal,
-// and a claim fails if the log has one that this node has not read. An owner that was lost
-// during the outage is then replaced before the leases end that it has given until then.
+// After an outage of more than OwnerTimeout the owner has OutageGrace: it starts nothing
+// until the store has acknowledged a new renewal, and a claim fails if the log has one that
+// this node has not read. An owner that was lost during the outage is then replaced before
+// the leases end that it has given until then.
 func (o *Ownership) RestartOwnerTimeout(now Instant, outage time.Duration) {
-	o.afterOutage = min(outage, now-o.ownerSeenAt) > o.settings.OwnerTimeout
-	o.ownerSeenAt = now
+	o.ownerSeenAt, o.outageEndedAt = now, now
+	o.afterOutage = outage > o.settings.OwnerTimeout
 }
--- a/core/ownership/ownership_test.go
+++ b/core/ownership/ownership_test.go
@@ -44,20 +44,22 @@
 	withGrace := settings
 	withGrace.OutageGrace = time.Second
 	for _, c := range []struct {
-		name        string
-		seen, gap   time.Duration
-		renewed     bool
-		claimsAfter time.Duration
+		name   string
+		outage time.Duration
+		// readAfter is when a record of the owner is read, after the end of the outage; 0 for
+		// none.
+		readAfter, claimsAfter time.Duration
 	}{
-		{"outage", time.Second, 9 * time.Second, false, withGrace.OutageGrace},
-		{"short gap", time.Second, 2 * time.Second, false, withGrace.OwnerTimeout},
-		{"record read with the end of the outage", 10 * time.Second, 9 * time.Second, false, withGrace.OwnerTimeout},
-		{"renewed after the outage", time.Second, 9 * time.Second, true, withGrace.OwnerTimeout},
+		{"outage", 9 * time.Second, 0, withGrace.OutageGrace},
+		{"short gap", 2 * time.Second, 0, withGrace.OwnerTimeout},
+		{"record from before the outage", 9 * time.Second, lateReadTime, withGrace.OutageGrace},
+		{"renewed after the outage", 9 * time.Second, lateReadTime + 1, withGrace.OwnerTimeout},
 	} {
 		o, now := New(withGrace, 0), 10*time.Second
-		o.Observe(claimBy("n2", 1), 4, c.seen)
-		o.RestartOwnerTimeout(now, c.gap)
-		if c.renewed {
+		o.Observe(claimBy("n2", 1), 4, time.Second)
+		o.RestartOwnerTimeout(now, c.outage)
+		if c.readAfter > 0 {
+			now += c.readAfter
 			o.ObserveOwnerRecord(now)
 		}
 		due := now + c.claimsAfter + withGrace.ClaimDelay
