--- a/core/duration/predictor.go
+++ b/core/duration/predictor.go
@@ -61,14 +61,31 @@
 	}
 }
 
+// noticeableChange is the least change of the logarithm of a running task's prediction that
+// is recorded: the tasks of a step differ more among each other.
+const noticeableChange = 0.1
+
 // RecordProgress records that a running task of the step has reached a progress, in
-// percent, in the given nominal time. It has no effect once a task of the step is done.
-func (p *Predictor) RecordProgress(key StepKey, percent int, took time.Duration) {
+// percent, in the given nominal time. It reports whether that changes the step's prediction,
+// which it does not once a task of the step is done.
+func (p *Predictor) RecordProgress(key StepKey, percent int, took time.Duration) bool {
 	if percent < minProgress || percent > 100 || took <= 0 {
-		return
+		return false
 	}
-	s := p.step(key)
-	s.running, s.hasRunning = logSeconds(took.Seconds()*100/float64(percent)), true
+	s, running := p.step(key), logSeconds(took.Seconds()*100/float64(percent))
+	if s.count > 0 || s.hasRunning && math.Abs(running-s.running) < noticeableChange {
+		return false
+	}
+	s.running, s.hasRunning = running, true
+	return true
+}
+
+// Generation returns a number that changes when the prediction of a queue does.
+func (p *Predictor) Generation(queue string) int {
+	if r := p.queues[queue]; r != nil {
+		return r.generation
+	}
+	return 0
 }
 
 func (p *Predictor) step(key StepKey) *observed {
@@ -93,8 +110,7 @@
 	if r == nil {
 		return Identity
 	}
-	intercept, slope, _ := r.fit()
-	return Correction{Intercept: intercept, Slope: slope}
+	return Correction{Intercept: r.line.intercept, Slope: r.line.slope}
 }
 
 // Predict returns the nominal duration of a task of the step. It weighs the queue's
@@ -103,11 +119,11 @@
 	if estimate <= 0 {
 		return estimate
 	}
-	intercept, slope, variance := 0.0, 1.0, priorVariance
+	variance := priorVariance
 	if r := p.queues[queue]; r != nil {
-		intercept, slope, variance = r.fit()
+		variance = r.line.variance
 	}
-	log := Correction{Intercept: intercept, Slope: slope}.log(logSeconds(estimate.Seconds()))
+	log := p.Correction(queue).log(logSeconds(estimate.Seconds()))
 	if s := p.steps[key]; s != nil {
 		count, sum := float64(s.count), s.logs
 		if s.count == 0 && s.hasRunning {
--- a/core/scheduler/backlog.go
+++ b/core/scheduler/backlog.go
@@ -111,7 +111,8 @@
 // is omitted: it runs when no other work can use the capacity.
 func (b *summaryBuilder) addJob(e *ledger.Entry) {
 	queue := b.s.queue(e.Job.Queue)
-	objective := b.s.predictedObjective(e.Job, queue)
+	predicted := b.s.predictionOf(e.Job)
+	objective := predicted.objective(queue)
 	for k := range e.Occurrences {
 		if e.Job.DueUnixMS(k) > b.nowUnixMS {
 			return
@@ -120,7 +121,7 @@
 			continue
 		}
 		chain, work := b.s.remaining(e, k)
-		value := dispatch.ValuePerWork(b.s.predictedTotalWork(e.Job), b.s.throughput.meanWork(e.Job.Queue.Route), work)
+		value := dispatch.ValuePerWork(predicted.work, b.s.throughput.meanWork(e.Job.Queue.Route), work)
 		late := b.now+chain > b.s.accepted[e.Job.ID]+objective
 		hasValue := b.now+chain <= b.s.accepted[e.Job.ID]+noValueFactor*objective
 		for i := range e.Job.Steps {
@@ -152,7 +153,7 @@
 	if !hasValue {
 		return
 	}
-	perTask := b.s.predictedWork(e.Job, i)
+	perTask := b.s.predictionOf(e.Job).taskWork(e.Job, i)
 	cell.OnTime = perTask * runningShare * float64(running)
 	cell.Work = cell.OnTime + perTask*float64(waiting)
 	if !late {
--- a/core/scheduler/durations.go
+++ b/core/scheduler/durations.go
@@ -10,30 +10,41 @@
 	"github.com/basilferry/basilferry/core/platform"
 )
 
-// predictedDuration returns how long a task of the step takes at full speed, as far as it
-// is known.
-func (s *Scheduler) predictedDuration(j *job.Job, step int) time.Duration {
-	return s.durations.Predict(j.Queue.Route, duration.StepKey{Job: j.ID, Step: step}, j.Steps[step].Estimate)
+// prediction holds what is predicted for a job, because planning rounds are frequent.
+type prediction struct {
+	// generation is that of the queue's prediction; see duration.Predictor.Generation.
+	generation int
+	// durations are those of a task of each step, path is that of the critical path, and
+	// work is the CPU time of one occurrence in core-seconds.
+	durations []time.Duration
+	path      time.Duration
+	work      float64
 }
 
-// predictedWork returns the CPU time of one task of the step, in core-seconds.
-func (s *Scheduler) predictedWork(j *job.Job, step int) float64 {
-	return s.predictedDuration(j, step).Seconds() * float64(j.Steps[step].Need.CPUMilli) / milliPerCore
+// predictionOf returns the prediction for a job.
+func (s *Scheduler) predictionOf(j *job.Job) *prediction {
+	generation := s.durations.Generation(j.Queue.Route)
+	if p := s.predictions[j.ID]; p != nil && p.generation == generation {
+		return p
+	}
+	p := &prediction{generation: generation, durations: make([]time.Duration, len(j.Steps))}
+	for i, step := range j.Steps {
+		p.durations[i] = s.durations.Predict(j.Queue.Route, duration.StepKey{Job: j.ID, Step: i}, step.Estimate)
+		p.work += p.taskWork(j, i) * float64(step.Count)
+	}
+	p.path = j.CriticalPathOf(func(step int) time.Duration { return p.durations[step] })
+	s.predictions[j.ID] = p
+	return p
 }
 
-// predictedObjective returns the latency objective of a job for the predicted durations.
-func (s *Scheduler) predictedObjective(j *job.Job, q job.Queue) time.Duration {
-	path := j.CriticalPathOf(func(step int) time.Duration { return s.predictedDuration(j, step) })
-	return time.Duration(q.Stretch*float64(path)) + q.Objective
+// taskWork returns the CPU time of one task of the step, in core-seconds.
+func (p *prediction) taskWork(j *job.Job, step int) float64 {
+	return p.durations[step].Seconds() * float64(j.Steps[step].Need.CPUMilli) / milliPerCore
 }
 
-// predictedTotalWork returns the CPU time of one occurrence of the job, in core-seconds.
-func (s *Scheduler) predictedTotalWork(j *job.Job) float64 {
-	total := 0.0
-	for i, step := range j.Steps {
-		total += s.predictedWork(j, i) * float64(step.Count)
-	}
-	return total
+// objective returns the latency objective of a job of the queue.
+func (p *prediction) objective(q job.Queue) time.Duration {
+	return time.Duration(q.Stretch*float64(p.path)) + q.Objective
 }
 
 // measuresDuration reports whether the time since the start of an attempt shows how long
@@ -75,25 +86,28 @@
 
 // observeProgress lets the duration of a step follow the progress of its running tasks.
 func (s *Scheduler) observeProgress(w *fleet.Worker, r *fleet.Attempt) {
-	if measuresDuration(r) && !r.Step.LongRunning {
-		took := s.nominalTime(w, r, r.ProgressChangedAt)
-		s.durations.RecordProgress(duration.StepKey{Job: r.ID.Job, Step: r.ID.Step}, r.ProgressPercent, took)
+	if !measuresDuration(r) || r.Step.LongRunning {
+		return
+	}
+	took := s.nominalTime(w, r, r.ProgressChangedAt)
+	if s.durations.RecordProgress(duration.StepKey{Job: r.ID.Job, Step: r.ID.Step}, r.ProgressPercent, took) {
+		delete(s.predictions, r.ID.Job)
 	}
 }
 
 // observeDone lets the durations of a step and of its queue follow a task that is done.
 func (s *Scheduler) observeDone(w *fleet.Worker, r *fleet.Attempt, now fleet.Instant) {
 	e := s.ledger.Entry(r.ID.Job)
-	if e == nil || !measuresDuration(r) {
+	if e == nil || e.IsClosed() || !measuresDuration(r) {
 		return
 	}
 	key := duration.StepKey{Job: r.ID.Job, Step: r.ID.Step}
 	s.durations.RecordDone(e.Job.Queue.Route, key, r.Step.Estimate, s.nominalTime(w, r, now))
+	delete(s.predictions, r.ID.Job)
 }
 
-// forgetDurations drops what is known about the durations of a removed job.
-func (s *Scheduler) forgetDurations(id job.ID) {
-	if e := s.ledger.Entry(id); e != nil {
-		s.durations.Forget(id, len(e.Job.Steps))
-	}
+// forgetDurations drops what is known about the durations of a closed job.
+func (s *Scheduler) forgetDurations(j *job.Job) {
+	s.durations.Forget(j.ID, len(j.Steps))
+	delete(s.predictions, j.ID)
 }
--- a/core/scheduler/expire.go
+++ b/core/scheduler/expire.go
@@ -27,7 +27,6 @@
 			break
 		}
 		s.closed = s.closed[1:]
-		s.forgetDurations(first.id)
 		s.ledger.Drop(first.id)
 		delete(s.accepted, first.id)
 		delete(s.wasDeferred, first.id)
--- a/core/scheduler/plan.go
+++ b/core/scheduler/plan.go
@@ -133,10 +133,11 @@
 // occurrenceDemands appends the demands of occurrence k of a job to out.
 func (s *Scheduler) occurrenceDemands(out []dispatch.Demand, e *ledger.Entry, k int, now fleet.Instant) []dispatch.Demand {
 	queue := s.queue(e.Job.Queue)
-	objective := s.predictedObjective(e.Job, queue)
+	predicted := s.predictionOf(e.Job)
+	objective := predicted.objective(queue)
 	since := s.accepted[e.Job.ID]
 	remaining, work := s.remaining(e, k)
-	executing := s.addExecuting(e, k)
+	regular, bestEffort := s.addExecuting(e, k)
 	for i := range e.Job.Steps {
 		step := &e.Job.Steps[i]
 		waiting := e.WaitingCount(k, i)
@@ -151,9 +152,13 @@
 		}
 		d := dispatch.Demand{
 			ID: job.StepID{Job: e.Job.ID, Occurrence: k, Step: i}, Step: step,
-			Service: s.service(e.Job.Queue), Priority: queue.Priority, Account: e.Job.Account, Executing: executing[step.Fills],
+			Service: s.service(e.Job.Queue), Priority: queue.Priority, Account: e.Job.Account, Executing: regular,
 			Deadline: since + objective, NoValueAfter: since + noValueFactor*objective,
-			Remaining: remaining, CoreSeconds: work, TaskDuration: s.predictedDuration(e.Job, i), TotalWork: s.predictedTotalWork(e.Job), MeanWork: s.throughput.meanWork(e.Job.Queue.Route),
+			Remaining: remaining, CoreSeconds: work, TaskDuration: predicted.durations[i], TotalWork: predicted.work,
+			MeanWork: s.throughput.meanWork(e.Job.Queue.Route),
+		}
+		if step.Fills {
+			d.Executing = bestEffort
 		}
 		d.Waiting = s.waitingTasks(e, k, i)
 		d.Starving = mayStarve(step) && s.isStarving(e, d.Service, now)
@@ -251,7 +256,7 @@
 // occurrence, and its remaining work in core-seconds.
 func (s *Scheduler) remaining(e *ledger.Entry, k int) (chain time.Duration, work float64) {
 	occurrence := e.Occurrences[k]
-	finishTimes := make([]time.Duration, len(e.Job.Steps))
+	finishTimes, predicted := make([]time.Duration, len(e.Job.Steps)), s.predictionOf(e.Job)
 	for i, step := range e.Job.Steps {
 		done := 0
 		if occurrence != nil {
@@ -263,8 +268,8 @@
 		}
 		finishTimes[i] = start
 		if done < step.Count {
-			finishTimes[i] += s.predictedDuration(e.Job, i)
-			work += s.predictedWork(e.Job, i) * float64(step.Count-done)
+			finishTimes[i] += predicted.durations[i]
+			work += predicted.taskWork(e.Job, i) * float64(step.Count-done)
 		}
 		chain = max(chain, finishTimes[i])
 	}
--- a/core/scheduler/poolload.go
+++ b/core/scheduler/poolload.go
@@ -164,22 +164,26 @@
 
 // addExecuting adds the work of the placed tasks of an occurrence to the pools. It returns
 // that work, in core-seconds, for regular and for best-effort tasks.
-func (s *Scheduler) addExecuting(e *ledger.Entry, k int) (work map[bool]float64) {
+func (s *Scheduler) addExecuting(e *ledger.Entry, k int) (regular, bestEffort float64) {
 	occurrence := e.Occurrences[k]
 	if occurrence == nil || e.PlacedCount() == 0 {
-		return nil
+		return 0, 0
 	}
-	work = map[bool]float64{}
+	predicted := s.predictionOf(e.Job)
 	for i := range e.Job.Steps {
 		step, placed := &e.Job.Steps[i], occurrence.Steps[i].Placed
-		if placed > 0 && !step.LongRunning {
-			work[step.Fills] += s.predictedWork(e.Job, i) * float64(placed)
+		switch amount := predicted.taskWork(e.Job, i) * float64(placed); {
+		case step.LongRunning:
+		case step.Fills:
+			bestEffort += amount
+		default:
+			regular += amount
 		}
 	}
-	for bestEffort, amount := range work {
-		s.executing[dispatch.Pool{Service: s.service(e.Job.Queue), BestEffort: bestEffort}] += amount
-	}
-	return work
+	service := s.service(e.Job.Queue)
+	s.executing[dispatch.Pool{Service: service}] += regular
+	s.executing[dispatch.Pool{Service: service, BestEffort: true}] += bestEffort
+	return regular, bestEffort
 }
 
 // countDeferred counts the jobs that are deferred for the first time, by queue.
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -93,6 +93,7 @@
 	throughput   *throughput
 	backlog      backlogMeter
 	durations    *duration.Predictor
+	predictions  map[job.ID]*prediction
 	policyAdvice policyAdvice
 	poolUse      poolUse
 	// executing is the work of the placed tasks of each pool in the current planning
@@ -230,6 +231,7 @@
 		throughput:   newThroughput(now),
 		backlog:      backlogMeter{},
 		durations:    duration.New(),
+		predictions:  map[job.ID]*prediction{},
 		policyAdvice: policyAdvice{steps: map[job.StepID]*stepAdvice{}},
 		poolUse:      newPoolUse(),
 		executing:    map[dispatch.Pool]float64{},
@@ -329,7 +331,7 @@
 	s.ledger = jobs
 	for _, e := range jobs.OpenJobs() {
 		s.accepted[e.Job.ID] = now - timeSinceSubmission(e.Job, nowUnixMS)
-		s.throughput.accepted(e.Job, s.predictedTotalWork(e.Job))
+		s.throughput.accepted(e.Job, s.predictionOf(e.Job).work)
 	}
 	jobs.ForEach(func(e *ledger.Entry) {
 		e.ForEachPlaced(func(id job.TaskID, t ledger.Task) {
@@ -385,7 +387,7 @@
 	}
 	s.ledger.Accept(j)
 	s.accepted[j.ID] = now
-	s.throughput.accepted(j, s.predictedTotalWork(j))
+	s.throughput.accepted(j, s.predictionOf(j).work)
 	s.needsPlan = true
 }
 
@@ -410,6 +412,7 @@
 // stopAttemptsOf stops all attempts of a closed job.
 func (s *Scheduler) stopAttemptsOf(e *ledger.Entry, now fleet.Instant) {
 	s.dropAdvice(e.Job.ID)
+	s.forgetDurations(e.Job)
 	delete(s.idleSince, e.Job.ID)
 	delete(s.stepEndedAt, e.Job.ID)
 	for i, step := range e.Job.Steps {
