--- a/core/scheduler/poolload.go
+++ b/core/scheduler/poolload.go
@@ -105,25 +105,56 @@
 		s.poolUse.count(s.fleet.All(), now)
 		load.Accounts = s.accountLoads(demands)
 	}
-	for service, free := range s.freeByService(now) {
-		for _, bestEffort := range []bool{false, true} {
-			pool := dispatch.Pool{Service: service, BestEffort: bestEffort}
-			p, _ := s.throughput.snapshot(pool, now)
-			p.Executing, p.Capacity = s.executing[pool], free.reserved
-			if bestEffort {
-				p.Capacity.CPUMilli = free.unusedCPUMilli
-			} else {
-				p.Rate = float64(free.endingCPUMilli) / milliPerCore / p.Slowdown
-			}
-			for _, account := range load.Accounts {
-				p.Capacity = p.Capacity.Add(account.Use[pool].Total)
-			}
-			load.Pools[pool] = p
+	if s.capacities.byPool == nil || now-s.capacities.at >= capacityInterval {
+		s.capacities = poolCapacities{at: now, byPool: s.sumCapacities(load.Accounts, now)}
+	}
+	for pool, capacity := range s.capacities.byPool {
+		p, _ := s.throughput.snapshot(pool, now)
+		p.Executing, p.Capacity = s.executing[pool], capacity.total
+		if !pool.BestEffort {
+			p.Rate = capacity.endingCores / p.Slowdown
 		}
+		load.Pools[pool] = p
 	}
 	return load
 }
 
+// capacityInterval is how often the capacity of the pools is added up. Rounds are up to ten
+// times as frequent, and thousands of workers change little between two of them.
+const capacityInterval = 100 * time.Millisecond
+
+// poolCapacities are the capacities of the pools at a time.
+type poolCapacities struct {
+	at     fleet.Instant
+	byPool map[dispatch.Pool]poolCapacity
+}
+
+// poolCapacity is the capacity of one pool. endingCores is the CPU that tasks which end by
+// themselves can use; it is not set for best-effort tasks.
+type poolCapacity struct {
+	total       domain.Resources
+	endingCores float64
+}
+
+// sumCapacities adds up what is free for each pool and what the accounts use of it.
+func (s *Scheduler) sumCapacities(accounts map[string]dispatch.AccountLoad, now fleet.Instant) map[dispatch.Pool]poolCapacity {
+	out := map[dispatch.Pool]poolCapacity{}
+	for service, free := range s.freeByService(now) {
+		regular := poolCapacity{total: free.reserved, endingCores: float64(free.endingCPUMilli) / milliPerCore}
+		bestEffort := poolCapacity{total: free.reserved}
+		bestEffort.total.CPUMilli = free.unusedCPUMilli
+		out[dispatch.Pool{Service: service}] = regular
+		out[dispatch.Pool{Service: service, BestEffort: true}] = bestEffort
+	}
+	for pool, capacity := range out {
+		for _, account := range accounts {
+			capacity.total = capacity.total.Add(account.Use[pool].Total)
+		}
+		out[pool] = capacity
+	}
+	return out
+}
+
 // serviceCapacity is the capacity of the usable workers of a service.
 type serviceCapacity struct {
 	// reserved is what no attempt reserves, and unusedCPUMilli the CPU that more
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -92,6 +92,7 @@
 	sharing      *sharing.Model
 	throughput   *throughput
 	backlog      backlogMeter
+	capacities   poolCapacities
 	durations    *duration.Predictor
 	predictions  map[job.ID]*prediction
 	policyAdvice policyAdvice
