--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -18,9 +18,6 @@
 	Incarnation uint64
 	// OwnerTimeout is how long after its last record the owner is replaced.
 	OwnerTimeout time.Duration
-	// OutageGrace is how long after an outage of the store an owner has to renew its claim
-	// before it is replaced; 0 for OwnerTimeout. See RestartOwnerTimeout.
-	OutageGrace time.Duration
 	// ClaimDelay delays the claims of this node, so that better suited nodes
 	// claim first.
 	ClaimDelay time.Duration
@@ -88,10 +85,6 @@
 	evacuated bool
 	// ownerSeenAt is when a record of the owner was last read.
 	ownerSeenAt Instant
-	// afterOutage is true from the end of an outage of the store, outageEndedAt, until a record
-	// is read that the owner has certainly appended after it.
-	afterOutage   bool
-	outageEndedAt Instant
 	// renewedAt is when this owner last renewed its claim.
 	renewedAt Instant
 	// claimFailedAt is when the last claim failed. The log must be read again
@@ -166,8 +159,7 @@
 			o.transition(otherClaimed)
 		}
 		if r.Token >= o.token {
-			o.token, o.owner, o.vacant = r.Token, r, o.isPreviousIncarnation(r)
-			o.ObserveOwnerRecord(now)
+			o.token, o.owner, o.vacant, o.ownerSeenAt = r.Token, r, o.isPreviousIncarnation(r), now
 		}
 	case KindRelease:
 		if r.Token >= o.token {
@@ -187,8 +179,7 @@
 	if token <= o.token {
 		return
 	}
-	o.owner, o.token, o.vacant = r, token, o.isPreviousIncarnation(r)
-	o.ObserveOwnerRecord(now)
+	o.owner, o.token, o.vacant, o.ownerSeenAt = r, token, o.isPreviousIncarnation(r), now
 	if o.IsOwn(r) {
 		o.renewedAt = now
 		o.transition(selfClaimed)
@@ -199,12 +190,7 @@
 
 // ObserveOwnerRecord records that a record that only the owner writes was read
 // or, by the owner itself, appended.
-func (o *Ownership) ObserveOwnerRecord(now Instant) {
-	o.ownerSeenAt = now
-	if now-o.outageEndedAt > lateReadTime {
-		o.afterOutage = false
-	}
-}
+func (o *Ownership) ObserveOwnerRecord(now Instant) { o.ownerSeenAt = now }
 
 // ObserveClaimFailure records that a claim that NextAction returned was not made
 // or could not be appended.
@@ -216,7 +202,7 @@
 // ObserveReplacement records that the store refused the epoch of this owner, so
 // another node is the owner.
 func (o *Ownership) ObserveReplacement(now Instant) {
-	o.ObserveOwnerRecord(now)
+	o.ownerSeenAt = now
 	o.transition(otherClaimed)
 }
 
@@ -272,14 +258,7 @@
 	if o.vacant {
 		return sinceOwnerSeen >= o.claimDelay()
 	}
-	return sinceOwnerSeen >= o.ownerTimeout()+o.claimDelay()
-}
-
-func (o *Ownership) ownerTimeout() Instant {
-	if o.afterOutage && o.settings.OutageGrace > 0 {
-		return o.settings.OutageGrace
-	}
-	return o.settings.OwnerTimeout
+	return sinceOwnerSeen >= o.settings.OwnerTimeout+o.claimDelay()
 }
 
 func (o *Ownership) claimDelay() time.Duration {
@@ -296,19 +275,7 @@
 // ObserveOwnerShare records the CPU share of an owner.
 func (o *Ownership) ObserveOwnerShare(share float64) { o.ownerShare = share }
 
-// lateReadTime is how long after an outage of the store records are read that the owner has
-// appended before it: the followers pause up to 0.3 s between two reads.
-const lateReadTime = 500 * time.Millisecond
-
-// RestartOwnerTimeout starts the owner's timeout anew. It is called when the log can be read
-// again after an outage of the given length, during which the owner may have been unable to
-// append renewals.
-//
-// After an outage of more than OwnerTimeout the owner has OutageGrace: it starts nothing
-// until the store has acknowledged a new renewal, and a claim fails if the log has one that
-// this node has not read. An owner that was lost during the outage is then replaced before
-// the leases end that it has given until then.
-func (o *Ownership) RestartOwnerTimeout(now Instant, outage time.Duration) {
-	o.ownerSeenAt, o.outageEndedAt = now, now
-	o.afterOutage = outage > o.settings.OwnerTimeout
-}
+// RestartOwnerTimeout starts the owner's timeout anew. It is called when the
+// log can be read again after an outage, during which the owner may have been
+// unable to append renewals.
+func (o *Ownership) RestartOwnerTimeout(now Instant) { o.ownerSeenAt = now }
--- a/core/ownership/ownership_test.go
+++ b/core/ownership/ownership_test.go
@@ -34,40 +34,10 @@
 	o := New(settings, 0)
 	o.Observe(claimBy("n2", 1), 4, time.Second)
 	assert.Equal(t, o.NextAction(20*time.Second, 2*time.Second), Wait)
-	o.RestartOwnerTimeout(20*time.Second, 18*time.Second)
+	o.RestartOwnerTimeout(20 * time.Second)
 	assert.Equal(t, o.NextAction(21*time.Second, 21*time.Second), Wait)
 }
 
-// Guards against leases that end because an owner that was lost during an outage of the store
-// is replaced too late, and against replacing one that may still start tasks or has renewed.
-func TestOwnerIsReplacedSoonAfterAnOutage(t *testing.T) {
-	withGrace := settings
-	withGrace.OutageGrace = time.Second
-	for _, c := range []struct {
-		name   string
-		outage time.Duration
-		// readAfter is when a record of the owner is read, after the end of the outage; 0 for
-		// none.
-		readAfter, claimsAfter time.Duration
-	}{
-		{"outage", 9 * time.Second, 0, withGrace.OutageGrace},
-		{"short gap", 2 * time.Second, 0, withGrace.OwnerTimeout},
-		{"record from before the outage", 9 * time.Second, lateReadTime, withGrace.OutageGrace},
-		{"renewed after the outage", 9 * time.Second, lateReadTime + 1, withGrace.OwnerTimeout},
-	} {
-		o, now := New(withGrace, 0), 10*time.Second
-		o.Observe(claimBy("n2", 1), 4, time.Second)
-		o.RestartOwnerTimeout(now, c.outage)
-		if c.readAfter > 0 {
-			now += c.readAfter
-			o.ObserveOwnerRecord(now)
-		}
-		due := now + c.claimsAfter + withGrace.ClaimDelay
-		assert.Equal(t, o.NextAction(due-time.Millisecond, due-time.Millisecond), Wait, c.name)
-		assert.Equal(t, o.NextAction(due, due), Claim, c.name)
-	}
-}
-
 // Guards against two owners: a claim at a higher offset ends the ownership of
 // this node, one at a lower offset does not.
 func TestNewestClaimOwns(t *testing.T) {
--- a/node/dispatcher/dispatcher.go
+++ b/node/dispatcher/dispatcher.go
@@ -135,8 +135,8 @@
 	now := d.cfg.Clock.Now()
 	lastRead, ok := d.cfg.RequestsFollower.LastRead()
 	if ok {
-		if gap := lastRead - d.lastReadAt; gap > maxReadGap {
-			d.ownership.RestartOwnerTimeout(now, gap)
+		if lastRead-d.lastReadAt > maxReadGap {
+			d.ownership.RestartOwnerTimeout(now)
 		}
 		d.lastReadAt = lastRead
 		d.performOwnershipAction(now, lastRead)
--- a/node/entry/node.go
+++ b/node/entry/node.go
@@ -85,9 +85,6 @@
 	// the other nodes read that the owner is silent, at different times because of
 	// requestsPause, and claim.
 	unsuitedDelay = 700 * time.Millisecond
-	// outageGrace is how long after an outage of the store an owner has to renew its claim.
-	// The renewal interval is 0.5 s, and all nodes append at once then.
-	outageGrace = 900 * time.Millisecond
 	// headerTimeout applies to all listeners, idleTimeout to that for client requests.
 	// The operator's configuration can contain other values, but they have no effect,
 	// because the listeners are opened before the configuration is read.
@@ -274,8 +271,7 @@
 		Platform: onPlatform,
 		Ownership: ownership.Settings{
 			Node: s.Node.Name, Incarnation: incarnation,
-			OwnerTimeout: s.Ownership.SilenceMS.Duration(), OutageGrace: min(outageGrace, s.Ownership.SilenceMS.Duration()),
-			RenewInterval:  s.Ownership.RenewMS.Duration(),
+			OwnerTimeout: s.Ownership.SilenceMS.Duration(), RenewInterval: s.Ownership.RenewMS.Duration(),
 			ResignCooldown: s.Ownership.RestMS.Duration(), ClaimDelay: claimDelay(s),
 			CPUShare: s.Machine.CPUShare, UnsuitedDelay: unsuitedDelay,
 		},
