--- a/core/backlog/estimate.go
+++ b/core/backlog/estimate.go
@@ -57,7 +57,7 @@
 // Bound is the work that has to be served until a job is finished.
 type Bound struct {
 	// Pool is the pool; empty if Account is true.
-	Pool PoolID
+	Pool dispatch.Pool
 	// Account is true for the limit of the job's account.
 	Account bool
 	// Before and Own are the work before the job and its own, in core-seconds, and Rate is
@@ -135,7 +135,7 @@
 func (s *Summary) poolsOf(service string, kinds map[bool]float64) []*Pool {
 	var out []*Pool
 	for _, bestEffort := range []bool{false, true} {
-		if p := s.Pool(PoolID{Service: service, BestEffort: bestEffort}); p != nil {
+		if p := s.Pool(dispatch.Pool{Service: service, BestEffort: bestEffort}); p != nil {
 			if _, uses := kinds[bestEffort]; uses {
 				out = append(out, p)
 			}
--- a/core/backlog/estimate_test.go
+++ b/core/backlog/estimate_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/basilferry/basilferry/core/dispatch"
 	"github.com/basilferry/basilferry/core/domain"
 	"github.com/basilferry/basilferry/core/duration"
 	"github.com/basilferry/basilferry/core/job"
@@ -29,8 +30,8 @@
 func desk(cells ...Cell) *Summary {
 	return &Summary{
 		Pools: []Pool{
-			{ID: PoolID{Service: "desk"}, Rate: 10, Slowdown: 1, Work: cells},
-			{ID: PoolID{Service: "desk", BestEffort: true}, Rate: 10, Slowdown: 1, Work: cells},
+			{ID: dispatch.Pool{Service: "desk"}, Rate: 10, Slowdown: 1, Work: cells},
+			{ID: dispatch.Pool{Service: "desk", BestEffort: true}, Rate: 10, Slowdown: 1, Work: cells},
 		},
 		Queues: []Queue{{Route: "checks", MeanWork: 10, Correction: duration.Identity}, {Route: "nightly", MeanWork: 10, Correction: duration.Identity}},
 	}
--- a/core/backlog/record.go
+++ b/core/backlog/record.go
@@ -8,6 +8,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/basilferry/basilferry/core/dispatch"
 	"github.com/basilferry/basilferry/core/duration"
 )
 
@@ -160,7 +161,7 @@
 			return nil, err
 		}
 		out.Pools = append(out.Pools, Pool{
-			ID: PoolID{Service: p.Service, BestEffort: p.BestEffort}, Work: work,
+			ID: dispatch.Pool{Service: p.Service, BestEffort: p.BestEffort}, Work: work,
 			Rate: fromUnits(p.Rate, ratioUnit), Slowdown: fromUnits(p.Slowdown, ratioUnit),
 		})
 	}
--- a/core/backlog/record_test.go
+++ b/core/backlog/record_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/basilferry/basilferry/core/dispatch"
 	"github.com/basilferry/basilferry/core/duration"
 )
 
@@ -27,7 +28,7 @@
 func TestRecordSizeIsBounded(t *testing.T) {
 	s := &Summary{}
 	for i := range 40 {
-		p := Pool{ID: PoolID{Service: fmt.Sprint("service-", i)}, Rate: 1234.5, Slowdown: 1.5}
+		p := Pool{ID: dispatch.Pool{Service: fmt.Sprint("service-", i)}, Rate: 1234.5, Slowdown: 1.5}
 		for class := range Classes {
 			p.Work.Add(onTime(i%3, class, float64(1000*(i+1))))
 		}
--- a/core/backlog/summary.go
+++ b/core/backlog/summary.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/basilferry/basilferry/core/dispatch"
 	"github.com/basilferry/basilferry/core/duration"
 )
 
@@ -85,28 +86,9 @@
 	return work, certain
 }
 
-// PoolID identifies a pool: the capacity of one service for one kind of task.
-type PoolID struct {
-	Service string
-	// BestEffort is true for the capacity that best-effort tasks use, and false for the
-	// reserved capacity that tasks which end by themselves use.
-	BestEffort bool
-}
-
-// String returns the service and the kind, for logs and metrics.
-func (id PoolID) String() string { return id.Service + "/" + id.Kind() }
-
-// Kind returns "best_effort" or "reserved".
-func (id PoolID) Kind() string {
-	if id.BestEffort {
-		return "best_effort"
-	}
-	return "reserved"
-}
-
 // Pool is the outstanding work of one pool and how fast it is served.
 type Pool struct {
-	ID PoolID
+	ID dispatch.Pool
 	// Rate is how much work the pool serves, in core-seconds of estimated work per
 	// second; 0 if it is not known, or if the pool has room for more work.
 	Rate float64
@@ -155,7 +137,7 @@
 }
 
 // Pool returns a pool; nil if the summary does not have it.
-func (s *Summary) Pool(id PoolID) *Pool {
+func (s *Summary) Pool(id dispatch.Pool) *Pool {
 	for i := range s.Pools {
 		if s.Pools[i].ID == id {
 			return &s.Pools[i]
--- a/core/dispatch/load.go
+++ b/core/dispatch/load.go
@@ -12,6 +12,17 @@
 	BestEffort bool
 }
 
+// String returns the service and the kind, for logs and metrics.
+func (p Pool) String() string { return p.Service + "/" + p.Kind() }
+
+// Kind returns "best_effort" or "reserved".
+func (p Pool) Kind() string {
+	if p.BestEffort {
+		return "best_effort"
+	}
+	return "reserved"
+}
+
 // pool returns the pool that the demand's tasks take their capacity from.
 func (d *Demand) pool() Pool { return Pool{Service: d.Service, BestEffort: d.Step.Fills} }
 
--- a/core/domain/task.go
+++ b/core/domain/task.go
@@ -72,6 +72,14 @@
 		r.Connections <= capacity.Connections
 }
 
+// AtLeastZero returns the resources with 0 in place of negative amounts.
+func (r Resources) AtLeastZero() Resources {
+	return Resources{
+		CPUMilli: max(0, r.CPUMilli), MemoryMiB: max(0, r.MemoryMiB), Accelerators: max(0, r.Accelerators),
+		Slots: max(0, r.Slots), Connections: max(0, r.Connections),
+	}
+}
+
 // HasNegative reports whether any dimension is below zero.
 func (r Resources) HasNegative() bool {
 	return r.CPUMilli < 0 || r.MemoryMiB < 0 || r.Accelerators < 0 || r.Slots < 0 || r.Connections < 0
--- a/core/job/job.go
+++ b/core/job/job.go
@@ -88,6 +88,12 @@
 	Advice bool
 }
 
+// LatencyObjective returns how long after its submission a job with the given critical path
+// should be finished.
+func (q Queue) LatencyObjective(path time.Duration) time.Duration {
+	return time.Duration(q.Stretch*float64(path)) + q.Objective
+}
+
 // Job is an accepted job. It is immutable after its acceptance.
 type Job struct {
 	ID ID
@@ -168,5 +174,5 @@
 // complete under the policy q, which may be newer than the policy at the job's
 // acceptance.
 func (j *Job) LatencyObjective(q Queue) time.Duration {
-	return time.Duration(q.Stretch*float64(j.CriticalPath())) + q.Objective
+	return q.LatencyObjective(j.CriticalPath())
 }
--- a/core/placement/index.go
+++ b/core/placement/index.go
@@ -136,7 +136,7 @@
 	if old, ok := w.tasks[t.ID]; ok {
 		w.remove(old)
 	}
-	t.Reserved = atLeastZero(t.Reserved)
+	t.Reserved = t.Reserved.AtLeastZero()
 	w.add(t)
 	x.refresh(leaf)
 }
--- a/core/placement/vector.go
+++ b/core/placement/vector.go
@@ -34,7 +34,3 @@
 		Connections:  max(a.Connections, b.Connections),
 	}
 }
-
-func atLeastZero(r domain.Resources) domain.Resources {
-	return componentwiseMax(r, domain.Resources{})
-}
--- a/core/placement/worker.go
+++ b/core/placement/worker.go
@@ -56,7 +56,7 @@
 		limit.Accelerators = 0
 		limit.Slots = 0
 	}
-	return atLeastZero(limit)
+	return limit.AtLeastZero()
 }
 
 func (l Limits) maxUrgent(capacity domain.Resources) int64 {
@@ -155,7 +155,7 @@
 }
 
 func (w *worker) free() domain.Resources {
-	return atLeastZero(w.Capacity.Sub(w.reserved))
+	return w.Capacity.Sub(w.reserved).AtLeastZero()
 }
 
 func (w *worker) freeByKind(l Limits) freeByKind {
--- a/core/scheduler/backlog.go
+++ b/core/scheduler/backlog.go
@@ -28,7 +28,7 @@
 )
 
 // backlogMeter observes for how long each pool has had a backlog.
-type backlogMeter map[backlog.PoolID]*poolMeter
+type backlogMeter map[dispatch.Pool]*poolMeter
 
 type poolMeter struct {
 	// backloggedSince is the time since which each summary has found waiting tasks that
@@ -36,7 +36,7 @@
 	backloggedSince fleet.Instant
 }
 
-func (m backlogMeter) pool(id backlog.PoolID) *poolMeter {
+func (m backlogMeter) pool(id dispatch.Pool) *poolMeter {
 	if m[id] == nil {
 		m[id] = &poolMeter{}
 	}
@@ -59,7 +59,7 @@
 	s         *Scheduler
 	now       fleet.Instant
 	nowUnixMS int64
-	pools     map[backlog.PoolID]*poolWork
+	pools     map[dispatch.Pool]*poolWork
 	// accounts is the outstanding work of the accounts with a limit on CPU, and use the CPU
 	// demand of the running tasks of all accounts, in cores.
 	accounts map[string]backlog.Histogram
@@ -80,7 +80,7 @@
 // observes for how long each pool has had a backlog.
 func (s *Scheduler) Backlog(now fleet.Instant, nowUnixMS int64) *backlog.Summary {
 	b := summaryBuilder{
-		s: s, now: now, nowUnixMS: nowUnixMS, pools: map[backlog.PoolID]*poolWork{}, accounts: map[string]backlog.Histogram{},
+		s: s, now: now, nowUnixMS: nowUnixMS, pools: map[dispatch.Pool]*poolWork{}, accounts: map[string]backlog.Histogram{},
 		use: map[string]float64{}, limits: s.accountLimits(), routes: map[string]bool{},
 	}
 	for _, e := range s.ledger.OpenJobs() {
@@ -112,7 +112,7 @@
 func (b *summaryBuilder) addJob(e *ledger.Entry) {
 	queue := b.s.queue(e.Job.Queue)
 	predicted := b.s.predictionOf(e.Job)
-	objective := predicted.objective(queue)
+	objective := queue.LatencyObjective(predicted.path)
 	for k := range e.Occurrences {
 		if e.Job.DueUnixMS(k) > b.nowUnixMS {
 			return
@@ -148,7 +148,7 @@
 		return
 	}
 	b.routes[e.Job.Queue.Route] = true
-	p := b.pool(backlog.PoolID{Service: b.s.service(e.Job.Queue), BestEffort: step.Fills})
+	p := b.pool(dispatch.Pool{Service: b.s.service(e.Job.Queue), BestEffort: step.Fills})
 	p.running += cores
 	if !hasValue {
 		return
@@ -175,7 +175,7 @@
 	return step.Gang || step.RequiredLabel != "" || step.MaxPerWorker > 0 || b.s.queue(e.Job.Queue).Advice
 }
 
-func (b *summaryBuilder) pool(id backlog.PoolID) *poolWork {
+func (b *summaryBuilder) pool(id dispatch.Pool) *poolWork {
 	if b.pools[id] == nil {
 		b.pools[id] = &poolWork{waiting: map[string]bool{}}
 	}
@@ -186,7 +186,7 @@
 // interference as well, so what they could use is not certain.
 func (b *summaryBuilder) addFree() {
 	for _, w := range b.s.fleet.All() {
-		if p := b.pools[backlog.PoolID{Service: w.Service}]; p != nil && b.s.isUsable(w, b.now) {
+		if p := b.pools[dispatch.Pool{Service: w.Service}]; p != nil && b.s.isUsable(w, b.now) {
 			p.free += float64(max(0, w.FreeCapacity().CPUMilli)) / milliPerCore
 		}
 	}
@@ -263,8 +263,8 @@
 // until there are enough samples. The rate is also 0 while the pool has room for more work:
 // what finishes is then what arrives, not what the pool can serve. Of several estimates of
 // the rate the highest counts, so that doubt leads to fewer refusals.
-func (b *summaryBuilder) capacity(id backlog.PoolID, work *poolWork, meter *poolMeter) (rate, slowdown float64) {
-	finished, samples := b.s.throughput.snapshot(dispatch.Pool(id), b.now)
+func (b *summaryBuilder) capacity(id dispatch.Pool, work *poolWork, meter *poolMeter) (rate, slowdown float64) {
+	finished, samples := b.s.throughput.snapshot(id, b.now)
 	if samples < minRateSamples || finished.Rate <= 0 {
 		return 0, 0
 	}
--- a/core/scheduler/backlog_test.go
+++ b/core/scheduler/backlog_test.go
@@ -9,11 +9,12 @@
 
 	"github.com/basilferry/basilferry/core/account"
 	"github.com/basilferry/basilferry/core/backlog"
+	"github.com/basilferry/basilferry/core/dispatch"
 	"github.com/basilferry/basilferry/core/domain"
 	"github.com/basilferry/basilferry/core/platform"
 )
 
-var deskPool = backlog.PoolID{Service: "desk"}
+var deskPool = dispatch.Pool{Service: "desk"}
 
 // advanceTo runs the load with a summary every half second, and returns the last one.
 func (r *burstRun) advanceTo(until time.Duration, each func(*backlog.Summary)) *backlog.Summary {
--- a/core/scheduler/durations.go
+++ b/core/scheduler/durations.go
@@ -42,11 +42,6 @@
 	return p.durations[step].Seconds() * float64(j.Steps[step].Need.CPUMilli) / milliPerCore
 }
 
-// objective returns the latency objective of a job of the queue.
-func (p *prediction) objective(q job.Queue) time.Duration {
-	return time.Duration(q.Stretch*float64(p.path)) + q.Objective
-}
-
 // measuresDuration reports whether the time since the start of an attempt shows how long
 // its task takes: another owner's attempt began earlier, and a later attempt may have
 // resumed from a checkpoint.
--- a/core/scheduler/durations_test.go
+++ b/core/scheduler/durations_test.go
@@ -42,7 +42,7 @@
 	fresh := singleStepJob(2, 1000)
 	fresh.ID, fresh.Steps[0].Estimate = "00000000000000ff", estimate
 	assert.Assert(t, h.scheduler.predictionOf(fresh).durations[0] > 2*estimate, "a new job: %s", h.scheduler.predictionOf(fresh).durations[0])
-	assert.Assert(t, h.scheduler.predictionOf(fresh).objective(testQueue) > fresh.LatencyObjective(testQueue))
+	assert.Assert(t, testQueue.LatencyObjective(h.scheduler.predictionOf(fresh).path) > fresh.LatencyObjective(testQueue))
 
 	h.scheduler.Accept(fresh, h.now)
 	h.runFor(600 * time.Millisecond)
--- a/core/scheduler/plan.go
+++ b/core/scheduler/plan.go
@@ -134,7 +134,7 @@
 func (s *Scheduler) occurrenceDemands(out []dispatch.Demand, e *ledger.Entry, k int, now fleet.Instant) []dispatch.Demand {
 	queue := s.queue(e.Job.Queue)
 	predicted := s.predictionOf(e.Job)
-	objective := predicted.objective(queue)
+	objective := queue.LatencyObjective(predicted.path)
 	since := s.accepted[e.Job.ID]
 	remaining, work := s.remaining(e, k)
 	regular, bestEffort := s.addExecuting(e, k)
--- a/core/scheduler/poolload.go
+++ b/core/scheduler/poolload.go
@@ -178,21 +178,13 @@
 			c = &serviceCapacity{}
 			out[w.Service] = c
 		}
-		c.reserved = c.reserved.Add(atLeastZero(w.FreeCapacity()))
+		c.reserved = c.reserved.Add(w.FreeCapacity().AtLeastZero())
 		c.unusedCPUMilli += max(0, dispatch.UnusedCPUMilli(w))
 		c.endingCPUMilli += max(0, w.Capacity.CPUMilli-w.LongRunningUse.CPUMilli)
 	}
 	return out
 }
 
-// atLeastZero returns the resources with 0 in place of negative amounts.
-func atLeastZero(r domain.Resources) domain.Resources {
-	return domain.Resources{
-		CPUMilli: max(0, r.CPUMilli), MemoryMiB: max(0, r.MemoryMiB), Accelerators: max(0, r.Accelerators),
-		Slots: max(0, r.Slots), Connections: max(0, r.Connections),
-	}
-}
-
 // addExecuting adds the work of the placed tasks of an occurrence to the pools. It returns
 // that work, in core-seconds, for regular and for best-effort tasks.
 func (s *Scheduler) addExecuting(e *ledger.Entry, k int) (regular, bestEffort float64) {
--- a/node/dispatcher/backlog_test.go
+++ b/node/dispatcher/backlog_test.go
@@ -7,13 +7,14 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/basilferry/basilferry/core/backlog"
+	"github.com/basilferry/basilferry/core/dispatch"
 )
 
 // Guards against a record at each renewal, against a backlog that the nodes forget although it
 // lasts, and against an owner without work that writes for ever.
 func TestBacklogIsStoredWhenItChangesOrGrowsOld(t *testing.T) {
 	summary := func(work float64) *backlog.Summary {
-		pool := backlog.Pool{ID: backlog.PoolID{Service: "desk"}, Rate: 10, Work: backlog.Histogram{{Work: work, OnTime: work}}}
+		pool := backlog.Pool{ID: dispatch.Pool{Service: "desk"}, Rate: 10, Work: backlog.Histogram{{Work: work, OnTime: work}}}
 		return &backlog.Summary{Pools: []backlog.Pool{pool}}
 	}
 	var b backlogRecord
--- a/node/dispatcher/term.go
+++ b/node/dispatcher/term.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"github.com/basilferry/basilferry/core/backlog"
+	"github.com/basilferry/basilferry/core/dispatch"
 	"github.com/basilferry/basilferry/core/job"
 	"github.com/basilferry/basilferry/core/jobview"
 	"github.com/basilferry/basilferry/core/ownership"
@@ -56,7 +56,7 @@
 	// backlog decides when the backlog is stored, and backlogPools are the pools for which a
 	// gauge is set.
 	backlog        backlogRecord
-	backlogPools   map[backlog.PoolID]bool
+	backlogPools   map[dispatch.Pool]bool
 	lastAppend     time.Duration
 	lastLoadReport time.Duration
 	// reportedCounters are the scheduler's counters as of the last update of the
@@ -96,7 +96,7 @@
 		states:   storelog.NewOwnerWriter(p.Store, p.States, token),
 		pulses:   storelog.NewOwnerWriter(p.Store, p.Pulse, token),
 		statuses: newStatusQueue(), reportedHolds: map[job.ID]bool{},
-		backlogPools: map[backlog.PoolID]bool{},
+		backlogPools: map[dispatch.Pool]bool{},
 	}
 	d.term = t
 	if d.cfg.FollowStates != nil {
--- a/node/entry/admission_test.go
+++ b/node/entry/admission_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/basilferry/basilferry/core/backlog"
+	"github.com/basilferry/basilferry/core/dispatch"
 	"github.com/basilferry/basilferry/core/domain"
 	"github.com/basilferry/basilferry/core/jobview"
 	"github.com/basilferry/basilferry/core/platform"
@@ -19,7 +20,7 @@
 func TestBacklogRecordReachesAllNodes(t *testing.T) {
 	c := newCluster(t, 2)
 	c.owner()
-	pool := backlog.Pool{ID: backlog.PoolID{Service: "desk"}, Rate: 1, Work: backlog.Histogram{{Work: 1000, OnTime: 1000}}}
+	pool := backlog.Pool{ID: dispatch.Pool{Service: "desk"}, Rate: 1, Work: backlog.Histogram{{Work: 1000, OnTime: 1000}}}
 	summary := backlog.Summary{Pools: []backlog.Pool{pool}, Queues: []backlog.Queue{{Route: testQueue.Route, MeanWork: 1}}}
 	record, err := summary.Encode()
 	assert.NilError(t, err)
--- a/node/intake/admission_test.go
+++ b/node/intake/admission_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/basilferry/basilferry/core/backlog"
+	"github.com/basilferry/basilferry/core/dispatch"
 	"github.com/basilferry/basilferry/core/domain"
 	"github.com/basilferry/basilferry/core/job"
 	"github.com/basilferry/basilferry/core/jobview"
@@ -71,7 +72,7 @@
 
 func longBacklog(t *testing.T) []byte {
 	t.Helper()
-	pool := backlog.Pool{ID: backlog.PoolID{Service: "desk"}, Rate: 10, Work: backlog.Histogram{{Work: 400, OnTime: 400}}}
+	pool := backlog.Pool{ID: dispatch.Pool{Service: "desk"}, Rate: 10, Work: backlog.Histogram{{Work: 400, OnTime: 400}}}
 	s := backlog.Summary{Pools: []backlog.Pool{pool}, Queues: []backlog.Queue{{Route: "checks", MeanWork: 10}}}
 	record, err := s.Encode()
 	assert.NilError(t, err)
