Worker client: a command reaches only the incarnation that it is meant for

A worker that has restarted under its ID carries out commands that were meant for its former incarnation: starts, leases, and acknowledgements of completions. The header that names the worker cannot tell incarnations apart, so the scheduler had a rule for each way in which such a command can do harm, and some ways had none.

A connection leads to one process. A command to a worker that has restarted is refused as not sent, and the owner learns of the restart from it. The error of a call without a response says which incarnation it can have reached, so a task of a lost worker no longer waits for the longest lease of a later one.

--- a/core/fleet/worker.go
+++ b/core/fleet/worker.go
@@ -200,9 +200,14 @@
 // attempts. Workers answer heartbeats within a second.
 const unresponsiveAfter = 1500 * time.Millisecond
 
-// Endpoint returns the address of the worker.
+// Endpoint returns the address of the worker and, if it has answered with the current
+// token, its incarnation.
 func (w *Worker) Endpoint() platform.Endpoint {
-	return platform.Endpoint{ID: w.ID, Address: w.Address}
+	to := platform.Endpoint{ID: w.ID, Address: w.Address}
+	if w.HeartbeatAnswered {
+		to.Incarnation = w.IncarnationID
+	}
+	return to
 }
 
 // Add puts an attempt on the worker and reserves its capacity. It replaces an
--- a/core/platform/commands.go
+++ b/core/platform/commands.go
@@ -26,6 +26,9 @@
 type Endpoint struct {
 	ID      domain.WorkerID
 	Address string
+	// Incarnation is the incarnation that is expected, as StartedUnixMS of its heartbeat
+	// results; 0 for any.
+	Incarnation int64
 }
 
 // AttemptKey identifies one attempt of a task.
@@ -129,6 +132,10 @@
 // A *RefusedError means that the worker has answered and did nothing. After any
 // other error, the command may have been carried out or may still be carried
 // out.
+//
+// A client that can tell which incarnation it is connected to sends a command only to the
+// incarnation that its endpoint names. It returns RefusedRestarted if there is another one,
+// and a *CallError with the incarnation if a command gets no response.
 type WorkerClient interface {
 	// Heartbeat sends a heartbeat, which renews the lease of the worker.
 	Heartbeat(ctx context.Context, to Endpoint, command HeartbeatCommand) (HeartbeatResult, error)
@@ -160,6 +167,9 @@
 	// RefusedIncarnation: another incarnation of the worker, or another worker,
 	// answered.
 	RefusedIncarnation RefusalReason = "instance"
+	// RefusedRestarted: the worker has restarted, and its new incarnation did not receive
+	// the command.
+	RefusedRestarted RefusalReason = "restarted"
 	// RefusedUnhealthy: the worker is unhealthy or overloaded.
 	RefusedUnhealthy RefusalReason = "unhealthy"
 	// RefusedMalformed: the worker does not accept the form of the command.
@@ -167,7 +177,11 @@
 )
 
 // RefusedError is the refusal of a command by a worker.
-type RefusedError struct{ Reason RefusalReason }
+type RefusedError struct {
+	Reason RefusalReason
+	// Incarnation is the worker's new incarnation if Reason is RefusedRestarted.
+	Incarnation int64
+}
 
 // Error implements error.
 func (e *RefusedError) Error() string {
--- a/core/platform/store.go
+++ b/core/platform/store.go
@@ -163,6 +163,9 @@
 	Idle   time.Duration
 	// Age is how long the connection had been open; 0 if that is not known.
 	Age time.Duration
+	// Incarnation is the only incarnation of a worker that can have received the call; 0 if
+	// that is not known.
+	Incarnation int64
 	// Received is the number of bytes of the body that arrived.
 	Received int
 	Err      error
--- a/core/scheduler/heartbeat.go
+++ b/core/scheduler/heartbeat.go
@@ -78,6 +78,7 @@
 	if platform.RefusalOf(result.Err) == platform.RefusedIncarnation {
 		s.handleOtherInstance(w, result.Command, now)
 	}
+	s.observeRestart(w, result, now)
 	switch result.Command.Kind {
 	case CommandHeartbeat:
 		s.handleHeartbeatResult(w, result, now)
@@ -122,7 +123,7 @@
 	}
 	if result.Err != nil {
 		if result.Command.Heartbeat.Until > 0 {
-			s.observeLaterLease(w, result.Err, now)
+			s.observeLaterLease(w, result, now)
 		}
 		if superseded {
 			return
--- a/core/scheduler/incarnation.go
+++ b/core/scheduler/incarnation.go
@@ -182,18 +182,13 @@
 
 // observeLaterLease applies the failure of a command that grants a lease. If a later
 // incarnation than the current one may have received the command, it holds a lease for as
-// long as it grants one; observeLaterLease then returns true. A connection leads to one
-// process: one that was opened while the current incarnation ran does not lead to a later
-// one.
+// long as it grants one; observeLaterLease then returns true.
 //
 // Between a raise of the token and the first answer, that incarnation may already run
 // attempts whose starts were confirmed.
-func (s *Scheduler) observeLaterLease(w *fleet.Worker, err error, now fleet.Instant) bool {
-	var failure *platform.CallError
-	if errors.As(err, &failure) {
-		if failure.Stage == platform.StageConnect || failure.Age > now-w.AliveAt {
-			return false
-		}
+func (s *Scheduler) observeLaterLease(w *fleet.Worker, result Result, now fleet.Instant) bool {
+	if platform.RefusalOf(result.Err) == platform.RefusedRestarted || reachedNoLaterIncarnation(w, result.Err, now) {
+		return false
 	}
 	longest := now + fleet.LongestLease(s.settings.LeaseLimit)
 	w.Lease.ExtendLaterEnd(longest)
@@ -203,6 +198,26 @@
 	return true
 }
 
+// reachedNoLaterIncarnation reports whether a failed command cannot have reached a later
+// incarnation than the current one. A connection leads to one process: one that was opened
+// while the current incarnation ran does not lead to a later one.
+func reachedNoLaterIncarnation(w *fleet.Worker, err error, now fleet.Instant) bool {
+	var failure *platform.CallError
+	return errors.As(err, &failure) &&
+		(failure.Stage == platform.StageConnect || failure.Incarnation != 0 || failure.Age > now-w.AliveAt)
+}
+
+// observeRestart applies the refusal of a command because another incarnation than the one
+// that it was meant for runs at its address.
+func (s *Scheduler) observeRestart(w *fleet.Worker, result Result, now fleet.Instant) {
+	var refused *platform.RefusedError
+	if !errors.As(result.Err, &refused) || refused.Reason != platform.RefusedRestarted ||
+		!w.HeartbeatAnswered || !s.isCurrent(w, result.Command) || refused.Incarnation == w.IncarnationID {
+		return
+	}
+	s.endIncarnation(w, fmt.Sprintf("incarnation %d answers on a new connection", refused.Incarnation), now)
+}
+
 // handleOtherInstance handles the answer of another worker at the address of this
 // one. The process that answered there no longer exists, and start requests were
 // sent only to it.
--- a/core/scheduler/incarnation_test.go
+++ b/core/scheduler/incarnation_test.go
@@ -406,6 +406,7 @@
 	}{
 		{"no connection", &platform.CallError{Stage: platform.StageConnect}, false},
 		{"earlier connection", &platform.CallError{Stage: platform.StageResponse, Age: 30 * time.Second}, false},
+		{"connection to the incarnation", &platform.CallError{Stage: platform.StageResponse, Age: time.Millisecond, Incarnation: 1}, false},
 		{"new connection", &platform.CallError{Stage: platform.StageResponse, Age: time.Millisecond}, true},
 		{"unknown connection", errNoAnswer, true},
 	} {
--- a/core/scheduler/start.go
+++ b/core/scheduler/start.go
@@ -71,7 +71,7 @@
 		return
 	}
 	reason := platform.RefusalOf(result.Err)
-	if result.Err != nil && s.observeLaterLease(w, result.Err, now) && reason == "" {
+	if result.Err != nil && s.observeLaterLease(w, result, now) && reason == "" {
 		r.MayRunLater = true
 	}
 	switch {
@@ -127,10 +127,14 @@
 // once: the attempt has not started and never will.
 func (s *Scheduler) handleRefusedStart(w *fleet.Worker, r *fleet.Attempt, reason platform.RefusalReason, now fleet.Instant) {
 	s.Counters.Refused++
-	if reason == platform.RefusedTicket {
+	switch reason {
+	case platform.RefusedTicket:
 		s.dropTicket(r.ID.StepID, w.ID)
 		s.releaseAttempt(w, r, "the worker refused the policy service's ticket", now)
 		return
+	case platform.RefusedRestarted:
+		s.releaseAttempt(w, r, "the worker restarted before the start", now)
+		return
 	}
 	w.AvoidUntil = max(w.AvoidUntil, now+refusalPause)
 	s.releaseAttempt(w, r, "the worker refused the start ("+string(reason)+")", now)
--- a/core/scheduler/takeover_soak_test.go
+++ b/core/scheduler/takeover_soak_test.go
@@ -36,6 +36,9 @@
 	killed killMoment
 	// tokens is the highest token that any process of a worker had seen when it ended.
 	tokens map[*fakeWorker]platform.Token
+	// identifies is true if orders travel over connections to the incarnation that they
+	// are meant for, as those of the platform's client do.
+	identifies bool
 }
 
 func newTakeoverSoak(t *testing.T, seed uint64) *takeoverSoak {
@@ -267,6 +270,10 @@
 // carryOut delivers an order and its answer, if the worker is up.
 func (s *takeoverSoak) carryOut(o order) {
 	if s.downUntil[o.target] == 0 {
+		if s.isForFormer(o) {
+			s.failForFormer(o)
+			return
+		}
 		s.traceLateOrder(o)
 		if s.isFencedOff(o) {
 			s.failAt(o, o.timeout(), errNoAnswer)
@@ -294,11 +301,28 @@
 		return
 	}
 	s.traceLateOrder(o)
-	if !s.isFencedOff(o) {
+	if !s.isFencedOff(o) && !s.isForFormer(o) {
 		s.deliver(o.Command, nil)
 	}
 }
 
+// isForFormer reports whether the order cannot reach its target, because it is meant for a
+// former incarnation.
+func (s *takeoverSoak) isForFormer(o order) bool {
+	return s.identifies && o.To.Incarnation != 0 && o.To.Incarnation != o.target.incarnation
+}
+
+// failForFormer lets an order fail at once, on a new connection, or with the time of the
+// call, on one to the former incarnation.
+func (s *takeoverSoak) failForFormer(o order) {
+	if s.chance(0.5) {
+		s.failAt(o, o.timeout(), errNoAnswer)
+		return
+	}
+	err := &platform.RefusedError{Reason: platform.RefusedRestarted, Incarnation: o.target.incarnation}
+	s.failAt(o, s.now+s.between(0, maxTravel), err)
+}
+
 // isFencedOff reports whether a former process of the target has seen a higher token. The
 // soak leaves out orders that arrive after that.
 func (s *takeoverSoak) isFencedOff(o order) bool { return o.Token < s.tokens[o.target] }
@@ -312,16 +336,31 @@
 
 // failAt passes the failure of an order to its owner at the given time.
 func (s *takeoverSoak) failAt(o order, at fleet.Instant, err error) {
+	if s.identifies && o.To.Incarnation != 0 && err == errNoAnswer {
+		err = &platform.CallError{Stage: platform.StageResponse, Incarnation: o.To.Incarnation, Err: errNoAnswer}
+	}
 	s.after(at-s.now, func() { s.answer(Result{Command: o.Command, Err: err}, o.owner) })
 }
 
 // Guards against tasks that run twice, and against jobs that never finish, when commands
 // take effect on the next incarnation of a worker and the owner is killed.
 func TestTasksRunOnceWhileWorkersRestartAndOwnersAreKilled(t *testing.T) {
+	runTakeoverSoak(t, func(*takeoverSoak) {})
+}
+
+// Guards against the same, and against tasks that wait for ever, when commands reach only
+// the incarnation that they are meant for.
+func TestTasksRunOnceOverConnectionsToOneIncarnation(t *testing.T) {
+	runTakeoverSoak(t, func(s *takeoverSoak) { s.identifies = true })
+}
+
+// runTakeoverSoak plays all seeds.
+func runTakeoverSoak(t *testing.T, configure func(*takeoverSoak)) {
 	for i := range *soakSeeds {
 		seed := *soakFirstSeed + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			s := newTakeoverSoak(t, seed)
+			configure(s)
 			for end := s.now + takeoverSoakDuration; s.now < end; {
 				s.step(true)
 			}
