Scheduler: a start that may be carried out late by another incarnation is waited for

What callers saw: two runs of a task. A start without an answer whose connection may have led to the next incarnation of the worker was counted with the longest lease from the end of its call. The platform says that a call without an answer may be executed seconds later, so the lease may begin then.

The lease of a later incarnation now counts from the latest time at which it can have carried the command out, 12 s after its issue, unless it has answered with a refusal. The platform's client names the incarnation that a start can have reached, so no task there waits for this.

--- a/core/scheduler/incarnation.go
+++ b/core/scheduler/incarnation.go
@@ -182,15 +182,21 @@
 
 // observeLaterLease applies the failure of a command that grants a lease. If a later
 // incarnation than the current one may have received the command, it holds a lease for as
-// long as it grants one; observeLaterLease then returns true.
+// long as it grants one, and may carry the command out late if it has not answered it;
+// observeLaterLease then returns true.
 //
 // Between a raise of the token and the first answer, that incarnation may already run
 // attempts whose starts were confirmed.
 func (s *Scheduler) observeLaterLease(w *fleet.Worker, result Result, now fleet.Instant) bool {
-	if platform.RefusalOf(result.Err) == platform.RefusedRestarted || reachedNoLaterIncarnation(w, result.Err, now) {
+	reason := platform.RefusalOf(result.Err)
+	if reason == platform.RefusedRestarted || reachedNoLaterIncarnation(w, result.Err, now) {
 		return false
 	}
-	longest := now + fleet.LongestLease(s.settings.LeaseLimit)
+	carriedOutBy := now
+	if reason == "" {
+		carriedOutBy = max(now, result.Command.IssuedAt+maxOrderDelay)
+	}
+	longest := carriedOutBy + fleet.LongestLease(s.settings.LeaseLimit)
 	w.Lease.ExtendLaterEnd(longest)
 	if !w.HeartbeatAnswered {
 		w.Lease.ExtendLatestEnd(longest, fleet.LeaseOfAnyCommand)
