--- a/core/scheduler/takeover_soak_test.go
+++ b/core/scheduler/takeover_soak_test.go
@@ -259,8 +259,11 @@
 // carryOutLate delivers an order that its target has received, or loses it. The order ends
 // with the process.
 func (s *takeoverSoak) carryOutLate(o order) {
-	incarnation := o.target.incarnation
-	s.after(s.between(0, 3*time.Second), func() {
+	incarnation, latest := o.target.incarnation, 3*time.Second
+	if s.identifies {
+		latest = maxOrderDelay
+	}
+	s.after(s.between(0, latest), func() {
 		if o.target.incarnation == incarnation && s.chance(0.7) {
 			s.deliver(o.Command, nil)
 		}
