--- a/core/platform/store.go
+++ b/core/platform/store.go
@@ -144,7 +144,8 @@
 
 // Stages of a call.
 const (
-	// StageConnect: the call had no connection yet.
+	// StageConnect: the call had no connection yet, or none that is known to lead to the
+	// incarnation that it is meant for. It was not sent.
 	StageConnect CallStage = "connect"
 	// StageResponse: no byte of the response had arrived.
 	StageResponse CallStage = "response"
--- a/core/scheduler/incarnation.go
+++ b/core/scheduler/incarnation.go
@@ -11,10 +11,13 @@
 )
 
 // A worker can restart under its ID at any time, and only heartbeat responses and
-// registry entries name the incarnation that they come from. Once a restart is known or
-// suspected, the owner raises its fencing token for the worker. The first report to a
-// heartbeat with the raised token is complete: commands that were sent before, to
-// whichever incarnation, no longer take effect.
+// registry entries name the incarnation that they come from. A command names the
+// incarnation that it is meant for, but a client need not know which one it is connected
+// to, so the scheduler also handles commands that reach another one.
+//
+// Once a restart is known or suspected, the owner raises its fencing token for the worker.
+// The first report to a heartbeat with the raised token is complete: commands that were
+// sent before, to whichever incarnation, no longer take effect.
 
 // workerToken returns the fencing token of commands to the worker.
 func (s *Scheduler) workerToken(w *fleet.Worker) platform.Token { return s.token.Raised(w.TokenRaises) }
