--- a/review/rig3/worker.go
+++ b/review/rig3/worker.go
@@ -60,6 +60,10 @@
 	serving    bool
 	checkpoint string
 	saves      bool
+	fills      bool
+	pace       int
+	worked     time.Duration
+	settled    time.Time
 }
 
 type ending struct {
@@ -108,7 +112,7 @@
 	mux.HandleFunc("POST /run-start", k.serve(k.runStart))
 	mux.HandleFunc("POST /run-stop", k.serve(k.runStop))
 	mux.HandleFunc("POST /hold", k.serve(k.hold))
-	mux.HandleFunc("POST /pace", k.serve(func(order, *http.Request) (int, map[string]any) { return 200, k.answer() }))
+	mux.HandleFunc("POST /pace", k.serve(k.runPace))
 	k.server = &http.Server{Handler: mux}
 	go func(s *http.Server) { _ = s.Serve(l) }(k.server)
 	k.world.log("worker %s starts (born %d)", k.ID, k.born.UnixMilli())
@@ -281,10 +285,10 @@
 		return k.refusal("room")
 	}
 	k.world.checkStart(k, o.Task, o.Run, o.Spec, o.Checkpoint)
-	r := &run{worker: k, task: o.Task, number: o.Run, cpu: needCPU, mem: needMem, began: time.Now(), checkpoint: o.Checkpoint}
+	r := &run{worker: k, task: o.Task, number: o.Run, cpu: needCPU, mem: needMem, began: time.Now(), checkpoint: o.Checkpoint, pace: 100}
 	if j != nil && name.step < len(j.Steps) {
 		step := j.Steps[name.step]
-		r.serving, r.saves = step.TargetMS > 0, step.SavesProgress
+		r.serving, r.saves, r.fills = step.TargetMS > 0, step.SavesProgress, step.Fills
 		if !step.LongRunning {
 			r.takes = j.Takes[name.step]
 		}
@@ -317,6 +321,31 @@
 	return 200, k.answer()
 }
 
+func (k *Worker) runPace(o order, _ *http.Request) (int, map[string]any) {
+	if r := k.runs[o.Task]; r != nil && r.number == o.Run {
+		r.settle(time.Now())
+		r.pace = o.Percent
+		k.world.log("pace %s run %d on %s: %d", o.Task, o.Run, k.ID, o.Percent)
+	}
+	return 200, k.answer()
+}
+
+// settle adds the work that was done at the run's pace since it was last settled.
+func (r *run) settle(now time.Time) {
+	began := r.began
+	if r.group != "" {
+		began = r.worker.world.gangs[r.group].began
+	}
+	if began.IsZero() {
+		return
+	}
+	if r.settled.Before(began) {
+		r.settled = began
+	}
+	r.worked += now.Sub(r.settled) * time.Duration(r.pace) / 100
+	r.settled = now
+}
+
 func (k *Worker) hold(o order, r *http.Request) (int, map[string]any) {
 	if o.Until > 0 {
 		k.extendLease(o.Until)
@@ -380,22 +409,31 @@
 
 func (r *run) observed() int {
 	if r.serving {
-		return 5
+		return r.worker.tail()
 	}
 	return r.cpu
 }
 
-func (r *run) percent() int {
-	began := r.began
-	if r.group != "" {
-		if began = r.worker.world.gangs[r.group].began; began.IsZero() {
-			return 0
+// tail returns the tail latency of the serving tasks on the worker, in milliseconds.
+func (k *Worker) tail() int {
+	tail := k.world.tailMS
+	for _, r := range k.runs {
+		if r.fills && r.percent() > 0 {
+			tail += k.world.pressMS * r.pace / 100
 		}
 	}
+	return tail
+}
+
+func (r *run) percent() int {
+	if r.group != "" && r.worker.world.gangs[r.group].began.IsZero() {
+		return 0
+	}
 	if r.takes == 0 {
 		return 100
 	}
-	return int(min(99, 100*time.Since(began)/r.takes))
+	r.settle(time.Now())
+	return int(min(99, 100*r.worked/r.takes))
 }
 
 // end ends a run. The caller holds the lock.
@@ -458,22 +496,21 @@
 	if k.runs[r.task] != r {
 		return
 	}
-	began := r.began
 	if r.group != "" {
-		g := k.world.gangs[r.group]
-		if began = g.began; began.IsZero() && !r.stopping {
+		if k.world.gangs[r.group].began.IsZero() && !r.stopping {
 			if now.Sub(r.began) > gangWait {
 				k.end(r, "alone")
 			}
 			return
 		}
 	}
+	r.settle(now)
 	switch {
 	case r.stopping:
 		if now.After(r.stopAt) {
 			k.end(r, "stopped")
 		}
-	case r.takes > 0 && now.Sub(began) >= r.takes:
+	case r.takes > 0 && r.worked >= r.takes:
 		if r.fails {
 			k.end(r, "failed")
 		} else {
--- a/review/rig3/world.go
+++ b/review/rig3/world.go
@@ -22,6 +22,9 @@
 	broken  []string
 	starts  int
 	endings map[string]int
+	// tailMS is the tail latency that serving tasks show without tasks that fill beside
+	// them, and pressMS what each of these adds to it at its full pace.
+	tailMS, pressMS int
 	// checkpoints are those that runs have reported.
 	checkpoints map[string]bool
 }
@@ -84,7 +87,7 @@
 	}
 	return &World{
 		began: time.Now(), record: f, jobs: map[string]*Job{}, history: map[string]*taskHistory{}, gangs: map[string]*gang{}, endings: map[string]int{},
-		checkpoints: map[string]bool{},
+		checkpoints: map[string]bool{}, tailMS: 5,
 	}, nil
 }
 
