review: case 11, workers whose connections are used up by owners that lost power

A copy with more logging showed attempts that are neither stopped nor released on workers that reset connections over their cap of 64. The cases from before are now 12 and 13, the gravest first.

--- a/review/11/run.sh
+++ b/review/13/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves out the disruption.
 cd "$(dirname "$0")" || exit 2
 [ -x ../../target/rig3 ] && [ -x ../../target/basilferryd ] || { echo "build first, then run review/build-3.sh" >&2; exit 2; }
-exec ../../target/rig3 -case 11 -root ../.. -record record.txt
+exec ../../target/rig3 -case 13 -root ../.. -record record.txt
--- a/review/rig3/worker.go
+++ b/review/rig3/worker.go
@@ -402,7 +402,7 @@
 	if !r.saves || r.percent() == 0 {
 		return r.checkpoint
 	}
-	c := fmt.Sprintf("%s-%d-%d", r.task, r.number, r.percent())
+	c := fmt.Sprintf("%s-%d-%d%s", r.task, r.number, r.percent(), r.worker.world.pad)
 	r.worker.world.checkpoints[c] = true
 	return c
 }
--- a/review/rig3/world.go
+++ b/review/rig3/world.go
@@ -22,6 +22,8 @@
 	broken  []string
 	starts  int
 	endings map[string]int
+	// pad makes checkpoints longer.
+	pad string
 	// tailMS is the tail latency that serving tasks show without tasks that fill beside
 	// them, and pressMS what each of these adds to it at its full pace.
 	tailMS, pressMS int
