--- a/review/rig3/nodes.go
+++ b/review/rig3/nodes.go
@@ -113,7 +113,7 @@
 	}
 	cmd := exec.Command(filepath.Join(n.cluster.root, "target/basilferryd"), "--platform")
 	cmd.Dir = n.cluster.root
-	cmd.Env = append(os.Environ(), "BASILFERRY_CONFIG="+n.settings)
+	cmd.Env = append(os.Environ(), names["settings"]+"="+n.settings)
 	cmd.Stdout, cmd.Stderr = write, write
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	started := make(chan error, 1)
@@ -210,7 +210,7 @@
 			"name": "r-desk", "hostname": hostName, "path_prefix": pathPrefix, "route_type": "non_idempotent", "timeout_ms": 3000, "slo_ms": 250,
 			"priority": 0, "service": serviceName, "max_attempts": maxAttempts, "stretch": 1.5,
 		}},
-		"services": []map[string]any{{"name": serviceName, "health_path": "/health", "max_conns": 64, "protocol": "h1", "rejects_overload": true, "standby": false}},
+		"services": []map[string]any{{"name": serviceName, "health_path": "/health", "max_conns": 64, "protocol": "h1", names["rejects"]: true, "standby": false}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 	s.put(operatorTopic, "config", data)
@@ -225,7 +225,7 @@
 		return 0, "", err
 	}
 	req.Host = hostName
-	req.Header.Set("X-Basilferry-Deadline-Ms", "3000")
+	req.Header.Set(names["deadline"], "3000")
 	if body != nil {
 		req.Header.Set("Content-Type", "application/json")
 	}
--- a/review/rig3/store.go
+++ b/review/rig3/store.go
@@ -44,11 +44,11 @@
 const (
 	storeAppendTime = 2 * time.Millisecond
 	storeAnswerTime = 2 * time.Millisecond
-	registryTopic   = "keyed.servers"
-	operatorTopic   = "keyed.op"
 	heartbeatEvery  = 1500 * time.Millisecond
 )
 
+var registryTopic, operatorTopic = names["registry"], names["operator"]
+
 func newStore() *Store { return &Store{parts: map[string]*partition{}} }
 
 // Door is the address at which one machine reaches the store.
@@ -75,7 +75,7 @@
 	}
 	d := &Door{store: s, address: l.Addr().String()}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /log-append", d.append)
+	mux.HandleFunc("POST "+names["append"], d.append)
 	mux.HandleFunc("GET /log-read", d.admitted(s.read))
 	mux.HandleFunc("GET /log-newest", d.admitted(s.listNewest))
 	go func() { _ = (&http.Server{Handler: mux}).Serve(l) }()
--- a/review/rig3/worker.go
+++ b/review/rig3/worker.go
@@ -78,12 +78,30 @@
 	Task       string `json:"task"`
 	Run        int    `json:"run"`
 	Spec       string `json:"spec"`
-	Until      int64  `json:"until_ms"`
-	Token      int64  `json:"fencing_token"`
 	Checkpoint string `json:"checkpoint"`
-	Seen       int64  `json:"last_seen"`
 	WaitMS     int64  `json:"wait_ms"`
 	Percent    int    `json:"percent"`
+	// The others have names of the platform.
+	Until, Token, Seen int64 `json:"-"`
+}
+
+func decodeOrder(body []byte) (order, error) {
+	var o order
+	if err := json.Unmarshal(body, &o); err != nil {
+		return o, err
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return o, err
+	}
+	for name, target := range map[string]*int64{"until": &o.Until, "token": &o.Token, "seen": &o.Seen} {
+		if value, ok := fields[names[name]]; ok {
+			if err := json.Unmarshal(value, target); err != nil {
+				return o, err
+			}
+		}
+	}
+	return o, nil
 }
 
 func (w *World) addWorker(s *Store, zone, kind, rack string, cpu, mem int, holdMax time.Duration) (*Worker, error) {
@@ -109,7 +127,7 @@
 	k.token, k.lease, k.nextN = 0, 0, 1
 	k.runs, k.highs, k.ends, k.changed = map[string]*run{}, map[string]int{}, nil, make(chan struct{})
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /run-start", k.serve(k.runStart))
+	mux.HandleFunc("POST "+names["start"], k.serve(k.runStart))
 	mux.HandleFunc("POST /run-stop", k.serve(k.runStop))
 	mux.HandleFunc("POST /hold", k.serve(k.hold))
 	mux.HandleFunc("POST /pace", k.serve(k.runPace))
@@ -190,8 +208,8 @@
 		if err != nil {
 			return
 		}
-		var o order
-		if err := json.Unmarshal(body, &o); err != nil {
+		o, err := decodeOrder(body)
+		if err != nil {
 			rw.WriteHeader(http.StatusBadRequest)
 			return
 		}
@@ -226,7 +244,7 @@
 }
 
 func (k *Worker) handle(o order, r *http.Request, carryOut func(order, *http.Request) (int, map[string]any)) (int, map[string]any) {
-	if id := r.Header.Get("X-Basilferry-Expect-Instance"); id != "" && id != k.ID {
+	if id := r.Header.Get(names["instance"]); id != "" && id != k.ID {
 		return http.StatusMisdirectedRequest, k.answer()
 	}
 	k.expireLease()
@@ -391,7 +409,7 @@
 		finished = append(finished, []any{e.n, e.task, e.run, e.how, e.saved})
 	}
 	if len(k.ends) >= 500 {
-		k.world.log("worker %s lists %d running and ends %d to %d of %d (last_seen was %d)", k.ID, len(running), k.ends[0].n, k.ends[len(finished)-1].n, len(k.ends), o.Seen)
+		k.world.log("worker %s lists %d running and ends %d to %d of %d (asked for those after %d)", k.ID, len(running), k.ends[0].n, k.ends[len(finished)-1].n, len(k.ends), o.Seen)
 	}
 	answer["running"], answer["finished"] = running, finished
 	return 200, answer
