--- a/core/duration/predictor_test.go
+++ b/core/duration/predictor_test.go
@@ -106,3 +106,54 @@
 		assert.Assert(t, (Identity.Apply(estimate)-estimate).Abs() <= time.Millisecond)
 	}
 }
+
+// Guards against steps without an estimate of which nothing is ever learned: neither from their own
+// tasks nor from the others of their queue.
+func TestStepsWithoutEstimate(t *testing.T) {
+	key := StepKey{Job: "0000000000000001"}
+	const took = 4 * time.Second
+	for _, c := range []struct {
+		name   string
+		record func(*Predictor)
+		want   time.Duration
+	}{
+		{"nothing known", func(*Predictor) {}, 0},
+		{"progress", func(p *Predictor) { p.RecordProgress(key, 20, took/5) }, took},
+		{"one done", func(p *Predictor) { p.RecordDone("other", key, 0, took) }, took},
+		{"others of the queue done", func(p *Predictor) {
+			for i := range 20 {
+				p.RecordDone("q", StepKey{Job: key.Job, Step: i + 1}, 0, took)
+			}
+		}, took},
+		{"others of the queue done, with estimates", func(p *Predictor) {
+			for i := range 20 {
+				p.RecordDone("q", StepKey{Job: key.Job, Step: i + 1}, time.Hour, took)
+			}
+		}, took},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := New()
+			c.record(p)
+			got := p.Predict("q", key, 0)
+			assert.Assert(t, (got-c.want).Abs() <= c.want/10, "predicted %s", got)
+		})
+	}
+}
+
+// Guards against durations that count as learned while they follow the estimates of the clients.
+func TestLearnedDurationsDoNotFollowEstimates(t *testing.T) {
+	const took = 4 * time.Second
+	for _, estimate := range []time.Duration{0, took / 20, took, 20 * took} {
+		p := New()
+		for i := range 12 {
+			key := StepKey{Job: "0000000000000001", Step: i}
+			assert.Equal(t, p.IsLearned("q", key), p.Learned("q", estimate) > 0)
+			if learned := p.Learned("q", estimate); learned > 0 {
+				assert.Assert(t, (learned-took).Abs() < took/10, "estimate %s: %s", estimate, learned)
+			}
+			p.RecordDone("q", key, estimate, took)
+			assert.Assert(t, p.IsLearned("q", key))
+		}
+		assert.Assert(t, p.Learned("q", estimate) > 0)
+	}
+}
