Scheduler: a suspect worker is the last resort, not closed

A suspect worker now stays a candidate. Capacity sums leave it out as before.

TestOnlySuitableWorkerIsNotWithheld failed before (one start in place of two within 3 s); TestSuspectWorkersAreTheLastResort covers the planner.

--- a/core/dispatch/accounts.go
+++ b/core/dispatch/accounts.go
@@ -41,6 +41,15 @@
 	return a == nil || a.holds(multiply(d.Step.Need, len(d.Waiting)))
 }
 
+// holdsDemand reports whether the account may start the least that may be placed of the
+// demand: a whole gang, or one task.
+func (a *accountRoom) holdsDemand(d *Demand) bool {
+	if d.Step.Gang {
+		return a.holdsGang(d)
+	}
+	return a.holdsTask(d)
+}
+
 // limitTasks returns how many of the given number of tasks the account may start.
 func (a *accountRoom) limitTasks(d *Demand, tasks int) int {
 	if a == nil {
--- a/core/dispatch/claim.go
+++ b/core/dispatch/claim.go
@@ -110,7 +110,7 @@
 	p.ranking = p.ranking[:0]
 	for i := range p.candidates {
 		c := &p.candidates[i]
-		if c.claimed || !c.isEligible(d) {
+		if c.claimed || !p.mayUse(c, d) {
 			continue
 		}
 		if fits := timesFits(need, c.worker.Capacity.Sub(c.worker.LongRunningUse)); fits > 0 {
--- a/core/dispatch/order.go
+++ b/core/dispatch/order.go
@@ -43,6 +43,9 @@
 	// capacity is free. One task is then placed on any worker on which it fits,
 	// however slow it would be there. A gang is placed on several racks.
 	Starving bool
+	// Idle is true if no task of the job has run for a while although much capacity is free.
+	// Its tasks may then use suspect workers.
+	Idle bool
 	// Overdue is true if a long-running task has waited so long that it comes before
 	// short work. Otherwise steady short work near full load would keep it waiting for ever.
 	// Tasks that fit on no worker claim some.
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -35,6 +35,8 @@
 	cachedHeadroom Headroom
 	// claimed is true if a demand of this plan claims the worker.
 	claimed bool
+	// suspect is true if the worker is the last resort for new tasks.
+	suspect bool
 }
 
 // planned is a task that this plan places on a worker.
@@ -62,6 +64,9 @@
 	// accounts holds the rooms of the accounts in this round; nil for one without a limit.
 	accounts map[string]*accountRoom
 	rules    Rules
+	// suspects counts the suspect candidates. lastResort is true while a demand may use them.
+	suspects   int
+	lastResort bool
 }
 
 // failure records the need of a task without placement constraints that no
@@ -79,6 +84,9 @@
 type Rules struct {
 	// Usable reports whether a worker may get new attempts.
 	Usable func(*fleet.Worker) bool
+	// Suspect reports whether a usable worker is the last resort: it gets only tasks that no
+	// other usable worker can run. Suspect is nil if there are none.
+	Suspect func(*fleet.Worker) bool
 	// Headroom returns the headroom for best-effort tasks on a worker with
 	// serving tasks.
 	Headroom func(*fleet.Worker) Headroom
@@ -131,12 +139,17 @@
 const servingCPUUse = 0.55
 
 func (p *Planner) resetCandidates(workers []*fleet.Worker) {
-	p.candidates = p.candidates[:0]
+	p.candidates, p.suspects, p.lastResort = p.candidates[:0], 0, false
 	for _, w := range workers {
 		if !p.rules.Usable(w) {
 			continue
 		}
-		p.candidates = append(p.candidates, candidate{worker: w, free: w.FreeCapacity(), unusedCPUMilli: UnusedCPUMilli(w)})
+		c := candidate{worker: w, free: w.FreeCapacity(), unusedCPUMilli: UnusedCPUMilli(w)}
+		if p.rules.Suspect != nil && p.rules.Suspect(w) {
+			c.suspect = true
+			p.suspects++
+		}
+		p.candidates = append(p.candidates, c)
 	}
 }
 
@@ -144,14 +157,25 @@
 // placed all together or not at all.
 func (p *Planner) placeStep(d *Demand) {
 	account := p.accountOf(d)
-	if d.Step.Gang {
-		if d.WaitsForAccount = !account.holdsGang(d); !d.WaitsForAccount {
-			p.placeGang(d)
-		}
+	if d.WaitsForAccount = !account.holdsDemand(d); d.WaitsForAccount {
 		return
 	}
-	if d.WaitsForAccount = !account.holdsTask(d); d.WaitsForAccount {
-		return
+	placed := p.placeWaiting(d)
+	if placed == 0 && !d.WaitsForAccount && p.suspects > 0 && (d.Idle || !p.hasAlternative(d)) {
+		p.lastResort = true
+		placed = p.placeWaiting(d)
+		p.lastResort = false
+	}
+	if !d.Step.Gang && d.Overdue && placed < len(d.Waiting) && !d.WaitsForAccount {
+		p.claimWorkers(d, len(d.Waiting)-placed)
+	}
+}
+
+// placeWaiting places as many of a demand's tasks as fit, or a whole gang. It returns how many
+// it placed.
+func (p *Planner) placeWaiting(d *Demand) int {
+	if d.Step.Gang {
+		return p.placeGang(d)
 	}
 	// If no rack has capacity for all tasks, they may run on any rack.
 	rack := ""
@@ -160,39 +184,58 @@
 	}
 	placed := p.placeTasks(d, rack)
 	if d.Starving && placed == 0 {
-		p.placeStarvingTask(d)
+		return p.placeStarvingTask(d)
 	}
-	if d.Overdue && placed < len(d.Waiting) && !d.WaitsForAccount {
-		p.claimWorkers(d, len(d.Waiting)-placed)
+	return placed
+}
+
+// hasAlternative reports whether a usable worker that is not suspect could run a task of the
+// demand, now or once other tasks end.
+func (p *Planner) hasAlternative(d *Demand) bool {
+	need := d.Step.ReservedCapacity()
+	for i := range p.candidates {
+		c := &p.candidates[i]
+		if p.mayUse(c, d) && need.Fits(c.worker.Capacity.Sub(c.worker.LongRunningUse)) {
+			return true
+		}
 	}
+	return false
+}
+
+// mayUse reports whether the demand may use the candidate, regardless of free capacity.
+func (p *Planner) mayUse(c *candidate, d *Demand) bool {
+	return (p.lastResort || !c.suspect) && c.isEligible(d)
 }
 
 // placeStarvingTask places one task of a job that would otherwise not run at
-// all, on the worker with the highest expected speed.
-func (p *Planner) placeStarvingTask(d *Demand) {
+// all, on the worker with the highest expected speed. It returns how many it placed.
+func (p *Planner) placeStarvingTask(d *Demand) int {
 	best, bestSpeed := -1, -1.0
 	for i := range p.candidates {
 		c := &p.candidates[i]
-		if !c.isEligible(d) || !d.Step.ReservedCapacity().Fits(c.free) || c.isAtTaskLimit(d) {
+		if !p.mayUse(c, d) || !d.Step.ReservedCapacity().Fits(c.free) || c.isAtTaskLimit(d) {
 			continue
 		}
 		if speed := p.speed(c, d); speed > bestSpeed {
 			best, bestSpeed = i, speed
 		}
 	}
-	if best >= 0 {
-		p.addPlacement(&p.candidates[best], d, d.Waiting[0])
+	if best < 0 {
+		return 0
 	}
+	p.addPlacement(&p.candidates[best], d, d.Waiting[0])
+	return 1
 }
 
-func (p *Planner) placeGang(d *Demand) {
+// placeGang places all tasks of a gang or none. It returns how many it placed.
+func (p *Planner) placeGang(d *Demand) int {
 	rack := ""
 	if d.Step.SameRack {
 		rack = p.rackFor(d)
 		if rack == "" && !d.Starving && p.someRackCanHold(d) {
 			// Spread over several racks, each task would take several times as long.
 			// Waiting until one rack has enough free capacity is faster.
-			return
+			return 0
 		}
 	}
 	before, failed := len(p.chosen), len(p.failed)
@@ -208,7 +251,9 @@
 		}
 		// A demand that did not fit alongside the gang may fit without it.
 		p.failed = p.failed[:failed]
+		return 0
 	}
+	return len(d.Waiting)
 }
 
 // removePlacements removes the placements from index from onward and frees
@@ -242,7 +287,7 @@
 	clear(p.tasksPerRack)
 	for i := range p.candidates {
 		c := &p.candidates[i]
-		if c.isEligible(d) {
+		if p.mayUse(c, d) {
 			p.tasksPerRack[c.worker.Rack()] += c.taskCapacity(d.Step)
 		}
 	}
@@ -315,7 +360,7 @@
 func (p *Planner) placeTasks(d *Demand, rack string) int {
 	need := d.Step.ReservedCapacity()
 	constrained := d.Step.RequiredLabel != "" || d.Step.MaxPerWorker > 0 || rack != "" || d.Tickets != nil
-	if !constrained && p.cannotFit(d, need) {
+	if !constrained && !p.lastResort && p.cannotFit(d, need) {
 		return 0
 	}
 	p.rateCandidates(d, need, rack)
@@ -349,7 +394,7 @@
 	p.ranking = p.ranking[:0]
 	for i := range p.candidates {
 		c := &p.candidates[i]
-		if !c.isEligible(d) || (rack != "" && c.worker.Rack() != rack) {
+		if !p.mayUse(c, d) || (rack != "" && c.worker.Rack() != rack) {
 			continue
 		}
 		if rating, ok := p.rate(c, d, need); ok {
--- a/core/dispatch/plan_test.go
+++ b/core/dispatch/plan_test.go
@@ -322,3 +322,48 @@
 		})
 	}
 }
+
+// Guards against tasks on a worker that is suspected to hang while another could run them, and
+// against a suspicion that keeps a job from running at all.
+func TestSuspectWorkersAreTheLastResort(t *testing.T) {
+	labelled, gang := job.Step{Count: 1, Need: cpu(1), RequiredLabel: "r0"}, job.Step{Count: 2, Need: cpu(3), Gang: true}
+	idle := demand("idle", job.Step{Count: 1, Need: cpu(4)}, 1)
+	idle.Idle = true
+	for name, c := range map[string]struct {
+		demand  Demand
+		busy    bool
+		suspect []int
+		want    []string
+	}{
+		"another has room":            {demand: demand("a", job.Step{Count: 1, Need: cpu(1)}, 1), suspect: []int{0}, want: []string{"w1"}},
+		"another will have room":      {demand: demand("a", job.Step{Count: 1, Need: cpu(4)}, 1), busy: true, suspect: []int{0}},
+		"idle for long":               {demand: idle, busy: true, suspect: []int{0}, want: []string{"w0"}},
+		"the only one with the label": {demand: demand("a", labelled, 1), suspect: []int{0}, want: []string{"w0"}},
+		"all are suspect":             {demand: demand("a", job.Step{Count: 1, Need: cpu(1)}, 1), suspect: []int{0, 1}, want: []string{"w0"}},
+		"a gang needs both":           {demand: demand("a", gang, 2), suspect: []int{0, 1}, want: []string{"w0", "w1"}},
+		"a gang waits for the other":  {demand: demand("a", gang, 2), suspect: []int{0}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			all := workers(2, 4)
+			all[1].Labels = []string{"a", "r1"}
+			if c.busy {
+				step := &job.Step{Count: 1, Need: cpu(4), Estimate: time.Second}
+				all[1].Add(&fleet.Attempt{ID: job.TaskID{StepID: job.StepID{Job: "busy"}}, Step: step, Need: step.Need})
+			}
+			rules := permissiveRules()
+			rules.Suspect = func(w *fleet.Worker) bool {
+				for _, i := range c.suspect {
+					if all[i] == w {
+						return true
+					}
+				}
+				return false
+			}
+			var got []string
+			for _, p := range new(Planner).Plan([]Demand{c.demand}, all, rules) {
+				got = append(got, string(p.Worker.ID))
+			}
+			assert.DeepEqual(t, got, c.want)
+		})
+	}
+}
--- a/core/fleet/incarnation.go
+++ b/core/fleet/incarnation.go
@@ -28,6 +28,9 @@
 	// AvoidUntil is until when the incarnation gets no new attempts, for example
 	// after it refused one.
 	AvoidUntil Instant
+	// SuspectUntil is until when the incarnation is the last resort for new attempts, after
+	// one of its attempts was given up as a straggler. It runs only what no other worker can.
+	SuspectUntil Instant
 	// Health rates how attempts finish on the incarnation.
 	Health Health
 	// BestEffortFinishedAt is when a best-effort attempt last finished. Its CPU use
--- a/core/fleet/worker.go
+++ b/core/fleet/worker.go
@@ -192,6 +192,9 @@
 		now >= w.AvoidUntil && now-w.LastContact < unresponsiveAfter
 }
 
+// IsSuspect reports whether the worker is the last resort for new attempts.
+func (w *Worker) IsSuspect(now Instant) bool { return now < w.SuspectUntil }
+
 // IsDescribed reports whether the worker's registry entry, and so its capacity, is known. A
 // new owner may reach a worker of a lease bounds record before it has read its entry.
 func (w *Worker) IsDescribed() bool { return w.Capacity != domain.Resources{} }
--- a/core/scheduler/plan.go
+++ b/core/scheduler/plan.go
@@ -27,7 +27,8 @@
 	demands = dispatch.Prepare(demands, s.roundLoad(demands, now), now)
 	s.countDeferred(demands)
 	rules := dispatch.Rules{
-		Usable:     func(w *fleet.Worker) bool { return s.isUsable(w, now) },
+		Usable:     func(w *fleet.Worker) bool { return s.acceptsAttempts(w, now) },
+		Suspect:    func(w *fleet.Worker) bool { return w.IsSuspect(now) },
 		Headroom:   func(w *fleet.Worker) dispatch.Headroom { return s.workerHeadroom(w, now) },
 		Interferes: s.hasInterferenceWith,
 		Remaining:  func(w *fleet.Worker, r *fleet.Attempt) (time.Duration, bool) { return remainingTime(w, r, now) },
@@ -48,11 +49,16 @@
 	}
 }
 
-// isUsable reports whether the worker may get new attempts.
-func (s *Scheduler) isUsable(w *fleet.Worker, now fleet.Instant) bool {
+// acceptsAttempts reports whether the worker may get new attempts, if only as the last resort.
+func (s *Scheduler) acceptsAttempts(w *fleet.Worker, now fleet.Instant) bool {
 	return w.AcceptsAttempts(now) && !s.evacuated[w.Domain]
 }
 
+// isUsable reports whether the worker may get new attempts of any task that fits.
+func (s *Scheduler) isUsable(w *fleet.Worker, now fleet.Instant) bool {
+	return s.acceptsAttempts(w, now) && !w.IsSuspect(now)
+}
+
 // belongsToService reports whether a worker belongs to the service that runs the
 // queue's tasks.
 func (s *Scheduler) belongsToService(w *fleet.Worker, q job.Queue) bool {
@@ -74,6 +80,7 @@
 	if p.Step.Gang {
 		attempt = s.gangAttemptNumber(p, attempt)
 	}
+	delete(s.idleSince, p.Task.Job)
 	s.recordPlaceStage(p, now)
 	s.ledger.Place(p.Task, attempt, p.Worker.ID)
 	r := &fleet.Attempt{
@@ -161,7 +168,8 @@
 			d.Executing = bestEffort
 		}
 		d.Waiting = s.waitingTasks(e, k, i)
-		d.Starving = mayStarve(step) && s.isStarving(e, d.Service, now)
+		d.Idle = (mayStarve(step) || s.hasSuspects(now)) && s.isStarving(e, d.Service, now)
+		d.Starving = mayStarve(step) && d.Idle
 		d.Overdue = step.LongRunning && s.isOverdue(d.ID, now)
 		if queue.Advice && !s.setTickets(&d, now) {
 			continue
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -84,19 +84,21 @@
 // Scheduler makes the scheduling decisions of an owner. It is not safe for
 // concurrent use.
 type Scheduler struct {
-	settings     Settings
-	token        platform.Token
-	ledger       *ledger.Ledger
-	fleet        *fleet.Fleet
-	planner      dispatch.Planner
-	sharing      *sharing.Model
-	throughput   *throughput
-	backlog      backlogMeter
-	capacities   poolCapacities
-	durations    *duration.Predictor
-	predictions  map[job.ID]*prediction
-	policyAdvice policyAdvice
-	poolUse      poolUse
+	settings    Settings
+	token       platform.Token
+	ledger      *ledger.Ledger
+	fleet       *fleet.Fleet
+	planner     dispatch.Planner
+	sharing     *sharing.Model
+	throughput  *throughput
+	backlog     backlogMeter
+	capacities  poolCapacities
+	durations   *duration.Predictor
+	predictions map[job.ID]*prediction
+	// suspectsUntil is until when a worker may be suspect.
+	suspectsUntil fleet.Instant
+	policyAdvice  policyAdvice
+	poolUse       poolUse
 	// executing is the work of the placed tasks of each pool in the current planning
 	// round; see dispatch.PoolLoad.
 	executing map[dispatch.Pool]float64
@@ -170,9 +172,9 @@
 	finished map[job.ID]job.State
 	// closed lists the closed jobs in the order in which they were closed.
 	closed []closedJob
-	// idleSince is, for each job with a best-effort task that could start, the time
-	// since which the job has had no attempts although at least minFreeShare of the
-	// capacity was free.
+	// idleSince is, for each job with a best-effort task that could start, and for all jobs
+	// while there are suspect workers, the time since which the job has had no attempts
+	// although at least minFreeShare of the capacity was free.
 	idleSince map[job.ID]fleet.Instant
 	// waitingSince is, for each long-running step with waiting tasks, the time since which
 	// it has had some.
--- a/core/scheduler/scheduler_test.go
+++ b/core/scheduler/scheduler_test.go
@@ -194,6 +194,21 @@
 	assert.Assert(t, h.workersRunning(firstTaskID)[0] != first)
 }
 
+// Guards against a job that has nothing running, because its only suitable worker gets no work
+// for a while after an attempt on it was given up.
+func TestOnlySuitableWorkerIsNotWithheld(t *testing.T) {
+	h := newHarness(t, 3)
+	h.workers[1].kind = "b"
+	h.register(h.workers[1])
+	j := singleStepJob(1, 1000)
+	j.Steps[0].RequiredLabel = "b"
+	h.scheduler.Accept(j, h.now)
+	h.runFor(500 * time.Millisecond)
+	h.workers[1].stalled = true
+	h.runFor(3 * time.Second)
+	assert.Equal(t, h.startCount(firstTaskID), 2)
+}
+
 // Guards against moving a task that makes good progress.
 func TestProgressingTaskIsNotMoved(t *testing.T) {
 	h := newHarness(t, 2)
--- a/core/scheduler/start.go
+++ b/core/scheduler/start.go
@@ -22,7 +22,7 @@
 		// The process was paused or has lost the store.
 		s.releaseAttempt(w, r, "the owner has not heard from the store for too long", now)
 		return
-	case !s.isUsable(w, now) || !s.belongsToService(w, e.Job.Queue):
+	case !s.acceptsAttempts(w, now) || !s.belongsToService(w, e.Job.Queue):
 		s.releaseAttempt(w, r, "the worker is no longer usable for the job", now)
 		return
 	}
--- a/core/scheduler/straggler.go
+++ b/core/scheduler/straggler.go
@@ -21,9 +21,9 @@
 	slowFactor = 3.0
 	// restartCost is the time that a stop, an append and a new start take.
 	restartCost = 500 * time.Millisecond
-	// stragglerPause is how long a worker gets no new attempts after one of its
-	// attempts was a straggler.
-	stragglerPause = 3 * time.Second
+	// suspicionTime is for how long a worker is the last resort after one of its attempts
+	// was a straggler.
+	suspicionTime = 3 * time.Second
 	// maxStoreAckAge is how old the last acknowledgement of the store may be.
 	// Without the store, an attempt that was stopped could not start again.
 	maxStoreAckAge = 1500 * time.Millisecond
@@ -49,13 +49,22 @@
 			continue
 		}
 		if reason := stragglerReason(r, now); reason != "" {
-			w.AvoidUntil = max(w.AvoidUntil, now+stragglerPause)
+			s.suspect(w, now)
 			s.Counters.Moved++
 			s.requestStop(w, r, reason, now)
 		}
 	}
 }
 
+// suspect makes a worker the last resort for new attempts for a while.
+func (s *Scheduler) suspect(w *fleet.Worker, now fleet.Instant) {
+	w.SuspectUntil = max(w.SuspectUntil, now+suspicionTime)
+	s.suspectsUntil = max(s.suspectsUntil, w.SuspectUntil)
+}
+
+// hasSuspects reports whether a worker may be suspect.
+func (s *Scheduler) hasSuspects(now fleet.Instant) bool { return now < s.suspectsUntil }
+
 // stragglerReason returns why an attempt is a straggler, or the empty string.
 func stragglerReason(r *fleet.Attempt, now fleet.Instant) string {
 	elapsed := now - r.StartedAt
