Scheduler: give up stragglers by what other attempts show

The rule compared the remaining time with three times the client's estimate, of 0, and kept no account of earlier stops.

core/straggler judges an attempt by those of its step on other workers. While there are none, the estimate, corrected by what the queue has shown, gives up two attempts of a step at most; without an estimate or anything learned none is slow. A task is given up as slow twice at most, never again on the same worker, and a worker is blamed once for a step. Hung attempts are always found, but the allowed standstill grows eightfold each time that this repeats what has not helped, so a task whose percents take long ends too. It also covers 2% of the duration that the attempt itself or others have shown. The reason in the log has the figures.

Slow workers are now found by the other tasks also if the estimate is 0 or far too long, which the estimate hid.

TestRemainingTimeOfAnAttempt is unchanged; restartCost moved to core/straggler.

--- a/core/fleet/worker.go
+++ b/core/fleet/worker.go
@@ -96,6 +96,9 @@
 	// last changed.
 	FirstProgressAt, ProgressChangedAt Instant
 	FirstProgressPercent               int
+	// ShownDuration is the duration of the whole task that the pace of the attempt has shown
+	// to the detection of stragglers; 0 if it has shown none.
+	ShownDuration time.Duration
 	// OverTargetSince is since when the tail latency has been over its target,
 	// and CloseToTargetSince since when it has been close to or over it; 0 if it
 	// is not.
--- a/core/scheduler/harness_test.go
+++ b/core/scheduler/harness_test.go
@@ -19,6 +19,8 @@
 // fakeAttempt is one attempt on a fake worker.
 type fakeAttempt struct {
 	status platform.Running
+	// worked is how long the attempt has worked, at full speed.
+	worked time.Duration
 }
 
 // fakeWorker implements the parts of the worker contract that the scheduler tests
@@ -45,6 +47,10 @@
 	// slow.
 	stalled, slow bool
 	started       []platform.AttemptKey
+	// taskTime is how long a task takes at full speed; 0 for tasks that gain a percent in each
+	// step and do not end by themselves. Tasks on the worker take slowdown times as long.
+	taskTime time.Duration
+	slowdown int
 }
 
 func newFakeWorker(id string) *fakeWorker {
@@ -74,9 +80,9 @@
 		d = d * 98 / 100
 	}
 	w.clock += d
-	for _, r := range w.attempts {
+	for _, task := range slices.Sorted(maps.Keys(w.attempts)) {
 		if !w.stalled {
-			r.status.ProgressPercent = min(99, r.status.ProgressPercent+1)
+			w.work(task, d)
 		}
 	}
 	if w.clock <= w.leaseUntil {
@@ -87,6 +93,21 @@
 	}
 }
 
+// work lets an attempt work for the given time.
+func (w *fakeWorker) work(task string, d time.Duration) {
+	r := w.attempts[task]
+	if w.taskTime == 0 {
+		r.status.ProgressPercent = min(99, r.status.ProgressPercent+1)
+		return
+	}
+	r.worked += d / time.Duration(max(1, w.slowdown))
+	if r.worked >= w.taskTime {
+		w.finish(task, platform.CompletionDone)
+		return
+	}
+	r.status.ProgressPercent = int(100 * r.worked / w.taskTime)
+}
+
 // extendLease extends the lease as far as the worker allows.
 func (w *fakeWorker) extendLease(until time.Duration) {
 	w.leaseUntil = max(w.leaseUntil, min(until, w.clock+w.leaseLimit))
--- a/core/scheduler/heartbeat.go
+++ b/core/scheduler/heartbeat.go
@@ -370,6 +370,7 @@
 			s.throughput.addFinishedTask(pool, r.Step, now-r.StartedAt, s.nominalTime(w, r, now), now)
 		}
 		s.observeDone(w, r, now)
+		s.observeEnd(w, r, now)
 	case platform.CompletionFailed:
 		if pause := w.Health.RecordFailure(); pause > 0 {
 			w.AvoidUntil = now + pause
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -12,6 +12,7 @@
 	"github.com/basilferry/basilferry/core/ledger"
 	"github.com/basilferry/basilferry/core/platform"
 	"github.com/basilferry/basilferry/core/sharing"
+	"github.com/basilferry/basilferry/core/straggler"
 )
 
 // Settings are the time limits of the scheduler.
@@ -95,6 +96,7 @@
 	capacities  poolCapacities
 	durations   *duration.Predictor
 	predictions map[job.ID]*prediction
+	stragglers  *straggler.Detector
 	// suspectsUntil is until when a worker may be suspect.
 	suspectsUntil fleet.Instant
 	policyAdvice  policyAdvice
@@ -235,6 +237,7 @@
 		backlog:      backlogMeter{},
 		durations:    duration.New(),
 		predictions:  map[job.ID]*prediction{},
+		stragglers:   straggler.New(),
 		policyAdvice: policyAdvice{steps: map[job.StepID]*stepAdvice{}},
 		poolUse:      newPoolUse(),
 		executing:    map[dispatch.Pool]float64{},
@@ -416,6 +419,7 @@
 func (s *Scheduler) stopAttemptsOf(e *ledger.Entry, now fleet.Instant) {
 	s.dropAdvice(e.Job.ID)
 	s.forgetDurations(e.Job)
+	s.forgetStragglers(e.Job)
 	delete(s.idleSince, e.Job.ID)
 	delete(s.stepEndedAt, e.Job.ID)
 	for i, step := range e.Job.Steps {
--- a/core/scheduler/straggler.go
+++ b/core/scheduler/straggler.go
@@ -3,27 +3,29 @@
 import (
 	"time"
 
+	"github.com/basilferry/basilferry/core/duration"
 	"github.com/basilferry/basilferry/core/fleet"
+	"github.com/basilferry/basilferry/core/job"
+	"github.com/basilferry/basilferry/core/straggler"
 )
 
 // Stragglers are attempts that make no progress or are too slow. Their workers look
 // healthy in the registry and respond to heartbeats, so only the progress of their
-// attempts reveals them.
+// attempts reveals them. Package straggler decides which attempts are given up.
 const (
-	// maxStandstill is how long an attempt may show no progress. Progress is
-	// reported in whole percent, and reports arrive at least once per second.
-	maxStandstill = 1500 * time.Millisecond
-	// minSpeedSample is how long an attempt must have run, in addition to half of
-	// its estimated duration, before its speed is judged.
-	minSpeedSample = 900 * time.Millisecond
-	// slowFactor is how many times longer the remaining time of a straggler must be
-	// than that of a new attempt on another worker, which may be slow as well.
-	slowFactor = 3.0
-	// restartCost is the time that a stop, an append and a new start take.
-	restartCost = 500 * time.Millisecond
 	// suspicionTime is for how long a worker is the last resort after one of its attempts
-	// was a straggler.
+	// was given up.
 	suspicionTime = 3 * time.Second
+	// minPaceSample and minPacePercent are how long an attempt must have run, or how far it
+	// must have come, for its pace to count for others. Progress is reported in whole
+	// percent.
+	minPaceSample  = 900 * time.Millisecond
+	minPacePercent = 10
+	// noticeablePacePart is the part of its duration by which the pace of an attempt must
+	// change to count again.
+	noticeablePacePart = 10
+	// restartCost is the time that a stop, an append and a new start take.
+	restartCost = straggler.RestartCost
 	// maxStoreAckAge is how old the last acknowledgement of the store may be.
 	// Without the store, an attempt that was stopped could not start again.
 	maxStoreAckAge = 1500 * time.Millisecond
@@ -48,11 +50,21 @@
 			r.ProgressChangedAt = now
 			continue
 		}
-		if reason := stragglerReason(r, now); reason != "" {
+		s.observePace(w, r, now)
+		run := paceOf(w, r, now)
+		if !run.MayBeGivenUp() {
+			continue
+		}
+		run.Predicted = s.expectedDuration(r)
+		verdict := s.stragglers.Judge(run)
+		if !verdict.GiveUp {
+			continue
+		}
+		if s.stragglers.GiveUp(run, verdict) {
 			s.suspect(w, now)
-			s.Counters.Moved++
-			s.requestStop(w, r, reason, now)
 		}
+		s.Counters.Moved++
+		s.requestStop(w, r, verdict.Reason, now)
 	}
 }
 
@@ -65,29 +77,67 @@
 // hasSuspects reports whether a worker may be suspect.
 func (s *Scheduler) hasSuspects(now fleet.Instant) bool { return now < s.suspectsUntil }
 
-// stragglerReason returns why an attempt is a straggler, or the empty string.
-func stragglerReason(r *fleet.Attempt, now fleet.Instant) string {
-	elapsed := now - r.StartedAt
-	if now-max(r.ProgressChangedAt, r.StartedAt) > maxStandstill+r.Step.Estimate/fullProgressPercent {
-		return "it makes no progress"
+// paceOf describes an attempt by the progress that its worker has reported.
+func paceOf(w *fleet.Worker, r *fleet.Attempt, now fleet.Instant) straggler.Run {
+	run := straggler.Run{
+		Task: r.ID, Worker: w.ID, Elapsed: now - r.StartedAt, Standstill: now - max(r.ProgressChangedAt, r.StartedAt),
+		Redo: 1, VariableSpeed: r.Step.Fills,
 	}
-	if r.Step.Fills || elapsed < minSpeedSample+r.Step.Estimate/2 {
-		// The speed of best-effort tasks depends on the capacity that other tasks
-		// leave.
-		return ""
+	if r.Step.SavesProgress {
+		run.Redo = float64(fullProgressPercent-r.ProgressPercent) / fullProgressPercent
 	}
-	remaining, ok := remainingByProgress(r, now)
-	if !ok {
-		return ""
+	run.Duration = durationByProgress(r)
+	run.Remaining, _ = remainingByProgress(r, now)
+	return run
+}
+
+// durationByProgress returns how long the whole task takes at the pace of an attempt; 0 if it
+// has made no progress since its first report.
+func durationByProgress(r *fleet.Attempt) time.Duration {
+	done := r.ProgressPercent - r.FirstProgressPercent
+	if done <= 0 {
+		return 0
 	}
-	restartTime := r.Step.Estimate
-	if r.Step.SavesProgress {
-		restartTime = restartTime * time.Duration(fullProgressPercent-r.ProgressPercent) / fullProgressPercent
+	return (r.ProgressChangedAt - r.FirstProgressAt) * fullProgressPercent / time.Duration(done)
+}
+
+// expectedDuration returns how long the task of an attempt is expected to take, without what
+// the attempt itself has shown; 0 if nothing is known.
+func (s *Scheduler) expectedDuration(r *fleet.Attempt) time.Duration {
+	e := s.ledger.Entry(r.ID.Job)
+	if e == nil {
+		return r.Step.Estimate
+	}
+	return s.durations.Expect(e.Job.Queue.Route, duration.StepKey{Job: r.ID.Job, Step: r.ID.Step}, r.Step.Estimate)
+}
+
+// observePace lets the pace of an attempt show how long the tasks of its step take. It does so
+// again when the pace has changed noticeably.
+func (s *Scheduler) observePace(w *fleet.Worker, r *fleet.Attempt, now fleet.Instant) {
+	if r.Step.Fills || r.ProgressChangedAt != now ||
+		r.ProgressPercent-r.FirstProgressPercent < minPacePercent && now-r.FirstProgressAt < minPaceSample {
+		return
+	}
+	if took := durationByProgress(r); (took - r.ShownDuration).Abs() > r.ShownDuration/noticeablePacePart {
+		r.ShownDuration = took
+		s.stragglers.Observe(r.ID.StepID, w.ID, took)
 	}
-	if remaining > time.Duration(slowFactor*float64(restartTime))+restartCost {
-		return "its progress is too slow"
+}
+
+// observeEnd lets an attempt that is done show how long the tasks of its step take.
+func (s *Scheduler) observeEnd(w *fleet.Worker, r *fleet.Attempt, now fleet.Instant) {
+	if !r.Step.Fills && !r.Step.LongRunning && measuresDuration(r) {
+		s.stragglers.Observe(r.ID.StepID, w.ID, now-r.StartedAt)
+	}
+}
+
+// forgetStragglers drops what is known about the attempts of a closed job.
+func (s *Scheduler) forgetStragglers(j *job.Job) {
+	for k := range j.Occurrences() {
+		for i := range j.Steps {
+			s.stragglers.Forget(job.StepID{Job: j.ID, Occurrence: k, Step: i})
+		}
 	}
-	return ""
 }
 
 // remainingByProgress estimates how long an attempt still takes from how fast it has made
