Workers: rate them by what tasks took elsewhere

One client whose estimates were twenty times too short made each worker that served it rate as twenty times too slow, and others' work avoided it, also the rack with its data. With no estimate, or one that was far too long, a worker that was slow kept a good rating. The ratio compared a task's duration with the client's estimate alone.

It now compares with attempts of the same step on other workers, else with what the queue's steps have taken (not blended with estimates), else not at all. A sample counts five at most, enough for a worker to come last.

--- a/core/dispatch/score.go
+++ b/core/dispatch/score.go
@@ -27,8 +27,7 @@
 	// interferedPenalty is the cost of a worker with best-effort tasks that are
 	// known to interfere with the serving task.
 	interferedPenalty = 1.0
-	// slowPenalty is the cost of a worker whose attempts take twice their
-	// estimate.
+	// slowPenalty is the cost of a worker on which attempts take twice as long as elsewhere.
 	slowPenalty = 1.0
 )
 
--- a/core/fleet/health.go
+++ b/core/fleet/health.go
@@ -9,8 +9,8 @@
 	// consecutiveFailures counts the failed attempts since the last one that was
 	// done.
 	consecutiveFailures int
-	// durationRatio is the smoothed ratio of the actual to the estimated
-	// duration of attempts.
+	// durationRatio is the smoothed ratio of the duration of attempts to that of such
+	// attempts on other workers.
 	durationRatio float64
 }
 
@@ -25,16 +25,18 @@
 	suspectPause = 3 * time.Second
 	// durationRatioWeight is the weight of a new sample in the smoothed ratio.
 	durationRatioWeight = 0.3
+	// maxDurationRatio bounds a sample. It is enough for a worker to come after all others.
+	maxDurationRatio = 5.0
 )
 
-// RecordDone records an attempt that finished as done, with its actual and its
-// estimated duration.
-func (h *Health) RecordDone(duration, estimate time.Duration) {
+// RecordDone records an attempt that finished as done, with its actual duration and that
+// of such attempts on other workers; 0 if the latter is not known.
+func (h *Health) RecordDone(duration, elsewhere time.Duration) {
 	h.consecutiveFailures = 0
-	if estimate <= 0 {
+	if elsewhere <= 0 {
 		return
 	}
-	sample := float64(duration) / float64(estimate)
+	sample := min(maxDurationRatio, float64(duration)/float64(elsewhere))
 	if h.durationRatio == 0 {
 		h.durationRatio = sample
 		return
@@ -52,6 +54,6 @@
 	return suspectPause
 }
 
-// DurationRatio returns the smoothed ratio of the actual to the estimated
-// duration of attempts; 0 if none has finished.
+// DurationRatio returns the smoothed ratio of the duration of attempts to that of such attempts
+// on other workers; 0 if it is not known.
 func (h *Health) DurationRatio() float64 { return h.durationRatio }
--- a/core/scheduler/estimate_test.go
+++ b/core/scheduler/estimate_test.go
@@ -184,3 +184,27 @@
 	assert.Equal(t, len(hung.started), before)
 	assert.Equal(t, len(h.workersRunning("00000000000000aa.0.0.1")), 1)
 }
+
+// Guards against workers that get no work because clients state estimates that are too short, and
+// against slow workers that are not noticed because clients state estimates that are too long.
+func TestWorkersAreRatedByWhatTasksTake(t *testing.T) {
+	for _, estimate := range []time.Duration{0, 100 * time.Millisecond, 40 * time.Second} {
+		t.Run(estimate.String(), func(t *testing.T) {
+			h := newHarness(t, 4)
+			for _, f := range h.workers {
+				f.taskTime = 2 * time.Second
+			}
+			h.workers[0].slowdown = 3
+			for i := range 20 {
+				h.scheduler.Accept(estimateJob(job.ID(fmt.Sprintf("%016x", i)), 4, estimate, ""), h.now)
+				h.runFor(time.Second)
+			}
+			h.runFor(10 * time.Second)
+			ratio := func(i int) float64 { return h.scheduler.fleet.Worker(h.workers[i].id).Health.DurationRatio() }
+			for i := 1; i < 4; i++ {
+				assert.Assert(t, ratio(i) < 1.5, "healthy worker: %.2f", ratio(i))
+			}
+			assert.Assert(t, ratio(0) > 1.5 || len(h.workers[0].started) == 0, "slow worker: %.2f", ratio(0))
+		})
+	}
+}
--- a/core/scheduler/heartbeat.go
+++ b/core/scheduler/heartbeat.go
@@ -364,7 +364,7 @@
 	}
 	switch kind {
 	case platform.CompletionDone:
-		w.Health.RecordDone(now-r.StartedAt, r.Step.Estimate)
+		w.Health.RecordDone(now-r.StartedAt, s.durationElsewhere(w, r))
 		if !r.Step.LongRunning {
 			pool := dispatch.Pool{Service: w.Service, BestEffort: r.Step.Fills}
 			s.throughput.addFinishedTask(pool, r.Step, now-r.StartedAt, s.nominalTime(w, r, now), now)
--- a/core/scheduler/straggler.go
+++ b/core/scheduler/straggler.go
@@ -111,6 +111,19 @@
 	return s.durations.Expect(e.Job.Queue.Route, duration.StepKey{Job: r.ID.Job, Step: r.ID.Step}, r.Step.Estimate)
 }
 
+// durationElsewhere returns how long the task of an attempt takes on other workers, or how long
+// those of its queue do; 0 while only the client's estimate tells.
+func (s *Scheduler) durationElsewhere(w *fleet.Worker, r *fleet.Attempt) time.Duration {
+	if mean, workers := s.stragglers.Elsewhere(r.ID.StepID, w.ID); workers > 0 {
+		return mean
+	}
+	e := s.ledger.Entry(r.ID.Job)
+	if e == nil {
+		return 0
+	}
+	return s.durations.Learned(e.Job.Queue.Route, r.Step.Estimate)
+}
+
 // observePace lets the pace of an attempt show how long the tasks of its step take. It does so
 // again when the pace has changed noticeably.
 func (s *Scheduler) observePace(w *fleet.Worker, r *fleet.Attempt, now fleet.Instant) {
--- a/core/straggler/detector.go
+++ b/core/straggler/detector.go
@@ -148,6 +148,15 @@
 		r.Remaining.Milliseconds(), expected.Milliseconds(), basis)}
 }
 
+// Elsewhere returns the mean duration that attempts of a step on other workers have shown, and
+// the number of these workers.
+func (d *Detector) Elsewhere(id job.StepID, worker domain.WorkerID) (mean time.Duration, workers int) {
+	if s := d.steps[id]; s != nil {
+		return s.elsewhere(worker)
+	}
+	return 0, 0
+}
+
 // GiveUp records that an attempt is given up by the verdict. It reports whether the worker is to
 // be blamed: a worker is blamed once for each step.
 func (d *Detector) GiveUp(r Run, v Verdict) (blame bool) {
