Claims: expect capacity by predictions, not by estimates

Overdue long-running tasks claimed workers on which attempts without an estimate ran, as if their capacity came free at once; with a wrong estimate the claim went to the wrong worker. remainingTime used the client's estimate of an attempt that had shown no progress.

It now takes the prediction for the step (its own tasks, its queue), and where nothing is known assumes that the attempt takes as long again as it has run, at least a second.

TestRemainingTimeOfAnAttempt has two rows for unknown durations, which expected 1 s and 5 s; before, the first had 0 s remaining (by reading: 0 less 0 elapsed). The other rows are as they were.

--- a/core/scheduler/durations.go
+++ b/core/scheduler/durations.go
@@ -37,6 +37,17 @@
 	return p
 }
 
+// predictedDuration returns how long the task of an attempt takes; 0 if nothing is known.
+func (s *Scheduler) predictedDuration(r *fleet.Attempt) time.Duration {
+	if e := s.ledger.Entry(r.ID.Job); e != nil && r.ID.Step < len(e.Job.Steps) {
+		return s.predictionOf(e.Job).durations[r.ID.Step]
+	}
+	if r.Step != nil {
+		return r.Step.Estimate
+	}
+	return 0
+}
+
 // taskWork returns the CPU time of one task of the step, in core-seconds.
 func (p *prediction) taskWork(j *job.Job, step int) float64 {
 	return p.durations[step].Seconds() * float64(j.Steps[step].Need.CPUMilli) / milliPerCore
--- a/core/scheduler/plan.go
+++ b/core/scheduler/plan.go
@@ -31,7 +31,9 @@
 		Suspect:    func(w *fleet.Worker) bool { return w.IsSuspect(now) },
 		Headroom:   func(w *fleet.Worker) dispatch.Headroom { return s.workerHeadroom(w, now) },
 		Interferes: s.hasInterferenceWith,
-		Remaining:  func(w *fleet.Worker, r *fleet.Attempt) (time.Duration, bool) { return remainingTime(w, r, now) },
+		Remaining: func(w *fleet.Worker, r *fleet.Attempt) (time.Duration, bool) {
+			return remainingTime(w, r, s.predictedDuration(r), now)
+		},
 	}
 	if s.accounts.isEnabled() {
 		rules.AccountRoom, rules.AccountIdle = s.accountRoom, s.isAccountIdle
--- a/core/scheduler/straggler.go
+++ b/core/scheduler/straggler.go
@@ -26,6 +26,8 @@
 	noticeablePacePart = 10
 	// restartCost is the time that a stop, an append and a new start take.
 	restartCost = straggler.RestartCost
+	// minUnknownDuration is the least remaining time of an attempt of which nothing is known.
+	minUnknownDuration = time.Second
 	// maxStoreAckAge is how old the last acknowledgement of the store may be.
 	// Without the store, an attempt that was stopped could not start again.
 	maxStoreAckAge = 1500 * time.Millisecond
@@ -165,8 +167,9 @@
 
 // remainingTime estimates how long an attempt will keep its capacity. It is not ok for an
 // attempt that does not end by itself. Without progress, an attempt that has taken longer
-// than expected is assumed to take as long again as it is late.
-func remainingTime(w *fleet.Worker, r *fleet.Attempt, now fleet.Instant) (remaining time.Duration, ok bool) {
+// than expected is assumed to take as long again as it is late. expected is 0 if nothing is
+// known: the attempt is then assumed to take as long again as it has run.
+func remainingTime(w *fleet.Worker, r *fleet.Attempt, expected time.Duration, now fleet.Instant) (remaining time.Duration, ok bool) {
 	switch {
 	case r.StopWanted:
 		return restartCost, true
@@ -176,8 +179,11 @@
 	if remaining, ok := remainingByProgress(r, now); ok {
 		return remaining, true
 	}
-	expected := time.Duration(float64(r.Step.Estimate) * max(1, w.Health.DurationRatio()))
-	return (expected - (now - max(r.PlacedAt, r.StartedAt))).Abs(), true
+	elapsed := now - max(r.PlacedAt, r.StartedAt)
+	if expected <= 0 {
+		return max(elapsed, minUnknownDuration), true
+	}
+	return (time.Duration(float64(expected)*max(1, w.Health.DurationRatio())) - elapsed).Abs(), true
 }
 
 // recordProgress records the progress of an attempt and when it last changed.
--- a/core/scheduler/straggler_test.go
+++ b/core/scheduler/straggler_test.go
@@ -25,11 +25,18 @@
 	recordProgress(withProgress, 50, now)
 	stopped := started(time.Second)
 	stopped.StopWanted = true
+	unknown := func(ago time.Duration) *fleet.Attempt {
+		r := started(ago)
+		r.Step = &job.Step{Count: 1}
+		return r
+	}
 	for name, c := range map[string]struct {
 		attempt   *fleet.Attempt
 		remaining time.Duration
 		ends      bool
 	}{
+		"unknown, just started": {attempt: unknown(0), remaining: minUnknownDuration, ends: true},
+		"unknown, running":      {attempt: unknown(5 * time.Second), remaining: 5 * time.Second, ends: true},
 		"not started yet":       {attempt: &fleet.Attempt{Step: short, PlacedAt: now}, remaining: 2 * time.Second, ends: true},
 		"earlier than expected": {attempt: started(500 * time.Millisecond), remaining: 1500 * time.Millisecond, ends: true},
 		"late":                  {attempt: started(5 * time.Second), remaining: 3 * time.Second, ends: true},
@@ -39,7 +46,11 @@
 		"of an unknown job":     {attempt: &fleet.Attempt{PlacedAt: now}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			remaining, ends := remainingTime(w, c.attempt, now)
+			expected := time.Duration(0)
+			if c.attempt.Step != nil {
+				expected = c.attempt.Step.Estimate
+			}
+			remaining, ends := remainingTime(w, c.attempt, expected, now)
 			assert.Equal(t, ends, c.ends)
 			assert.Equal(t, remaining, c.remaining)
 		})
