Admission: refuse nothing on an estimate alone

A job without an estimate counted as no work with the shortest objective, so a backlog of a few seconds refused it as hopeless; one client's estimate of an hour for a job of which nothing had run made 136,800 core-seconds of work that certainly comes first, which refuses all work of lower priority at once.

A node now refuses only jobs whose steps have estimates, and only in queues whose jobs have shown how long they take: the owner lists no others in its record. Work of steps of which neither their own tasks nor those of their queue have shown anything is outstanding, but not certain.

TestEstimate (two new rows) and TestUnconfirmedWorkRefusesNothing failed before: refused with an objective of 1.75 s, and 136,800 certain core-seconds.

--- a/core/backlog/estimate.go
+++ b/core/backlog/estimate.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/basilferry/basilferry/core/dispatch"
@@ -89,11 +90,15 @@
 // because of its own size, or of the slowdown, is not refused.
 //
 // A nil summary refuses nothing, and neither does a pool whose rate is not known. Long-running
-// jobs, jobs with due times and jobs without an objective are not refused.
+// jobs, jobs with due times and jobs without an objective are not refused, and neither are jobs
+// of which only the client's estimate tells how long they take.
 func Estimate(j *job.Job, queue job.Queue, summary *Summary) Verdict {
 	if summary == nil || j.LatencyObjective(queue) <= 0 || j.HasLongRunningStep() || j.Repeat.Count > 0 {
 		return Verdict{}
 	}
+	if !summary.hasQueue(queue.Route) || !hasEstimates(j) {
+		return Verdict{}
+	}
 	own, path := predict(j, summary.correction(queue.Route))
 	work := own[false] + own[true]
 	objective := multiply(path, queue.Stretch) + queue.Objective
@@ -120,6 +125,11 @@
 	return v
 }
 
+// hasEstimates reports whether the client has stated an estimate for each step.
+func hasEstimates(j *job.Job) bool {
+	return !slices.ContainsFunc(j.Steps, func(s job.Step) bool { return s.Estimate <= 0 })
+}
+
 // predict returns the work of a job's regular and of its best-effort tasks, in core-seconds,
 // and its critical path, for corrected estimates.
 func predict(j *job.Job, c duration.Correction) (work map[bool]float64, path time.Duration) {
--- a/core/backlog/estimate_test.go
+++ b/core/backlog/estimate_test.go
@@ -55,12 +55,18 @@
 	noRate.Pools[0].Rate, slow.Pools[1].Slowdown, noMean.Queues = 0, 12, nil
 	onlySlow := desk(onTime(0, class, 1))
 	onlySlow.Pools[1].Slowdown = 12
+	noEstimate, unlearned := testJob(shortQueue, 10), desk(onTime(0, class-1, 500))
+	noEstimate.Steps = append(noEstimate.Steps, job.Step{Count: 1, Need: domain.Resources{CPUMilli: 1000}})
+	unlearned.Queues = unlearned.Queues[1:]
+	unlearned.Pools[0].Work = append(unlearned.Pools[0].Work, onTime(-1, 0, 500))
 	for _, c := range []struct {
 		name    string
 		job     *job.Job
 		summary *Summary
 		refuse  bool
 	}{
+		{"a step without an estimate", noEstimate, desk(onTime(0, class-1, 500)), false},
+		{"queue without samples", testJob(shortQueue, 10), unlearned, false},
 		{"no summary", testJob(shortQueue, 10), nil, false},
 		{"empty", testJob(shortQueue, 10), &Summary{}, false},
 		{"just below the limit", testJob(shortQueue, 10), desk(onTime(0, class-1, 55)), false},
--- a/core/backlog/summary.go
+++ b/core/backlog/summary.go
@@ -40,8 +40,9 @@
 	Priority int
 	// Class is the class of the value per work; see ClassOf.
 	Class int
-	// Work is in core-seconds by the clients' estimates. OnTime is the part of it that runs,
-	// or belongs to jobs that can still meet their objective. The scheduler serves it first.
+	// Work is in core-seconds. OnTime is the part of it that runs, or belongs to jobs that can
+	// still meet their objective. The scheduler serves it first. It does not include work of
+	// which only the clients' estimates tell how much it is.
 	Work, OnTime float64
 }
 
@@ -122,7 +123,8 @@
 type Summary struct {
 	Pools    []Pool
 	Accounts []Account
-	Queues   []Queue
+	// Queues are those whose jobs have shown how long they take.
+	Queues []Queue
 }
 
 // CanRefuse reports whether the summary can lead to a refusal: work is outstanding in a pool
@@ -163,6 +165,11 @@
 	return nil
 }
 
+// hasQueue reports whether the summary has the queue.
+func (s *Summary) hasQueue(route string) bool {
+	return slices.ContainsFunc(s.Queues, func(q Queue) bool { return q.Route == route })
+}
+
 // meanWork returns the mean work of a queue's jobs; 0 if it is not known.
 func (s *Summary) meanWork(route string) float64 {
 	for _, q := range s.Queues {
--- a/core/scheduler/backlog.go
+++ b/core/scheduler/backlog.go
@@ -7,6 +7,7 @@
 
 	"github.com/basilferry/basilferry/core/backlog"
 	"github.com/basilferry/basilferry/core/dispatch"
+	"github.com/basilferry/basilferry/core/duration"
 	"github.com/basilferry/basilferry/core/fleet"
 	"github.com/basilferry/basilferry/core/job"
 	"github.com/basilferry/basilferry/core/ledger"
@@ -156,7 +157,10 @@
 	perTask := b.s.predictionOf(e.Job).taskWork(e.Job, i)
 	cell.OnTime = perTask * runningShare * float64(running)
 	cell.Work = cell.OnTime + perTask*float64(waiting)
-	if !late {
+	switch {
+	case !b.s.durations.IsLearned(e.Job.Queue.Route, duration.StepKey{Job: e.Job.ID, Step: i}):
+		cell.OnTime = 0
+	case !late:
 		cell.OnTime = cell.Work
 	}
 	p.outstanding.Add(cell)
@@ -208,6 +212,9 @@
 	}
 	slices.SortFunc(out.Pools, func(x, y backlog.Pool) int { return cmp.Compare(x.ID.String(), y.ID.String()) })
 	for route := range b.routes {
+		if !b.s.durations.HasLearned(route) {
+			continue
+		}
 		out.Queues = append(out.Queues, backlog.Queue{
 			Route: route, MeanWork: b.s.throughput.meanWork(route), Correction: b.s.durations.Correction(route),
 		})
--- a/core/scheduler/estimate_test.go
+++ b/core/scheduler/estimate_test.go
@@ -208,3 +208,25 @@
 		})
 	}
 }
+
+// Guards against refusals because of work that is as large as one client says.
+func TestUnconfirmedWorkRefusesNothing(t *testing.T) {
+	h := newHarness(t, 1)
+	h.scheduler.Accept(estimateJob(testJobID, 40, time.Hour, ""), h.now)
+	h.runFor(500 * time.Millisecond)
+	outstanding := func() (work, certain float64) {
+		for _, p := range h.scheduler.Backlog(h.now, h.now.Milliseconds()).Pools {
+			for _, c := range p.Work {
+				work, certain = work+c.Work, certain+c.OnTime
+			}
+		}
+		return work, certain
+	}
+	work, certain := outstanding()
+	assert.Assert(t, work > 1000)
+	assert.Equal(t, certain, 0.0)
+	assert.Equal(t, len(h.scheduler.Backlog(h.now, h.now.Milliseconds()).Queues), 0)
+	h.runFor(time.Second) // The running tasks come to more than 10%.
+	work, certain = outstanding()
+	assert.Assert(t, certain > 0 && work < 1000, "%.0f, certain %.0f", work, certain)
+}
