Order: a job loses its value only by what was learned

A job without an estimate, or with one that is far too short, counted as without any value a few seconds after its submission, before a task of it or of its queue had run, and then waited behind all other work for as long as the pool was full.

While only the client's estimate tells how long a step takes, the job keeps its place among the late ones. The backlog record counts it as outstanding too.

TestWorkOfUnknownDurationKeepsItsValue failed before in both cases: the job lost its value 3 s after its submission.

--- a/core/scheduler/backlog.go
+++ b/core/scheduler/backlog.go
@@ -124,7 +124,7 @@
 		chain, work := b.s.remaining(e, k)
 		value := dispatch.ValuePerWork(predicted.work, b.s.throughput.meanWork(e.Job.Queue.Route), work)
 		late := b.now+chain > b.s.accepted[e.Job.ID]+objective
-		hasValue := b.now+chain <= b.s.accepted[e.Job.ID]+noValueFactor*objective
+		hasValue := b.now+chain <= b.s.accepted[e.Job.ID]+noValueFactor*objective || !b.s.areDurationsLearned(e, k)
 		for i := range e.Job.Steps {
 			b.addStep(e, k, i, backlog.Cell{Priority: queue.Priority, Class: backlog.ClassOf(value)}, late, hasValue)
 		}
--- a/core/scheduler/estimate_test.go
+++ b/core/scheduler/estimate_test.go
@@ -230,3 +230,23 @@
 	work, certain = outstanding()
 	assert.Assert(t, certain > 0 && work < 1000, "%.0f, certain %.0f", work, certain)
 }
+
+// Guards against a job that waits behind all others because its client states no estimate, or
+// one that is too short, so that it seems to be too late to have any value.
+func TestWorkOfUnknownDurationKeepsItsValue(t *testing.T) {
+	for _, estimate := range []time.Duration{0, 50 * time.Millisecond} {
+		t.Run(estimate.String(), func(t *testing.T) {
+			h := newHarness(t, 1)
+			h.workers[0].taskTime = 4 * time.Second
+			blocker := estimateJob("00000000000000aa", 4, 4*time.Second, "")
+			blocker.Queue.Route = "other"
+			h.scheduler.Accept(blocker, h.now)
+			h.runFor(100 * time.Millisecond)
+			h.scheduler.Accept(estimateJob(testJobID, 1, estimate, ""), h.now)
+			h.runFor(3500 * time.Millisecond)
+			for _, d := range h.scheduler.demands(h.now, h.now.Milliseconds()) {
+				assert.Assert(t, d.NoValueAfter > h.now+time.Hour, "%s", d.NoValueAfter-h.now)
+			}
+		})
+	}
+}
--- a/core/scheduler/plan.go
+++ b/core/scheduler/plan.go
@@ -1,10 +1,12 @@
 package scheduler
 
 import (
+	"math"
 	"time"
 
 	"github.com/basilferry/basilferry/core/backlog"
 	"github.com/basilferry/basilferry/core/dispatch"
+	"github.com/basilferry/basilferry/core/duration"
 	"github.com/basilferry/basilferry/core/fleet"
 	"github.com/basilferry/basilferry/core/job"
 	"github.com/basilferry/basilferry/core/ledger"
@@ -169,6 +171,9 @@
 		if step.Fills {
 			d.Executing = bestEffort
 		}
+		if !s.areDurationsLearned(e, k) {
+			d.NoValueAfter = never
+		}
 		d.Waiting = s.waitingTasks(e, k, i)
 		d.Idle = (mayStarve(step) || s.hasSuspects(now)) && s.isStarving(e, d.Service, now)
 		d.Starving = mayStarve(step) && d.Idle
@@ -181,6 +186,24 @@
 	return out
 }
 
+// never is the time after which a job has no value while only its client's estimate tells how
+// long it takes.
+const never = time.Duration(math.MaxInt64 / 4)
+
+// areDurationsLearned reports whether tasks have shown how long each unfinished step of an
+// occurrence takes, or those of enough other jobs of the queue.
+func (s *Scheduler) areDurationsLearned(e *ledger.Entry, k int) bool {
+	for i := range e.Job.Steps {
+		if o := e.Occurrences[k]; o != nil && o.Steps[i].Done == e.Job.Steps[i].Count {
+			continue
+		}
+		if !s.durations.IsLearned(e.Job.Queue.Route, duration.StepKey{Job: e.Job.ID, Step: i}) {
+			return false
+		}
+	}
+	return true
+}
+
 // waitingTasks returns the tasks of a step that this round may place: all members of a gang,
 // and of other steps no more than may be placed now. The others follow in later rounds.
 func (s *Scheduler) waitingTasks(e *ledger.Entry, occurrence, step int) []int {
