Scheduler: find hung attempts of a former owner

After a change of owner, a task on a hung worker stayed there for good: the speed of an attempt that another owner started is not known, and attempts of unknown speed were not judged. Only best-effort attempts have a speed limit, so only theirs can be unknown.

--- a/core/scheduler/estimate_test.go
+++ b/core/scheduler/estimate_test.go
@@ -250,3 +250,19 @@
 		})
 	}
 }
+
+// Guards against a task on a hung worker that nobody gives up any more once the owner has changed.
+func TestHungTaskOfAFormerOwnerStartsElsewhere(t *testing.T) {
+	h := newHarness(t, 2)
+	for _, f := range h.workers {
+		f.taskTime = 2 * time.Second
+	}
+	h.scheduler.Accept(singleStepJob(1, 1000), h.now)
+	h.runFor(500 * time.Millisecond)
+	hung := h.workersRunning(firstTaskID)[0]
+	hung.stalled = true
+	h.replaceOwner(6)
+	done, _ := h.runUntilDone(testJobID, 20*time.Second)
+	assert.Assert(t, done)
+	assert.Equal(t, h.startCount(firstTaskID), 2)
+}
--- a/core/scheduler/straggler.go
+++ b/core/scheduler/straggler.go
@@ -48,7 +48,7 @@
 		if r.Step == nil || r.StopWanted || r.Phase != fleet.AttemptStarted || r.Step.LongRunning || r.Step.Gang {
 			continue
 		}
-		if r.SpeedPercent < minJudgedSpeedPercent || !r.SpeedKnown {
+		if r.Step.Fills && (r.SpeedPercent < minJudgedSpeedPercent || !r.SpeedKnown) {
 			r.ProgressChangedAt = now
 			continue
 		}
@@ -83,7 +83,7 @@
 func paceOf(w *fleet.Worker, r *fleet.Attempt, now fleet.Instant) straggler.Run {
 	run := straggler.Run{
 		Task: r.ID, Worker: w.ID, Elapsed: now - r.StartedAt, Standstill: now - max(r.ProgressChangedAt, r.StartedAt),
-		Redo: 1, VariableSpeed: r.Step.Fills,
+		Redo: 1, VariableSpeed: r.Step.Fills, Inherited: r.Sends == 0,
 	}
 	if r.Step.SavesProgress {
 		run.Redo = float64(fullProgressPercent-r.ProgressPercent) / fullProgressPercent
@@ -129,7 +129,7 @@
 // observePace lets the pace of an attempt show how long the tasks of its step take. It does so
 // again when the pace has changed noticeably.
 func (s *Scheduler) observePace(w *fleet.Worker, r *fleet.Attempt, now fleet.Instant) {
-	if r.Step.Fills || r.ProgressChangedAt != now ||
+	if r.Step.Fills || r.Sends == 0 || r.ProgressChangedAt != now ||
 		r.ProgressPercent-r.FirstProgressPercent < minPacePercent && now-r.FirstProgressAt < minPaceSample {
 		return
 	}
--- a/core/straggler/detector.go
+++ b/core/straggler/detector.go
@@ -61,6 +61,9 @@
 	// VariableSpeed is true if the speed depends on the capacity that other tasks leave.
 	// Such an attempt is never slow, but it can hang.
 	VariableSpeed bool
+	// Inherited is true for an attempt of a former owner, which may have given up the task
+	// before. Such an attempt is never slow, and it may show no progress for longer.
+	Inherited bool
 }
 
 // MayBeGivenUp reports whether Judge can give up the attempt whatever else is known.
@@ -127,7 +130,7 @@
 		return Verdict{GiveUp: true, confirmed: len(s.durations) > 0, Reason: fmt.Sprintf("it makes no progress: for %d ms, %d ms are allowed",
 			r.Standstill.Milliseconds(), limit.Milliseconds())}
 	}
-	if r.VariableSpeed || r.Duration <= 0 || s.wasSlow(r) {
+	if r.VariableSpeed || r.Inherited || r.Duration <= 0 || s.wasSlow(r) {
 		return Verdict{}
 	}
 	others, workers := s.elsewhere(r.Worker)
@@ -220,7 +223,8 @@
 
 // repetitions returns how often giving up the attempt would repeat what has not helped: each
 // time that its task was given up after the first. On the same worker the first counts too.
-// While no attempt of the step has made progress, the other tasks count as one time.
+// While no attempt of the step has made progress, the other tasks count as one time. So does
+// what a former owner may have done.
 func (s *step) repetitions(r Run) int {
 	count := 0
 	if h := s.givenUp[r.Task.Index]; h != nil {
@@ -229,6 +233,9 @@
 			count++
 		}
 	}
+	if r.Inherited {
+		return count + 1
+	}
 	if count == 0 && s.unconfirmed >= maxUnconfirmedStops && len(s.durations) == 0 {
 		return 1
 	}
--- a/core/straggler/detector_test.go
+++ b/core/straggler/detector_test.go
@@ -51,6 +51,8 @@
 	}
 	bestEffort, saved := slow, slow
 	bestEffort.VariableSpeed, saved.Redo = true, 0.01
+	inherited := slow
+	inherited.Inherited = true
 	nearlyDone := runOf("w1", 40*second, 38*second, second)
 	for _, c := range []struct {
 		name   string
@@ -64,6 +66,9 @@
 		{"too early", nil, runOf("w1", 40*second, 800*time.Millisecond, second), false},
 		{"nearly done", nil, nearlyDone, false},
 		{"best-effort", nil, bestEffort, false},
+		{"slow attempt of a former owner", nil, inherited, false},
+		{"attempt of a former owner without progress", nil, hung(inherited, 5*second), false},
+		{"hung attempt of a former owner", nil, hung(inherited, 20*second), true},
 		{"a restart saves time", nil, saved, true},
 		{"as long on another worker", observe(40*second, "w2"), slow, false},
 		{"only this worker has shown it", observe(40*second, "w1"), slow, true},
