Stragglers: forget steps that have ended; look up learned queues once

What the attempts of a step had shown was kept until the job closed, for each occurrence; a job with many occurrences would have grown the owner's memory. It is dropped with the last task of the step. Whether durations are learned is looked up once an occurrence, and by the queue first, in place of once a waiting step.

TestEndedStepsAreForgotten failed without the call: four steps were kept.

--- a/core/duration/predictor.go
+++ b/core/duration/predictor.go
@@ -154,8 +154,11 @@
 // IsLearned reports whether tasks of the step are done or have made progress, or those of enough
 // steps of the queue are done. Otherwise Predict returns little more than the estimate.
 func (p *Predictor) IsLearned(route string, key StepKey) bool {
+	if p.HasLearned(route) {
+		return true
+	}
 	s := p.steps[key]
-	return s != nil && (s.count > 0 || s.hasRunning) || p.HasLearned(route)
+	return s != nil && (s.count > 0 || s.hasRunning)
 }
 
 // HasLearned reports whether what the steps of the queue have taken counts more than the
--- a/core/scheduler/estimate_test.go
+++ b/core/scheduler/estimate_test.go
@@ -266,3 +266,19 @@
 	assert.Assert(t, done)
 	assert.Equal(t, h.startCount(firstTaskID), 2)
 }
+
+// Guards against memory that grows with the number of steps and occurrences that have ended.
+func TestEndedStepsAreForgotten(t *testing.T) {
+	h := newHarness(t, 2)
+	for _, f := range h.workers {
+		f.taskTime = 200 * time.Millisecond
+	}
+	j := singleStepJob(3, 1000)
+	j.Repeat = job.Repeat{Count: 5, FirstUnixMS: h.now.Milliseconds(), IntervalMS: 1000}
+	h.scheduler.Accept(j, h.now)
+	h.runFor(3500 * time.Millisecond)
+	assert.Equal(t, h.scheduler.State(j.ID), job.StateActive)
+	assert.Equal(t, h.scheduler.stragglers.Len(), 0)
+	h.runFor(4 * time.Second)
+	assert.Equal(t, h.scheduler.State(j.ID), job.StateCompleted)
+}
--- a/core/scheduler/plan.go
+++ b/core/scheduler/plan.go
@@ -149,6 +149,10 @@
 	since := s.accepted[e.Job.ID]
 	remaining, work := s.remaining(e, k)
 	regular, bestEffort := s.addExecuting(e, k)
+	noValueAfter := since + noValueFactor*objective
+	if !s.areDurationsLearned(e, k) {
+		noValueAfter = never
+	}
 	for i := range e.Job.Steps {
 		step := &e.Job.Steps[i]
 		waiting := e.WaitingCount(k, i)
@@ -164,16 +168,13 @@
 		d := dispatch.Demand{
 			ID: job.StepID{Job: e.Job.ID, Occurrence: k, Step: i}, Step: step,
 			Service: s.service(e.Job.Queue), Priority: queue.Priority, Account: e.Job.Account, Executing: regular,
-			Deadline: since + objective, NoValueAfter: since + noValueFactor*objective,
+			Deadline: since + objective, NoValueAfter: noValueAfter,
 			Remaining: remaining, CoreSeconds: work, TaskDuration: predicted.durations[i], TotalWork: predicted.work,
 			MeanWork: s.throughput.meanWork(e.Job.Queue.Route),
 		}
 		if step.Fills {
 			d.Executing = bestEffort
 		}
-		if !s.areDurationsLearned(e, k) {
-			d.NoValueAfter = never
-		}
 		d.Waiting = s.waitingTasks(e, k, i)
 		d.Idle = (mayStarve(step) || s.hasSuspects(now)) && s.isStarving(e, d.Service, now)
 		d.Starving = mayStarve(step) && d.Idle
@@ -193,6 +194,9 @@
 // areDurationsLearned reports whether tasks have shown how long each unfinished step of an
 // occurrence takes, or those of enough other jobs of the queue.
 func (s *Scheduler) areDurationsLearned(e *ledger.Entry, k int) bool {
+	if s.durations.HasLearned(e.Job.Queue.Route) {
+		return true
+	}
 	for i := range e.Job.Steps {
 		if o := e.Occurrences[k]; o != nil && o.Steps[i].Done == e.Job.Steps[i].Count {
 			continue
--- a/core/scheduler/stages.go
+++ b/core/scheduler/stages.go
@@ -60,7 +60,8 @@
 	}
 }
 
-// recordStepEnd remembers when the last step of an open job ended.
+// recordStepEnd remembers when the last step of an open job ended, and drops what is known about
+// the attempts of a step that has ended: a job with many occurrences is open for long.
 func (s *Scheduler) recordStepEnd(e *ledger.Entry, id job.TaskID, now fleet.Instant) {
 	if e.IsClosed() {
 		delete(s.stepEndedAt, id.Job)
@@ -68,5 +69,6 @@
 	}
 	if o := e.Occurrences[id.Occurrence]; o != nil && o.Steps[id.Step].Done == e.Job.Steps[id.Step].Count {
 		s.stepEndedAt[id.Job] = now
+		s.stragglers.Forget(id.StepID)
 	}
 }
--- a/core/straggler/detector.go
+++ b/core/straggler/detector.go
@@ -184,6 +184,9 @@
 // Forget drops what is known about a step.
 func (d *Detector) Forget(id job.StepID) { delete(d.steps, id) }
 
+// Len returns the number of steps of which something is known.
+func (d *Detector) Len() int { return len(d.steps) }
+
 func (d *Detector) step(id job.StepID) *step {
 	s := d.steps[id]
 	if s == nil {
